--- /dev/null
+++ b/cmd/goldcrest_worker.cc
@@ -0,0 +1,199 @@
+// Stand-in backend servers for tests and measurement.
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include <Poco/Net/NetException.h>
+#include <Poco/StringTokenizer.h>
+#include <gflags/gflags.h>
+
+#include "edge/logging.h"
+#include "edge/settings.h"
+#include "edge/stand_in_worker.h"
+
+DEFINE_string(entry, "127.0.0.1:8080", "Entry VMs, as IP:PORT,...");
+DEFINE_string(listen, "127.0.0.1:9000", "IP:PORT of the first worker.");
+DEFINE_int32(count, 1, "Workers in this process, on consecutive ports.");
+DEFINE_int32(slots, 8, "Slots of each worker.");
+DEFINE_int64(memory_mb, 32768, "Memory of each worker, in megabytes.");
+DEFINE_int64(accelerators, 0, "Accelerators of each worker.");
+DEFINE_string(failure_domain, "local", "Failure domain of the workers.");
+DEFINE_int32(rack_size, 6, "Workers to a rack.");
+DEFINE_string(name_prefix, "", "Start of the workers' names. Empty: w.");
+DEFINE_double(fail_rate, 0, "Share of tasks that fail, 0 to 1.");
+DEFINE_int32(failing_workers, 0, "Workers that fail every task.");
+DEFINE_double(straggle_rate, 0, "Share of tasks that take ten times as long.");
+DEFINE_string(start_log, "", "File for one JSON line per start and end.");
+DEFINE_string(log_level, "warning", "debug, info, warning or error.");
+DEFINE_uint64(seed, 1, "Seed of the faults.");
+
+namespace goldcrest {
+namespace {
+
+const ProgramInfo kProgram = {
+    "goldcrest_worker",
+    "Runs stand-in backend servers that announce themselves to entry VMs and "
+    "sleep for the time that a task's payload says.",
+    "goldcrest_worker [--name=value ...]",
+    "goldcrest_worker.cc",
+};
+
+constexpr timespec kSignalPoll = {0, 100'000'000};
+constexpr Micros kLongestWait = 100 * kMillisecond;
+
+void CheckShare(const std::string& flag, double value) {
+  if (value < 0 || value > 1) {
+    FailUsage(kProgram, "--" + flag + " must be 0 to 1");
+  }
+}
+
+std::vector<std::string> ReadEntries() {
+  std::vector<std::string> entries;
+  const Poco::StringTokenizer parts(
+      FLAGS_entry, ",",
+      Poco::StringTokenizer::TOK_TRIM |
+          Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  for (const std::string& part : parts) {
+    if (!IsAddress(part)) {
+      FailUsage(kProgram, "--entry: '" + part + "' is not IP:PORT");
+    }
+    entries.push_back(part);
+  }
+  if (entries.empty()) {
+    FailUsage(kProgram, "--entry names no entry VM");
+  }
+  return entries;
+}
+
+StandInOptions ReadOptions() {
+  if (!IsAddress(FLAGS_listen)) {
+    FailUsage(kProgram, "--listen: '" + FLAGS_listen + "' is not IP:PORT");
+  }
+  if (FLAGS_count < 1 || FLAGS_count > 4096 || FLAGS_slots < 1 ||
+      FLAGS_rack_size < 1) {
+    FailUsage(kProgram,
+              "--count must be 1 to 4096, --slots and --rack_size at least 1");
+  }
+  CheckShare("fail_rate", FLAGS_fail_rate);
+  CheckShare("straggle_rate", FLAGS_straggle_rate);
+  StandInOptions options;
+  options.entries = ReadEntries();
+  options.slots = FLAGS_slots;
+  options.memory_mb = FLAGS_memory_mb;
+  options.accelerators = FLAGS_accelerators;
+  options.failure_domain = FLAGS_failure_domain;
+  options.fail_rate = FLAGS_fail_rate;
+  options.straggle_rate = FLAGS_straggle_rate;
+  return options;
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// The first signal lets the workers leave, the second one ends at once.
+void WatchSignals(std::atomic<bool>& leaving,
+                  const std::atomic<bool>& done,
+                  SocketLoop& loop) {
+  const sigset_t signals = StopSignals();
+  while (!done) {
+    if (sigtimedwait(&signals, nullptr, &kSignalPoll) <= 0) {
+      continue;
+    }
+    if (leaving.exchange(true)) {
+      std::_Exit(kExitFailure);
+    }
+    loop.Wake();
+  }
+}
+
+using Workers = std::vector<std::unique_ptr<StandInWorker>>;
+
+Workers MakeWorkers(SocketLoop& loop, StartLog& log) {
+  const Poco::Net::SocketAddress first(FLAGS_listen);
+  const std::string prefix =
+      FLAGS_name_prefix.empty() ? "w" : FLAGS_name_prefix;
+  Workers workers;
+  for (int i = 0; i < FLAGS_count; ++i) {
+    StandInOptions options = ReadOptions();
+    const int port = first.port() + i;
+    options.address = first.host().toString() + ":" + std::to_string(port);
+    options.name = prefix + std::to_string(port);
+    options.rack = "rack" + std::to_string(i / FLAGS_rack_size);
+    options.fail_rate = i < FLAGS_failing_workers ? 1 : options.fail_rate;
+    options.seed = FLAGS_seed + static_cast<uint64_t>(i);
+    workers.push_back(std::make_unique<StandInWorker>(loop, log, options));
+  }
+  return workers;
+}
+
+void Serve(SocketLoop& loop, Workers& workers, std::atomic<bool>& leaving) {
+  bool told = false;
+  while (true) {
+    const Micros now = MonotonicMicros();
+    Micros wake = now + kLongestWait;
+    for (auto& worker : workers) {
+      if (leaving && !told) {
+        worker->Leave();
+      }
+      wake = std::min(wake, worker->Advance(now));
+    }
+    told = leaving;
+    const bool gone =
+        told && std::all_of(workers.begin(), workers.end(),
+                            [](const auto& worker) { return worker->gone(); });
+    if (gone) {
+      return;
+    }
+    loop.Poll(wake - MonotonicMicros());
+  }
+}
+
+int RunWorkers(int argc, char** argv) {
+  const auto rest = ReadSettings(kProgram, argc, argv);
+  if (!rest.empty()) {
+    FailUsage(kProgram, "unexpected argument '" + rest.front() + "'");
+  }
+  ReadOptions();
+  if (!StartLogging(FLAGS_log_level, {})) {
+    FailUsage(kProgram, "--log_level: unknown level '" + FLAGS_log_level + "'");
+  }
+  signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  StartLog log;
+  if (!FLAGS_start_log.empty() && !log.Open(FLAGS_start_log)) {
+    FailUsage(kProgram, "--start_log: cannot write '" + FLAGS_start_log + "'");
+  }
+  SocketLoop loop;
+  std::atomic<bool> leaving{false};
+  std::atomic<bool> done{false};
+  int exit_code = kExitOk;
+  std::thread watcher([&] { WatchSignals(leaving, done, loop); });
+  try {
+    Workers workers = MakeWorkers(loop, log);
+    Serve(loop, workers, leaving);
+  } catch (const Poco::Exception& error) {
+    std::cerr << "goldcrest_worker: cannot listen: " << error.displayText()
+              << "\n";
+    exit_code = kExitFailure;
+  }
+  done = true;
+  watcher.join();
+  log.Close();
+  return exit_code;
+}
+
+}  // namespace
+}  // namespace goldcrest
+
+int main(int argc, char** argv) {
+  return goldcrest::RunWorkers(argc, argv);
+}
--- /dev/null
+++ b/cmd/goldcrestd.cc
@@ -0,0 +1,259 @@
+// The entry VM's daemon.
+
+#include <sys/resource.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include <Poco/StringTokenizer.h>
+#include <gflags/gflags.h>
+
+#include "edge/daemon.h"
+#include "edge/logging.h"
+#include "edge/settings.h"
+#include "goldcrest/configuration.h"
+#include "goldcrest/digest.h"
+#include "goldcrest/submission.h"
+
+DEFINE_string(vm, "vm1", "Name of this entry VM.");
+DEFINE_string(failure_domain, "local", "Failure domain of this entry VM.");
+DEFINE_string(http_address,
+              "127.0.0.1:8080",
+              "IP:PORT for callers, backend servers and operators.");
+DEFINE_string(peer_address,
+              "127.0.0.1:8090",
+              "IP:PORT for the other entry VMs.");
+DEFINE_string(peers,
+              "",
+              "All entry VMs, this one included, as name/domain/ip:port,... "
+              "Empty: this VM works alone.");
+DEFINE_string(data_dir, "", "Data folder. Empty: this VM has no disk.");
+DEFINE_string(configuration,
+              "",
+              "File with the first configuration document, used only where "
+              "nothing is in force yet. Empty: the embedded default.");
+DEFINE_string(log_level, "info", "debug, info, warning or error.");
+DEFINE_uint64(max_body_bytes, 1048576, "Longest request body, in bytes.");
+DEFINE_uint64(max_connections, 8192, "Most connections at a time.");
+DEFINE_uint64(drain_timeout_ms,
+              30000,
+              "Longest graceful shutdown, in milliseconds.");
+DEFINE_string(placement,
+              "slack",
+              "How tasks are placed: slack, or a baseline for comparison: "
+              "random, round_robin, least_loaded.");
+DEFINE_bool(synced_claims,
+            false,
+            "Sync a journal record before each claim counts, for comparison. "
+            "A VM that works alone with a data folder always does.");
+DEFINE_uint64(seed, 0, "Seed of random choices. 0: from the clock.");
+
+namespace goldcrest {
+namespace {
+
+const ProgramInfo kProgram = {
+    "goldcrestd",
+    "Dispatches sub-second tasks from callers to backend servers. Run one on "
+    "each entry VM.",
+    "goldcrestd [--name=value ...]",
+    "goldcrestd.cc",
+};
+
+constexpr timespec kSignalPoll = {0, 100'000'000};
+constexpr size_t kSpareDescriptors = 256;
+
+// One placement policy and its word on the command line.
+struct PlacementRow {
+  std::string_view name;
+  PlacementPolicy policy;
+};
+
+constexpr PlacementRow kPlacements[] = {
+    {"slack", PlacementPolicy::kSlack},
+    {"random", PlacementPolicy::kRandom},
+    {"round_robin", PlacementPolicy::kRoundRobin},
+    {"least_loaded", PlacementPolicy::kLeastLoaded},
+};
+
+void CheckName(const std::string& flag, const std::string& value) {
+  if (!IsName(value)) {
+    FailUsage(kProgram, "--" + flag + ": '" + value + "' is not a name");
+  }
+}
+
+void CheckAddress(const std::string& flag, const std::string& value) {
+  if (!IsAddress(value)) {
+    FailUsage(kProgram, "--" + flag + ": '" + value + "' is not IP:PORT");
+  }
+}
+
+Deployment ReadDeployment(const Now& now) {
+  CheckName("vm", FLAGS_vm);
+  CheckName("failure_domain", FLAGS_failure_domain);
+  CheckAddress("http_address", FLAGS_http_address);
+  CheckAddress("peer_address", FLAGS_peer_address);
+  Deployment deployment;
+  deployment.self = FLAGS_vm;
+  deployment.failure_domain = FLAGS_failure_domain;
+  deployment.http_address = FLAGS_http_address;
+  deployment.incarnation = static_cast<uint64_t>(now.wall_ms);
+  deployment.has_disk = !FLAGS_data_dir.empty();
+  deployment.seed = FLAGS_seed != 0
+                        ? FLAGS_seed
+                        : StableHash(FLAGS_vm + std::to_string(now.wall_ms));
+  if (FLAGS_peers.empty()) {
+    deployment.vms = {{FLAGS_vm, FLAGS_failure_domain, FLAGS_peer_address}};
+    AssignRoles(deployment);
+    return deployment;
+  }
+  auto peers = ParsePeers(FLAGS_peers);
+  if (!peers) {
+    FailUsage(kProgram, "--peers: " + peers.error());
+  }
+  deployment.vms = *peers;
+  for (const EntryVm& vm : deployment.vms) {
+    CheckAddress("peers", vm.peer_address);
+  }
+  AssignRoles(deployment);
+  const EntryVm* self = deployment.Find(FLAGS_vm);
+  if (self == nullptr) {
+    FailUsage(kProgram, "--peers does not list this VM, '" + FLAGS_vm + "'");
+  }
+  if (self->failure_domain != FLAGS_failure_domain ||
+      self->peer_address != FLAGS_peer_address) {
+    FailUsage(kProgram, "--peers lists '" + FLAGS_vm +
+                            "' with another failure domain or address");
+  }
+  return deployment;
+}
+
+std::string ReadFirstDocument() {
+  if (FLAGS_configuration.empty()) {
+    return ConfigurationJson(DefaultConfiguration());
+  }
+  std::ifstream file(FLAGS_configuration);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    FailUsage(kProgram,
+              "--configuration: cannot read '" + FLAGS_configuration + "'");
+  }
+  const auto configuration = ParseConfiguration(text.str());
+  if (!configuration) {
+    const FieldError& error = configuration.error().front();
+    FailUsage(kProgram,
+              "--configuration: " + error.field + ": " + error.message);
+  }
+  return ConfigurationJson(*configuration);
+}
+
+Tuning ReadTuning(const Deployment& deployment) {
+  Tuning tuning;
+  tuning.drain_timeout =
+      static_cast<Micros>(FLAGS_drain_timeout_ms) * kMillisecond;
+  tuning.synced_claims =
+      FLAGS_synced_claims || (deployment.IsAlone() && deployment.has_disk);
+  if (FLAGS_synced_claims && !deployment.has_disk) {
+    FailUsage(kProgram, "--synced_claims needs --data_dir");
+  }
+  for (const PlacementRow& row : kPlacements) {
+    if (row.name == FLAGS_placement) {
+      tuning.placement = row.policy;
+      return tuning;
+    }
+  }
+  FailUsage(kProgram, "--placement: '" + FLAGS_placement +
+                          "' is not slack, random, round_robin or "
+                          "least_loaded");
+}
+
+// Lets the daemon hold as many connections as it is set to, where the system
+// allows it.
+void RaiseDescriptorLimit() {
+  rlimit limit = {};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return;
+  }
+  const rlim_t wanted = 2 * FLAGS_max_connections + kSpareDescriptors;
+  limit.rlim_cur =
+      std::min<rlim_t>(std::max(limit.rlim_cur, wanted), limit.rlim_max);
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+// The first signal drains, the second one ends at once.
+void WatchSignals(Daemon& daemon, const std::atomic<bool>& done) {
+  const sigset_t signals = StopSignals();
+  bool draining = false;
+  while (!done) {
+    if (sigtimedwait(&signals, nullptr, &kSignalPoll) <= 0) {
+      continue;
+    }
+    if (draining) {
+      std::_Exit(kExitFailure);
+    }
+    draining = true;
+    daemon.RequestDrain();
+  }
+}
+
+int RunDaemon(int argc, char** argv) {
+  const auto rest = ReadSettings(kProgram, argc, argv);
+  if (!rest.empty()) {
+    FailUsage(kProgram, "unexpected argument '" + rest.front() + "'");
+  }
+  const Now now = ReadClock();
+  DaemonOptions options;
+  options.deployment = ReadDeployment(now);
+  options.tuning = ReadTuning(options.deployment);
+  options.data_dir = FLAGS_data_dir;
+  options.first_document = ReadFirstDocument();
+  options.http.limits.max_body_bytes = FLAGS_max_body_bytes;
+  options.http.max_connections = FLAGS_max_connections;
+  if (!StartLogging(FLAGS_log_level, {{"vm", FLAGS_vm}})) {
+    FailUsage(kProgram, "--log_level: '" + FLAGS_log_level +
+                            "' is not debug, info, warning or error");
+  }
+  RaiseDescriptorLimit();
+  signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  Daemon daemon(options);
+  const auto started = daemon.Start();
+  if (!started) {
+    std::cerr << "goldcrestd: " << started.error() << "\n";
+    return kExitFailure;
+  }
+  WriteLog({LogLevel::kInfo,
+            "daemon_started",
+            {{"http", FLAGS_http_address},
+             {"failure_domain", FLAGS_failure_domain},
+             {"vms", std::to_string(options.deployment.vms.size())},
+             {"disk", FLAGS_data_dir.empty() ? "none" : FLAGS_data_dir}}});
+  std::atomic<bool> done{false};
+  std::thread watcher([&] { WatchSignals(daemon, done); });
+  daemon.Run();
+  done = true;
+  watcher.join();
+  WriteLog({LogLevel::kInfo, "daemon_stopped", {}});
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace goldcrest
+
+int main(int argc, char** argv) {
+  return goldcrest::RunDaemon(argc, argv);
+}
--- /dev/null
+++ b/edge/daemon.cc
@@ -0,0 +1,257 @@
+#include "edge/daemon.h"
+
+#include <mutex>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include "edge/console.h"
+#include "edge/logging.h"
+#include "edge/routes.h"
+#include "edge/worker_calls.h"
+#include "goldcrest/step.h"
+#include "goldcrest/submission.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr size_t kMaxInbox = 200'000;
+constexpr Micros kCloseStalePeriod = 100 * kMillisecond;
+// Replies that are on their way when the daemon ends get this long to leave.
+constexpr Micros kLastReplies = 200 * kMillisecond;
+
+HttpReply ReplyOf(const ReplyResult& action) {
+  HttpReply reply;
+  const bool cancelled =
+      action.cancelling && OutcomeOf(action.result) == Outcome::kCancelled;
+  reply.status = cancelled ? 200 : ResultStatus(action.result);
+  reply.body = ResultJson(action.submission_id, action.result);
+  reply.retry_after_ms = action.result.retry_after_ms();
+  return reply;
+}
+
+}  // namespace
+
+class Daemon::Inbox {
+ public:
+  explicit Inbox(SocketLoop& loop) : loop_(loop) {}
+
+  // Puts an event in. One that may be lost is dropped when the inbox is full.
+  void Put(Event event, bool may_be_lost) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (may_be_lost && events_.size() >= kMaxInbox) {
+        return;
+      }
+      events_.push_back(std::move(event));
+    }
+    loop_.Wake();
+  }
+
+  std::vector<Event> TakeAll() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return std::exchange(events_, {});
+  }
+
+ private:
+  SocketLoop& loop_;
+  std::mutex mutex_;
+  std::vector<Event> events_;
+};
+
+Daemon::Daemon(DaemonOptions options)
+    : options_(std::move(options)),
+      bb_(MakeBlackboard(options_.deployment, options_.tuning)),
+      inbox_(std::make_unique<Inbox>(loop_)) {}
+
+Daemon::~Daemon() {
+  link_.reset();
+  journal_.reset();
+}
+
+tl::expected<void, std::string> Daemon::Start() {
+  Recovered recovered;
+  if (!options_.data_dir.empty()) {
+    auto opened = OpenJournal(options_.data_dir, JournalOptions(),
+                              options_.deployment.incarnation,
+                              [this](uint64_t token, bool ok) {
+                                inbox_->Put(JournalSynced{token, ok}, false);
+                              });
+    if (!opened) {
+      return tl::make_unexpected(opened.error());
+    }
+    journal_ = std::move(opened->journal);
+    recovered = std::move(opened->recovered);
+    if (opened->damaged) {
+      WriteLog({LogLevel::kError,
+                "journal_damaged",
+                {{"data_dir", options_.data_dir}}});
+    }
+  }
+  try {
+    server_ = std::make_unique<HttpServer>(
+        loop_, Poco::Net::SocketAddress(options_.deployment.http_address),
+        options_.http,
+        [this](RequestToken token, const HttpRequest& request) {
+          OnHttpRequest(token, request);
+        },
+        [this](RequestToken token) {
+          console_forms_.erase(token);
+          local_events_.emplace_back(CallerGone{token});
+        });
+    client_ = std::make_unique<HttpClient>(loop_, HttpClientOptions());
+    if (!options_.deployment.IsAlone()) {
+      link_ = std::make_unique<PeerLink>(
+          options_.deployment, [this](wire::PeerMessage message) {
+            inbox_->Put(PeerReceived{std::move(message)}, true);
+          });
+    }
+  } catch (const Poco::Exception& error) {
+    return tl::make_unexpected("cannot listen on " +
+                               options_.deployment.http_address + ": " +
+                               error.displayText());
+  } catch (const zmq::error_t& error) {
+    return tl::make_unexpected(std::string("cannot bind the peer address: ") +
+                               error.what());
+  }
+  bb_.configuration.first_document = options_.first_document;
+  Actions actions;
+  goldcrest::Start(bb_, recovered, ReadClock(), actions);
+  Perform(actions);
+  return {};
+}
+
+void Daemon::RequestDrain() {
+  inbox_->Put(DrainRequest(), false);
+}
+
+void Daemon::OnHttpRequest(RequestToken token, const HttpRequest& request) {
+  RouteResult result = Route(request, token, bb_, metrics_, ReadClock());
+  if (const auto* reply = std::get_if<HttpReply>(&result)) {
+    server_->Respond(token, *reply);
+    return;
+  }
+  if (request.path == "/console") {
+    console_forms_[token] = request.body;
+  }
+  local_events_.push_back(std::move(std::get<Event>(result)));
+}
+
+void Daemon::StepWith(const Event& event) {
+  Actions actions;
+  Step(bb_, event, ReadClock(), actions);
+  Perform(actions);
+  for (const Observation& observation : bb_.observations) {
+    metrics_.Observe(observation);
+  }
+  bb_.observations.clear();
+}
+
+void Daemon::Perform(const Actions& actions) {
+  for (const Action& action : actions) {
+    std::visit([this](const auto& one) { PerformOne(one); }, action);
+  }
+}
+
+void Daemon::Respond(ReplyToken token, const HttpReply& reply) {
+  if (token != kNoToken) {
+    server_->Respond(token, reply);
+  }
+}
+
+void Daemon::PerformOne(const ReplyResult& action) {
+  Respond(action.token, ReplyOf(action));
+}
+
+void Daemon::PerformOne(const ReplyJson& action) {
+  if (const auto form = console_forms_.extract(action.token)) {
+    Respond(action.token,
+            ConsoleResult(form.mapped(), action.status, action.body, bb_));
+    return;
+  }
+  HttpReply reply;
+  reply.status = action.status;
+  reply.body = action.body;
+  Respond(action.token, reply);
+}
+
+void Daemon::PerformOne(const StartTask& action) {
+  client_->Call(
+      StartCall(action),
+      [this, action](CallEnd end, const HttpResponse& response) {
+        local_events_.emplace_back(ReadStartResponse(action, end, response));
+      });
+}
+
+void Daemon::PerformOne(const StopTask& action) {
+  client_->Call(StopCall(action), [](CallEnd, const HttpResponse&) {});
+}
+
+void Daemon::PerformOne(const LookupTask& action) {
+  client_->Call(
+      LookupCall(action),
+      [this, action](CallEnd end, const HttpResponse& response) {
+        local_events_.emplace_back(ReadLookupResponse(action, end, response));
+      });
+}
+
+void Daemon::PerformOne(const SendPeer& action) {
+  if (link_ != nullptr) {
+    link_->Send(action.vm, action.message);
+  }
+}
+
+void Daemon::PerformOne(const AppendJournal& action) {
+  if (journal_ != nullptr) {
+    journal_->Append(action.record, action.token);
+  } else if (action.token != 0) {
+    inbox_->Put(JournalSynced{action.token, false}, false);
+  }
+}
+
+void Daemon::PerformOne(const LogEvent& action) {
+  WriteLog(action);
+}
+
+void Daemon::ServeInbox() {
+  for (const Event& event : inbox_->TakeAll()) {
+    StepWith(event);
+  }
+}
+
+void Daemon::CloseStale(Micros now) {
+  if (now - closed_stale_at_ < kCloseStalePeriod) {
+    return;
+  }
+  closed_stale_at_ = now;
+  server_->CloseStale(now);
+  client_->CloseStale(now);
+}
+
+void Daemon::Run() {
+  while (!bb_.drained) {
+    const Now now = ReadClock();
+    const Micros wait =
+        std::min(NextWakeUp(bb_, now) - now.mono, kCloseStalePeriod);
+    loop_.Poll(local_events_.empty() ? wait : 0);
+    ServeInbox();
+    const std::vector<Event> events = std::exchange(local_events_, {});
+    for (const Event& event : events) {
+      StepWith(event);
+    }
+    if (NextWakeUp(bb_, now) <= MonotonicMicros()) {
+      StepWith(Tick());
+    }
+    CloseStale(MonotonicMicros());
+  }
+  const Micros until = MonotonicMicros() + kLastReplies;
+  while (MonotonicMicros() < until) {
+    loop_.Poll(until - MonotonicMicros());
+  }
+  if (journal_ != nullptr) {
+    journal_->Flush();
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/daemon.h
@@ -0,0 +1,88 @@
+#ifndef EDGE_DAEMON_H_
+#define EDGE_DAEMON_H_
+
+// The edges of one daemon around its decisions.
+//
+// One thread owns the blackboard and all HTTP sockets: it waits on them, turns
+// what happened into events, steps, and performs the actions. The peer link,
+// the journal and the signals have threads of their own, which only put events
+// into a bounded queue and wake the loop.
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "edge/http_client.h"
+#include "edge/http_server.h"
+#include "edge/journal.h"
+#include "edge/metrics.h"
+#include "edge/peer_link.h"
+#include "edge/socket_loop.h"
+#include "goldcrest/blackboard.h"
+#include "goldcrest/event.h"
+
+namespace goldcrest {
+
+struct DaemonOptions {
+  Deployment deployment;
+  Tuning tuning;
+  std::string data_dir;  // empty: no disk
+  std::string first_document;
+  HttpServerOptions http;
+};
+
+class Daemon {
+ public:
+  explicit Daemon(DaemonOptions options);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  // Opens the data folder, binds all sockets and starts. The error is one
+  // sentence.
+  tl::expected<void, std::string> Start();
+
+  // Serves until the daemon is drained.
+  void Run();
+
+  // Begins a graceful shutdown. Callable from any thread.
+  void RequestDrain();
+
+ private:
+  // Events from other threads, bounded.
+  class Inbox;
+
+  void OnHttpRequest(RequestToken token, const HttpRequest& request);
+  void StepWith(const Event& event);
+  void Perform(const Actions& actions);
+  void PerformOne(const ReplyResult& action);
+  void PerformOne(const ReplyJson& action);
+  void PerformOne(const StartTask& action);
+  void PerformOne(const StopTask& action);
+  void PerformOne(const LookupTask& action);
+  void PerformOne(const SendPeer& action);
+  void PerformOne(const AppendJournal& action);
+  void PerformOne(const LogEvent& action);
+  void ServeInbox();
+  void CloseStale(Micros now);
+  void Respond(ReplyToken token, const HttpReply& reply);
+
+  DaemonOptions options_;
+  Blackboard bb_;
+  Metrics metrics_;
+  SocketLoop loop_;
+  std::unique_ptr<Inbox> inbox_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<PeerLink> link_;
+  std::unique_ptr<Journal> journal_;
+  // Events that arrived on this thread's sockets and wait for their step.
+  std::vector<Event> local_events_;
+  // Forms of the console whose change is being decided.
+  std::map<RequestToken, std::string> console_forms_;
+  Micros closed_stale_at_ = 0;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_DAEMON_H_
--- /dev/null
+++ b/edge/http_client.cc
@@ -0,0 +1,272 @@
+#include "edge/http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace goldcrest {
+namespace {
+
+constexpr int kReadBytes = 16 * 1024;
+
+}  // namespace
+
+class HttpClient::Connection : public SocketHandler {
+ public:
+  Connection(HttpClient& client, uint64_t id, std::string address)
+      : client_(client),
+        id_(id),
+        address_(std::move(address)),
+        opened_at_(MonotonicMicros()),
+        idle_since_(opened_at_) {}
+
+  ~Connection() override {
+    if (!shut_) {
+      Shut();
+    }
+  }
+
+  // Starts to connect. Returns false when that fails at once.
+  bool Open() {
+    try {
+      socket_.connectNB(Poco::Net::SocketAddress(address_));
+      socket_.setBlocking(false);
+      client_.loop_.Add(socket_, this, true);
+      watching_writable_ = true;
+      return true;
+    } catch (const Poco::Exception&) {
+      shut_ = true;
+      return false;
+    }
+  }
+
+  void StartCall(const HttpCall& call, CallHandler handler) {
+    busy_ = true;
+    sent_bytes_ = 0;
+    handler_ = std::move(handler);
+    deadline_ = MonotonicMicros() + call.timeout;
+    output_ = FormatRequest(call.method, call.path, call.address, call.body);
+    if (connected_) {
+      Flush();
+    }
+  }
+
+  void OnReadable() override;
+  void OnWritable() override;
+
+  void Shut() {
+    shut_ = true;
+    client_.loop_.Remove(socket_);
+    socket_.close();
+  }
+
+  // Ends the call in progress without a response.
+  void Fail() {
+    if (!busy_) {
+      return;
+    }
+    busy_ = false;
+    const CallHandler handler = std::move(handler_);
+    handler(sent_bytes_ > 0 ? CallEnd::kLost : CallEnd::kNotSent,
+            HttpResponse());
+  }
+
+  bool IsStale(Micros now) const {
+    if (!busy_) {
+      return now - idle_since_ > client_.options_.idle_timeout;
+    }
+    const bool connecting =
+        !connected_ && now - opened_at_ > client_.options_.connect_timeout;
+    return connecting || now > deadline_;
+  }
+
+  const std::string& address() const { return address_; }
+  bool busy() const { return busy_; }
+
+ private:
+  void Flush();
+  void Finish(const ResponseParse& parse);
+  bool ReadAll(bool* closed);
+
+  HttpClient& client_;
+  uint64_t id_;
+  std::string address_;
+  Poco::Net::StreamSocket socket_;
+  std::string output_;
+  std::string input_;
+  CallHandler handler_;
+  bool connected_ = false;
+  bool busy_ = false;
+  bool shut_ = false;
+  bool watching_writable_ = false;
+  size_t sent_bytes_ = 0;
+  Micros opened_at_;
+  Micros idle_since_;
+  Micros deadline_ = 0;
+};
+
+void HttpClient::Connection::OnWritable() {
+  if (!connected_) {
+    const int error = socket_.impl()->socketError();
+    if (error != 0) {
+      client_.Close(id_);
+      return;
+    }
+    connected_ = true;
+    socket_.setNoDelay(true);
+  }
+  Flush();
+}
+
+void HttpClient::Connection::Flush() {
+  while (!output_.empty()) {
+    int sent = 0;
+    try {
+      sent =
+          socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
+    } catch (const Poco::Exception&) {
+      client_.Close(id_);
+      return;
+    }
+    if (sent <= 0) {
+      break;
+    }
+    sent_bytes_ += static_cast<size_t>(sent);
+    output_.erase(0, static_cast<size_t>(sent));
+  }
+  const bool pending = !output_.empty();
+  if (pending != watching_writable_) {
+    watching_writable_ = pending;
+    client_.loop_.WatchWritable(socket_, pending);
+  }
+}
+
+bool HttpClient::Connection::ReadAll(bool* closed) {
+  char bytes[kReadBytes];
+  while (input_.size() <= client_.options_.limits.max_body_bytes +
+                              client_.options_.limits.max_header_bytes) {
+    int count = 0;
+    try {
+      count = socket_.receiveBytes(bytes, kReadBytes);
+    } catch (const Poco::Exception&) {
+      count = 0;
+    }
+    if (count < 0) {
+      return true;
+    }
+    if (count == 0) {
+      *closed = true;
+      return true;
+    }
+    input_.append(bytes, static_cast<size_t>(count));
+  }
+  return false;
+}
+
+void HttpClient::Connection::OnReadable() {
+  bool closed = false;
+  if (!ReadAll(&closed) || (!busy_ && closed)) {
+    client_.Close(id_);
+    return;
+  }
+  if (!busy_) {
+    client_.Close(id_);  // bytes that answer no request
+    return;
+  }
+  const ResponseParse parse =
+      ParseResponse(input_, client_.options_.limits, closed);
+  if (parse.state == ParseState::kComplete) {
+    Finish(parse);
+    return;
+  }
+  if (closed || parse.state == ParseState::kBad) {
+    client_.Close(id_);
+  }
+}
+
+void HttpClient::Connection::Finish(const ResponseParse& parse) {
+  input_.erase(0, parse.consumed);
+  busy_ = false;
+  idle_since_ = MonotonicMicros();
+  const CallHandler handler = std::move(handler_);
+  const bool reusable =
+      parse.response.keep_alive && input_.empty() && output_.empty();
+  if (reusable) {
+    client_.idle_[address_].push_back(id_);
+  } else {
+    client_.Close(id_);
+  }
+  handler(CallEnd::kResponse, parse.response);
+}
+
+HttpClient::HttpClient(SocketLoop& loop, const HttpClientOptions& options)
+    : loop_(loop), options_(options) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Connection* HttpClient::IdleConnection(const std::string& address) {
+  std::vector<uint64_t>& idle = idle_[address];
+  while (!idle.empty()) {
+    const auto found = connections_.find(idle.back());
+    idle.pop_back();
+    if (found != connections_.end() && !found->second->busy()) {
+      return found->second.get();
+    }
+  }
+  return nullptr;
+}
+
+HttpClient::Connection* HttpClient::OpenConnection(const std::string& address) {
+  const uint64_t id = next_connection_++;
+  auto connection = std::make_unique<Connection>(*this, id, address);
+  if (!connection->Open()) {
+    return nullptr;
+  }
+  Connection* opened = connection.get();
+  connections_[id] = std::move(connection);
+  return opened;
+}
+
+void HttpClient::Call(const HttpCall& call, CallHandler handler) {
+  Connection* connection = IdleConnection(call.address);
+  if (connection == nullptr) {
+    connection = OpenConnection(call.address);
+  }
+  if (connection == nullptr) {
+    handler(CallEnd::kNotSent, HttpResponse());
+    return;
+  }
+  connection->StartCall(call, std::move(handler));
+}
+
+void HttpClient::Close(uint64_t id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  closed_.push_back(std::move(found->second));
+  connections_.erase(found);
+  Connection& connection = *closed_.back();
+  connection.Shut();
+  connection.Fail();
+}
+
+void HttpClient::CloseStale(Micros now) {
+  closed_.clear();
+  std::vector<uint64_t> stale;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->IsStale(now)) {
+      stale.push_back(id);
+    }
+  }
+  for (const uint64_t id : stale) {
+    Close(id);
+  }
+  std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/http_message.cc
@@ -0,0 +1,265 @@
+#include "edge/http_message.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <sstream>
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/String.h>
+#include <Poco/URI.h>
+
+namespace goldcrest {
+namespace {
+
+constexpr char kHeaderEnd[] = "\r\n\r\n";
+constexpr size_t kHeaderEndBytes = 4;
+
+RequestParse BadRequest(ResultCode code) {
+  RequestParse parse;
+  parse.state = ParseState::kBad;
+  parse.error = code;
+  return parse;
+}
+
+// Reads a Content-Length that must be plain digits.
+bool ReadLength(const std::string& text, size_t* length) {
+  const char* end = text.data() + text.size();
+  const auto [stop, error] = std::from_chars(text.data(), end, *length);
+  return !text.empty() && error == std::errc() && stop == end;
+}
+
+bool SplitTarget(const std::string& target, HttpRequest& request) {
+  const size_t question = target.find('?');
+  const std::string path = target.substr(0, question);
+  if (path.empty() || path[0] != '/') {
+    return false;
+  }
+  request.query =
+      question == std::string::npos ? "" : target.substr(question + 1);
+  Poco::URI::decode(path, request.path);
+  return request.path.find('\0') == std::string::npos;
+}
+
+// Reads the headers; throws POCO's exceptions for malformed ones.
+void ReadHeader(const std::string& buffer,
+                size_t header_bytes,
+                Poco::Net::HTTPRequest& header) {
+  Poco::MemoryInputStream stream(buffer.data(),
+                                 static_cast<std::streamsize>(header_bytes));
+  header.read(stream);
+}
+
+// Fills in the parts of a request that do not depend on its body.
+bool CopyHeader(const Poco::Net::HTTPRequest& header, HttpRequest& request) {
+  request.method = header.getMethod();
+  request.if_match = header.get("If-Match", "");
+  request.content_type = header.getContentType();
+  request.keep_alive = header.getKeepAlive();
+  return SplitTarget(header.getURI(), request);
+}
+
+// Finds the end of a chunked body and joins its chunks. Returns false while it
+// is incomplete; throws when it is malformed or longer than the limit.
+bool JoinChunks(const std::string& buffer,
+                size_t position,
+                size_t max_bytes,
+                std::string& body,
+                size_t& end) {
+  while (true) {
+    const size_t line_end = buffer.find("\r\n", position);
+    if (line_end == std::string::npos) {
+      return false;
+    }
+    size_t length = 0;
+    const char* begin = buffer.data() + position;
+    const auto result =
+        std::from_chars(begin, buffer.data() + line_end, length, 16);
+    if (result.ec != std::errc() || result.ptr == begin ||
+        body.size() + length > max_bytes) {
+      throw Poco::DataFormatException("chunk");
+    }
+    position = line_end + 2;
+    if (length == 0) {
+      const size_t trailer_end = buffer.find("\r\n", position);
+      end = trailer_end == std::string::npos ? position : trailer_end + 2;
+      return trailer_end != std::string::npos;
+    }
+    if (buffer.size() < position + length + 2) {
+      return false;
+    }
+    body.append(buffer, position, length);
+    position += length + 2;
+  }
+}
+
+ResponseParse ReadResponseBody(const std::string& buffer,
+                               size_t body_start,
+                               const Poco::Net::HTTPResponse& header,
+                               const HttpLimits& limits,
+                               bool closed) {
+  ResponseParse parse;
+  parse.response.status = static_cast<int>(header.getStatus());
+  parse.response.keep_alive = header.getKeepAlive();
+  if (header.getChunkedTransferEncoding()) {
+    const bool whole = JoinChunks(buffer, body_start, limits.max_body_bytes,
+                                  parse.response.body, parse.consumed);
+    parse.state = whole ? ParseState::kComplete : ParseState::kIncomplete;
+    return parse;
+  }
+  if (!header.hasContentLength()) {
+    parse.response.keep_alive = false;
+    parse.response.body = buffer.substr(body_start);
+    parse.consumed = buffer.size();
+    parse.state = closed ? ParseState::kComplete : ParseState::kIncomplete;
+    return parse;
+  }
+  const auto length = static_cast<size_t>(header.getContentLength64());
+  if (length > limits.max_body_bytes) {
+    throw Poco::DataFormatException("body");
+  }
+  if (buffer.size() < body_start + length) {
+    return parse;
+  }
+  parse.response.body = buffer.substr(body_start, length);
+  parse.consumed = body_start + length;
+  parse.state = ParseState::kComplete;
+  return parse;
+}
+
+}  // namespace
+
+RequestParse ParseRequest(const std::string& buffer, const HttpLimits& limits) {
+  RequestParse parse;
+  const size_t header_end = buffer.find(kHeaderEnd);
+  if (header_end == std::string::npos || header_end > limits.max_header_bytes) {
+    return buffer.size() > limits.max_header_bytes
+               ? BadRequest(ResultCode::kHeaderTooLarge)
+               : parse;
+  }
+  const size_t body_start = header_end + kHeaderEndBytes;
+  Poco::Net::HTTPRequest header;
+  try {
+    ReadHeader(buffer, body_start, header);
+    if (!CopyHeader(header, parse.request)) {
+      return BadRequest(ResultCode::kMalformedBody);
+    }
+  } catch (const Poco::Exception&) {
+    return BadRequest(ResultCode::kMalformedBody);
+  }
+  if (header.has("Transfer-Encoding")) {
+    return BadRequest(ResultCode::kLengthRequired);
+  }
+  size_t length = 0;
+  if (header.has("Content-Length") &&
+      !ReadLength(header.get("Content-Length"), &length)) {
+    return BadRequest(ResultCode::kMalformedBody);
+  }
+  if (length > limits.max_body_bytes) {
+    return BadRequest(ResultCode::kBodyTooLarge);
+  }
+  if (buffer.size() < body_start + length) {
+    const bool asks =
+        Poco::icompare(header.get("Expect", ""), "100-continue") == 0;
+    parse.state = asks ? ParseState::kExpectContinue : ParseState::kIncomplete;
+    return parse;
+  }
+  parse.request.body = buffer.substr(body_start, length);
+  parse.consumed = body_start + length;
+  parse.state = ParseState::kComplete;
+  return parse;
+}
+
+ResponseParse ParseResponse(const std::string& buffer,
+                            const HttpLimits& limits,
+                            bool closed) {
+  ResponseParse parse;
+  const size_t header_end = buffer.find(kHeaderEnd);
+  if (header_end == std::string::npos) {
+    if (buffer.size() > limits.max_header_bytes) {
+      parse.state = ParseState::kBad;
+    }
+    return parse;
+  }
+  const size_t body_start = header_end + kHeaderEndBytes;
+  try {
+    Poco::MemoryInputStream stream(buffer.data(),
+                                   static_cast<std::streamsize>(body_start));
+    Poco::Net::HTTPResponse header;
+    header.read(stream);
+    return ReadResponseBody(buffer, body_start, header, limits, closed);
+  } catch (const Poco::Exception&) {
+    parse.state = ParseState::kBad;
+    return parse;
+  }
+}
+
+std::string FormatReply(const HttpReply& reply, bool keep_alive) {
+  Poco::Net::HTTPResponse response(
+      Poco::Net::HTTPMessage::HTTP_1_1,
+      static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
+  response.setContentType(reply.content_type);
+  response.setContentLength64(static_cast<Poco::Int64>(reply.body.size()));
+  response.setKeepAlive(keep_alive);
+  if (reply.retry_after_ms > 0) {
+    const int64_t seconds = (reply.retry_after_ms + 999) / 1000;
+    response.set("Retry-After", std::to_string(seconds));
+  }
+  std::ostringstream stream;
+  response.write(stream);
+  stream << reply.body;
+  return stream.str();
+}
+
+std::string FormatRequest(const std::string& method,
+                          const std::string& path,
+                          const std::string& host,
+                          const std::string& body) {
+  Poco::Net::HTTPRequest request(method, path,
+                                 Poco::Net::HTTPMessage::HTTP_1_1);
+  request.set("Host", host);
+  request.setKeepAlive(true);
+  if (!body.empty() || method == Poco::Net::HTTPRequest::HTTP_POST) {
+    request.setContentType("application/json");
+    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
+  }
+  std::ostringstream stream;
+  request.write(stream);
+  stream << body;
+  return stream.str();
+}
+
+std::vector<FormField> FormFields(const std::string& form) {
+  std::vector<FormField> fields;
+  std::istringstream stream(form);
+  std::string pair;
+  while (std::getline(stream, pair, '&')) {
+    std::replace(pair.begin(), pair.end(), '+', ' ');
+    const size_t equals = pair.find('=');
+    FormField field;
+    try {
+      Poco::URI::decode(pair.substr(0, equals), field.name);
+      if (equals != std::string::npos) {
+        Poco::URI::decode(pair.substr(equals + 1), field.value);
+      }
+    } catch (const Poco::Exception&) {
+      continue;  // a field that is not well encoded is no field
+    }
+    fields.push_back(std::move(field));
+  }
+  return fields;
+}
+
+std::string FormValue(const std::string& form, const std::string& name) {
+  for (const FormField& field : FormFields(form)) {
+    if (field.name == name) {
+      return field.value;
+    }
+  }
+  return "";
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/http_server.cc
@@ -0,0 +1,343 @@
+#include "edge/http_server.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include "goldcrest/submission.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int kBacklog = 1024;
+constexpr int kAcceptsPerTurn = 64;
+constexpr int kReadBytes = 16 * 1024;
+constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+HttpReply ErrorReply(ResultCode code) {
+  HttpReply reply;
+  reply.status = RowOf(code).http_status;
+  reply.body = ErrorJson({code, "", std::string(RowOf(code).meaning)});
+  return reply;
+}
+
+}  // namespace
+
+class HttpServer::Listener : public SocketHandler {
+ public:
+  explicit Listener(HttpServer& server) : server_(server) {}
+  void OnReadable() override { server_.Accept(); }
+  void OnWritable() override {}
+
+ private:
+  HttpServer& server_;
+};
+
+class HttpServer::Connection : public SocketHandler {
+ public:
+  Connection(HttpServer& server, uint64_t id, Poco::Net::StreamSocket socket)
+      : server_(server),
+        id_(id),
+        socket_(std::move(socket)),
+        last_active_(MonotonicMicros()) {
+    socket_.setBlocking(false);
+    socket_.setNoDelay(true);
+    server_.loop_.Add(socket_, this, false);
+  }
+
+  ~Connection() override {
+    if (!shut_) {
+      Shut();
+    }
+  }
+
+  void OnReadable() override;
+  void OnWritable() override { Flush(); }
+
+  void Respond(const HttpReply& reply);
+
+  bool is_waiting() const { return token_ != 0; }
+  RequestToken token() const { return token_; }
+  Micros last_active() const { return last_active_; }
+
+  // Takes the connection out of service; it is destroyed later.
+  void Shut() {
+    shut_ = true;
+    server_.loop_.Remove(socket_);
+    socket_.close();
+  }
+
+  // Whether the connection is past one of its timeouts.
+  bool IsStale(Micros now) const {
+    if (is_waiting()) {
+      return false;
+    }
+    const bool in_request = !input_.empty() || !output_.empty();
+    return in_request
+               ? now - request_started_ > server_.options_.request_timeout
+               : now - last_active_ > server_.options_.idle_timeout;
+  }
+
+ private:
+  // Returns false when the connection was closed.
+  bool ReadAll();
+  void HandleInput();
+  // Hands one whole request on. Returns whether there was one.
+  bool HandleOne();
+  void Queue(const std::string& bytes);
+  void Flush();
+  void EndWith(ResultCode code);
+
+  HttpServer& server_;
+  uint64_t id_;
+  Poco::Net::StreamSocket socket_;
+  std::string input_;
+  std::string output_;
+  RequestToken token_ = 0;
+  bool keep_alive_ = true;
+  bool close_after_output_ = false;
+  bool sent_continue_ = false;
+  bool handling_ = false;
+  bool shut_ = false;
+  bool watching_writable_ = false;
+  Micros last_active_;
+  Micros request_started_ = 0;
+};
+
+bool HttpServer::Connection::ReadAll() {
+  char bytes[kReadBytes];
+  const size_t most = server_.options_.limits.max_header_bytes +
+                      server_.options_.limits.max_body_bytes;
+  while (input_.size() <= most) {
+    int count = 0;
+    try {
+      count = socket_.receiveBytes(bytes, kReadBytes);
+    } catch (const Poco::Exception&) {
+      count = 0;
+    }
+    if (count < 0) {
+      return true;  // nothing more for now
+    }
+    if (count == 0) {
+      server_.Close(id_);
+      return false;
+    }
+    if (input_.empty()) {
+      request_started_ = MonotonicMicros();
+    }
+    input_.append(bytes, static_cast<size_t>(count));
+  }
+  if (is_waiting()) {
+    server_.Close(id_);  // floods the connection while its request waits
+    return false;
+  }
+  return true;
+}
+
+void HttpServer::Connection::OnReadable() {
+  if (!ReadAll()) {
+    return;
+  }
+  last_active_ = MonotonicMicros();
+  if (!is_waiting() && !close_after_output_) {
+    HandleInput();
+  }
+}
+
+// A reply may be made while its request is handed on, and the next request may
+// be here already: this loop takes them one by one without recursion.
+void HttpServer::Connection::HandleInput() {
+  if (handling_) {
+    return;
+  }
+  handling_ = true;
+  while (!shut_ && !is_waiting() && !close_after_output_ && HandleOne()) {
+  }
+  handling_ = false;
+}
+
+bool HttpServer::Connection::HandleOne() {
+  if (input_.empty()) {
+    return false;
+  }
+  RequestParse parse = ParseRequest(input_, server_.options_.limits);
+  switch (parse.state) {
+    case ParseState::kIncomplete:
+      return false;
+    case ParseState::kExpectContinue:
+      if (!sent_continue_) {
+        sent_continue_ = true;
+        Queue(kContinue);
+      }
+      return false;
+    case ParseState::kBad:
+      EndWith(parse.error);
+      return false;
+    case ParseState::kComplete:
+      break;
+  }
+  input_.erase(0, parse.consumed);
+  request_started_ = MonotonicMicros();
+  sent_continue_ = false;
+  keep_alive_ = parse.request.keep_alive;
+  token_ = server_.next_token_++;
+  server_.waiting_[token_] = id_;
+  server_.on_request_(token_, parse.request);
+  return true;
+}
+
+void HttpServer::Connection::EndWith(ResultCode code) {
+  close_after_output_ = true;
+  Queue(FormatReply(ErrorReply(code), false));
+}
+
+void HttpServer::Connection::Respond(const HttpReply& reply) {
+  token_ = 0;
+  close_after_output_ = !keep_alive_;
+  last_active_ = MonotonicMicros();
+  Queue(FormatReply(reply, keep_alive_));
+}
+
+void HttpServer::Connection::Queue(const std::string& bytes) {
+  output_ += bytes;
+  Flush();
+}
+
+void HttpServer::Connection::Flush() {
+  if (shut_) {
+    return;
+  }
+  while (!output_.empty()) {
+    int sent = 0;
+    try {
+      sent =
+          socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
+    } catch (const Poco::Exception&) {
+      server_.Close(id_);
+      return;
+    }
+    if (sent <= 0) {
+      break;
+    }
+    output_.erase(0, static_cast<size_t>(sent));
+  }
+  const bool pending = !output_.empty();
+  if (pending != watching_writable_) {
+    watching_writable_ = pending;
+    server_.loop_.WatchWritable(socket_, pending);
+  }
+  if (pending) {
+    return;
+  }
+  if (close_after_output_) {
+    server_.Close(id_);
+    return;
+  }
+  if (!is_waiting()) {
+    HandleInput();  // a request that came behind the one just answered
+  }
+}
+
+HttpServer::HttpServer(SocketLoop& loop,
+                       const Poco::Net::SocketAddress& address,
+                       const HttpServerOptions& options,
+                       RequestHandler on_request,
+                       GoneHandler on_gone)
+    : loop_(loop),
+      options_(options),
+      on_request_(std::move(on_request)),
+      on_gone_(std::move(on_gone)) {
+  listener_.bind(address, true);
+  listener_.listen(kBacklog);
+  listener_.setBlocking(false);
+  listen_handler_ = std::make_unique<Listener>(*this);
+  loop_.Add(listener_, listen_handler_.get(), false);
+}
+
+HttpServer::~HttpServer() {
+  StopListening();
+}
+
+void HttpServer::StopListening() {
+  loop_.Remove(listener_);
+  listener_.close();
+}
+
+void HttpServer::Accept() {
+  for (int i = 0; i < kAcceptsPerTurn; ++i) {
+    try {
+      if (!listener_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+        return;
+      }
+      Poco::Net::StreamSocket socket = listener_.acceptConnection();
+      if (connections_.size() >= options_.max_connections) {
+        MakeRoom();
+      }
+      const uint64_t id = next_connection_++;
+      connections_[id] = std::make_unique<Connection>(*this, id, socket);
+    } catch (const Poco::Exception&) {
+      return;  // out of descriptors or the client has gone: try again later
+    }
+  }
+}
+
+void HttpServer::MakeRoom() {
+  uint64_t oldest = 0;
+  Micros oldest_active = 0;
+  for (const auto& [id, connection] : connections_) {
+    const bool older = oldest == 0 || connection->last_active() < oldest_active;
+    if (!connection->is_waiting() && older) {
+      oldest = id;
+      oldest_active = connection->last_active();
+    }
+  }
+  if (oldest != 0) {
+    Close(oldest);
+  }
+}
+
+void HttpServer::Close(uint64_t id) {
+  const auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  const RequestToken token = found->second->token();
+  closed_.push_back(std::move(found->second));
+  connections_.erase(found);
+  closed_.back()->Shut();
+  if (token != 0) {
+    waiting_.erase(token);
+    on_gone_(token);
+  }
+}
+
+void HttpServer::Respond(RequestToken token, const HttpReply& reply) {
+  const auto found = waiting_.find(token);
+  if (found == waiting_.end()) {
+    return;
+  }
+  const uint64_t id = found->second;
+  waiting_.erase(found);
+  const auto connection = connections_.find(id);
+  if (connection != connections_.end()) {
+    connection->second->Respond(reply);
+  }
+}
+
+void HttpServer::CloseStale(Micros now) {
+  closed_.clear();
+  std::vector<uint64_t> stale;
+  for (const auto& [id, connection] : connections_) {
+    if (connection->IsStale(now)) {
+      stale.push_back(id);
+    }
+  }
+  for (const uint64_t id : stale) {
+    Close(id);
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/metrics.cc
@@ -0,0 +1,187 @@
+#include "edge/metrics.h"
+
+#include <vector>
+
+#include <boost/histogram/indexed.hpp>
+
+#include "goldcrest/json_reader.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int64_t kMinuteMs = 60'000;
+constexpr size_t kMaxRefusedMinutes = 1440;
+constexpr size_t kMaxSeries = 20'000;
+
+std::vector<double> BucketEdges() {
+  std::vector<double> edges = {0};
+  for (double edge = 1; edge < 700'000; edge *= 1.5) {
+    edges.push_back(edge);
+  }
+  return edges;
+}
+
+std::string Labels(const SeriesKey& key, const std::string& more = "") {
+  return "{kind=" + JsonQuote(key.kind) +
+         ",failure_domain=" + JsonQuote(key.failure_domain) + more + "}";
+}
+
+void AppendLine(std::string& text,
+                const std::string& name,
+                const std::string& labels,
+                const std::string& value) {
+  text += "goldcrest_" + name + labels + " " + value + "\n";
+}
+
+void AppendCount(std::string& text, const std::string& name, uint64_t value) {
+  text += "# TYPE goldcrest_" + name + " counter\n";
+  AppendLine(text, name, "", std::to_string(value));
+}
+
+void AppendGauge(std::string& text,
+                 const std::string& name,
+                 const std::string& value) {
+  text += "# TYPE goldcrest_" + name + " gauge\n";
+  AppendLine(text, name, "", value);
+}
+
+// One counter and the name that it is exported under.
+struct CounterRow {
+  const char* name;
+  uint64_t Counters::*value;
+};
+
+constexpr CounterRow kCounterRows[] = {
+    {"submissions_total", &Counters::submissions},
+    {"attached_total", &Counters::attached},
+    {"completed_total", &Counters::completed},
+    {"failed_total", &Counters::failed},
+    {"refused_total", &Counters::refused},
+    {"unknown_total", &Counters::unknown},
+    {"cancelled_total", &Counters::cancelled},
+    {"starts_total", &Counters::starts},
+    {"refused_starts_total", &Counters::refused_starts},
+    {"retries_total", &Counters::retries},
+    {"retries_denied_total", &Counters::retries_denied},
+    {"hedges_total", &Counters::hedges},
+    {"hedges_lost_total", &Counters::hedges_lost},
+    {"stops_total", &Counters::stops},
+    {"lookups_total", &Counters::lookups},
+    {"late_answers_total", &Counters::late_answers},
+    {"forwards_total", &Counters::forwards},
+    {"forward_resends_total", &Counters::forward_resends},
+    {"claim_messages_total", &Counters::claim_messages},
+    {"claim_resends_total", &Counters::claim_resends},
+    {"takeovers_total", &Counters::takeovers},
+    {"lease_lapses_total", &Counters::lease_lapses},
+    {"borrow_requests_total", &Counters::borrow_requests},
+    {"borrowed_slots_total", &Counters::borrowed_slots},
+    {"ejections_total", &Counters::ejections},
+    {"control_messages_total", &Counters::control_messages},
+    {"control_bytes_total", &Counters::control_bytes},
+    {"peer_messages_total", &Counters::peer_messages},
+    {"peer_bytes_total", &Counters::peer_bytes},
+    {"invariant_failures_total", &Counters::invariant_failures},
+};
+
+}  // namespace
+
+Metrics::Series::Series()
+    : response_ms(boost::histogram::make_histogram(Axis(BucketEdges()))) {}
+
+void Metrics::Observe(const Observation& observation) {
+  const SeriesKey key{observation.kind, observation.failure_domain};
+  if (series_.size() >= kMaxSeries && !series_.contains(key)) {
+    return;
+  }
+  Series& series = series_[key];
+  switch (observation.outcome) {
+    case Outcome::kComplete:
+      if (observation.response_ms <= observation.target_ms) {
+        ++series.good;
+      } else {
+        ++series.slow;
+      }
+      break;
+    case Outcome::kFailed:
+      ++series.failed;
+      break;
+    case Outcome::kRefused:
+      ++series.refused;
+      break;
+    case Outcome::kUnknown:
+      ++series.unknown;
+      break;
+    case Outcome::kCancelled:
+    case Outcome::kPending:
+      return;
+  }
+  const auto response_ms = static_cast<double>(observation.response_ms);
+  series.response_ms(response_ms);
+  series.sum_ms += response_ms;
+  const bool refused = observation.outcome == Outcome::kRefused ||
+                       observation.outcome == Outcome::kUnknown;
+  const int64_t minute = observation.wall_ms / kMinuteMs;
+  std::deque<int64_t>& minutes = series.refused_minutes;
+  if (refused && (minutes.empty() || minutes.back() != minute)) {
+    minutes.push_back(minute);
+    if (minutes.size() > kMaxRefusedMinutes) {
+      minutes.pop_front();
+    }
+  }
+}
+
+std::string Metrics::Text(const Blackboard& bb) const {
+  std::string text;
+  for (const CounterRow& row : kCounterRows) {
+    AppendCount(text, row.name, bb.counters.*row.value);
+  }
+  AppendGauge(text, "queued_tasks", std::to_string(bb.queue.queued_tasks));
+  AppendGauge(text, "running_tasks", std::to_string(bb.workers.uses.size()));
+  AppendGauge(text, "leased_slots", std::to_string(bb.workers.leased_slots));
+  AppendGauge(text, "free_slots", std::to_string(bb.workers.free_slots));
+  AppendGauge(text, "jobs", std::to_string(bb.jobs.size()));
+  AppendGauge(text, "claims", std::to_string(bb.claims.entries.size()));
+  AppendGauge(text, "configuration_version",
+              std::to_string(bb.configuration.in_force.version()));
+  AppendGauge(text, "serving_lease", bb.membership.lease_valid ? "1" : "0");
+  text += "# TYPE goldcrest_answers_total counter\n";
+  for (const auto& [key, series] : series_) {
+    const auto line = [&](const char* result, uint64_t count) {
+      AppendLine(text, "answers_total",
+                 Labels(key, ",result=\"" + std::string(result) + "\""),
+                 std::to_string(count));
+    };
+    line("good", series.good);
+    line("slow", series.slow);
+    line("failed", series.failed);
+    line("refused", series.refused);
+    line("unknown", series.unknown);
+    for (const int64_t minute : series.refused_minutes) {
+      AppendLine(text, "refused_minute",
+                 Labels(key, ",minute=\"" + std::to_string(minute) + "\""),
+                 "1");
+    }
+  }
+  text += "# TYPE goldcrest_response_ms histogram\n";
+  for (const auto& [key, series] : series_) {
+    uint64_t below = 0;
+    for (auto&& bin : boost::histogram::indexed(series.response_ms)) {
+      below += static_cast<uint64_t>(*bin);
+      if (*bin > 0) {
+        AppendLine(
+            text, "response_ms_bucket",
+            Labels(key, ",le=\"" + std::to_string(bin.bin().upper()) + "\""),
+            std::to_string(below));
+      }
+    }
+    AppendLine(text, "response_ms_bucket", Labels(key, ",le=\"+Inf\""),
+               std::to_string(below));
+    AppendLine(text, "response_ms_sum", Labels(key),
+               std::to_string(series.sum_ms));
+    AppendLine(text, "response_ms_count", Labels(key), std::to_string(below));
+  }
+  return text;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/peer_link.cc
@@ -0,0 +1,119 @@
+#include "edge/peer_link.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+namespace goldcrest {
+namespace {
+
+constexpr char kOutgoingAddress[] = "inproc://outgoing";
+constexpr int kQueuedMessages = 20'000;
+constexpr int64_t kMaxMessageBytes = 8 * 1024 * 1024;
+constexpr int kReconnectMs = 100;
+constexpr int kMaxReconnectMs = 1000;
+constexpr int kKeepAliveMs = 1000;
+constexpr int kDeadAfterMs = 3000;
+constexpr int kMessagesPerTurn = 1000;
+
+}  // namespace
+
+PeerLink::PeerLink(const Deployment& deployment, ReceiveHandler on_receive)
+    : router_(context_, zmq::socket_type::router),
+      outgoing_sender_(context_, zmq::socket_type::push),
+      outgoing_receiver_(context_, zmq::socket_type::pull),
+      on_receive_(std::move(on_receive)) {
+  router_.set(zmq::sockopt::linger, 0);
+  router_.set(zmq::sockopt::rcvhwm, kQueuedMessages);
+  router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  outgoing_sender_.set(zmq::sockopt::linger, 0);
+  outgoing_sender_.set(zmq::sockopt::sndhwm, kQueuedMessages);
+  outgoing_receiver_.set(zmq::sockopt::rcvhwm, kQueuedMessages);
+  outgoing_receiver_.bind(kOutgoingAddress);
+  outgoing_sender_.connect(kOutgoingAddress);
+  for (const EntryVm& vm : deployment.vms) {
+    if (vm.name == deployment.self) {
+      router_.bind("tcp://" + vm.peer_address);
+      continue;
+    }
+    zmq::socket_t dealer(context_, zmq::socket_type::dealer);
+    dealer.set(zmq::sockopt::linger, 0);
+    dealer.set(zmq::sockopt::sndhwm, kQueuedMessages);
+    dealer.set(zmq::sockopt::immediate, true);
+    dealer.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    dealer.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+    dealer.set(zmq::sockopt::heartbeat_ivl, kKeepAliveMs);
+    dealer.set(zmq::sockopt::heartbeat_timeout, kDeadAfterMs);
+    dealer.connect("tcp://" + vm.peer_address);
+    dealers_.emplace(vm.name, std::move(dealer));
+  }
+  thread_ = std::thread([this] { Run(); });
+}
+
+PeerLink::~PeerLink() {
+  outgoing_sender_.set(zmq::sockopt::sndtimeo, 1000);
+  outgoing_sender_.send(zmq::message_t(), zmq::send_flags::none);
+  thread_.join();
+}
+
+void PeerLink::Send(const std::string& vm, const wire::PeerMessage& message) {
+  zmq::message_t name(vm);
+  zmq::message_t body(message.ByteSizeLong());
+  message.SerializeToArray(body.data(), static_cast<int>(body.size()));
+  if (outgoing_sender_.send(
+          name, zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
+    (void)outgoing_sender_.send(body, zmq::send_flags::none);
+  }
+}
+
+void PeerLink::ReceiveFromPeers() {
+  for (int i = 0; i < kMessagesPerTurn; ++i) {
+    zmq::message_t identity;
+    if (!router_.recv(identity, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    zmq::message_t body;
+    while (router_.get(zmq::sockopt::rcvmore)) {
+      (void)router_.recv(body, zmq::recv_flags::none);
+    }
+    wire::PeerMessage message;
+    if (message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      on_receive_(std::move(message));
+    }
+  }
+}
+
+// An empty message without a body ends the thread.
+void PeerLink::SendQueued(bool* stopping) {
+  for (int i = 0; i < kMessagesPerTurn; ++i) {
+    zmq::message_t name;
+    if (!outgoing_receiver_.recv(name, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    if (!outgoing_receiver_.get(zmq::sockopt::rcvmore)) {
+      *stopping = true;
+      return;
+    }
+    zmq::message_t body;
+    (void)outgoing_receiver_.recv(body, zmq::recv_flags::none);
+    const auto dealer = dealers_.find(name.to_string());
+    if (dealer != dealers_.end()) {
+      (void)dealer->second.send(body, zmq::send_flags::dontwait);
+    }
+  }
+}
+
+void PeerLink::Run() {
+  std::array<zmq::pollitem_t, 2> items = {{
+      {router_.handle(), 0, ZMQ_POLLIN, 0},
+      {outgoing_receiver_.handle(), 0, ZMQ_POLLIN, 0},
+  }};
+  bool stopping = false;
+  while (!stopping) {
+    zmq::poll(items.data(), items.size(), std::chrono::milliseconds(-1));
+    ReceiveFromPeers();
+    SendQueued(&stopping);
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/peer_link.h
@@ -0,0 +1,54 @@
+#ifndef EDGE_PEER_LINK_H_
+#define EDGE_PEER_LINK_H_
+
+// Messages between entry VMs, over ZeroMQ with protobuf.
+//
+// Each daemon binds one ROUTER socket and connects one DEALER socket to every
+// other daemon. A thread of its own moves messages between the sockets and the
+// daemon's loop. Queues are bounded and a message to a VM that cannot be
+// reached is dropped: every protocol above sends again or gives up by itself.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <zmq.hpp>
+
+#include "goldcrest/deployment.h"
+#include "proto/goldcrest.pb.h"
+
+namespace goldcrest {
+
+class PeerLink {
+ public:
+  // Called from the link's thread for each message received.
+  using ReceiveHandler = std::function<void(wire::PeerMessage)>;
+
+  // Binds and connects; throws zmq::error_t when the address cannot be bound.
+  PeerLink(const Deployment& deployment, ReceiveHandler on_receive);
+  ~PeerLink();
+  PeerLink(const PeerLink&) = delete;
+  PeerLink& operator=(const PeerLink&) = delete;
+
+  // Sends a message to the VM `vm`. Call it from one thread only.
+  void Send(const std::string& vm, const wire::PeerMessage& message);
+
+ private:
+  void Run();
+  void ReceiveFromPeers();
+  void SendQueued(bool* stopping);
+
+  zmq::context_t context_;
+  zmq::socket_t router_;
+  zmq::socket_t outgoing_sender_;
+  zmq::socket_t outgoing_receiver_;
+  std::map<std::string, zmq::socket_t> dealers_;
+  ReceiveHandler on_receive_;
+  std::thread thread_;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_PEER_LINK_H_
--- /dev/null
+++ b/edge/stand_in_worker.cc
@@ -0,0 +1,394 @@
+#include "edge/stand_in_worker.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include <Poco/Dynamic/Var.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
+
+#include "goldcrest/json_reader.h"
+#include "goldcrest/submission.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr size_t kMaxEnded = 200'000;
+constexpr Micros kRetryAnnounce = 200 * kMillisecond;
+constexpr Micros kDefaultRenew = 500 * kMillisecond;
+constexpr Micros kCrashPause = kSecond;
+constexpr Micros kAnnounceTimeout = kSecond;
+constexpr Micros kCloseStalePeriod = 500 * kMillisecond;
+constexpr int kStragglerFactor = 10;
+constexpr int64_t kMaxRunMs = 24LL * 3600 * 1000;
+constexpr std::string_view kTaskPrefix = "/v1/tasks/";
+
+// The body of POST /v1/tasks.
+struct StartBody {
+  std::string task_id;
+  uint64_t attempt = 0;
+  uint64_t lease_epoch = 0;
+  int64_t run_ms = 0;
+  std::string payload;
+};
+
+std::optional<StartBody> ReadStart(const std::string& text) {
+  const auto json = ParseJson(text);
+  if (!json) {
+    return std::nullopt;
+  }
+  FieldErrors errors;
+  ObjectReader reader(*json, "", errors);
+  StartBody body;
+  body.task_id = reader.Text("task_id", {1, 256});
+  body.attempt =
+      static_cast<uint64_t>(reader.Integer("attempt", {0, INT64_MAX}));
+  body.lease_epoch =
+      static_cast<uint64_t>(reader.Integer("lease_epoch", {0, INT64_MAX}));
+  body.run_ms = reader.Integer("run_ms", {0, kMaxRunMs});
+  reader.Integer("deadline_ms", {INT64_MIN, INT64_MAX}, 0);
+  body.payload = reader.Text("payload", {0, kMaxPayloadBytes}, "");
+  reader.Boolean("idempotent", false);
+  reader.Finish();
+  return errors.empty() ? std::optional<StartBody>(body) : std::nullopt;
+}
+
+// What a payload asks for.
+struct Payload {
+  int64_t run_ms = 0;
+  std::string output;
+  bool fails = false;
+  bool crashes = false;
+};
+
+Payload ReadPayload(const StartBody& body) {
+  Payload payload;
+  payload.run_ms = body.run_ms;
+  payload.output = body.payload;
+  payload.fails = body.payload == "fail";
+  payload.crashes = body.payload == "crash";
+  if (payload.fails) {
+    payload.run_ms = 0;
+  }
+  if (body.payload.rfind("sleep:", 0) == 0) {
+    const size_t semicolon = body.payload.find(';');
+    Poco::Int64 run_ms = 0;
+    if (Poco::NumberParser::tryParse64(body.payload.substr(6, semicolon - 6),
+                                       run_ms)) {
+      payload.run_ms = std::clamp<int64_t>(run_ms, 0, kMaxRunMs);
+    }
+    const size_t out = body.payload.find(";out:");
+    if (out != std::string::npos) {
+      payload.output = body.payload.substr(out + 5);
+    }
+  }
+  return payload;
+}
+
+}  // namespace
+
+bool StartLog::Open(const std::string& path) {
+  file_ = std::fopen(path.c_str(), "a");
+  if (file_ != nullptr) {
+    std::setvbuf(file_, nullptr, _IOLBF, 0);
+  }
+  return file_ != nullptr;
+}
+
+void StartLog::Write(const std::string& line) {
+  if (file_ != nullptr) {
+    std::fputs((line + "\n").c_str(), file_);
+  }
+}
+
+void StartLog::Close() {
+  if (file_ == nullptr) {
+    return;
+  }
+  std::fflush(file_);
+  ::fsync(::fileno(file_));
+  std::fclose(file_);
+  file_ = nullptr;
+}
+
+StandInWorker::StandInWorker(SocketLoop& loop,
+                             StartLog& log,
+                             StandInOptions options)
+    : loop_(loop),
+      log_(log),
+      options_(std::move(options)),
+      random_(options_.seed),
+      client_(loop, HttpClientOptions()),
+      incarnation_(static_cast<uint64_t>(ReadClock().wall_ms)) {
+  Listen();
+}
+
+void StandInWorker::Listen() {
+  server_ = std::make_unique<HttpServer>(
+      loop_, Poco::Net::SocketAddress(options_.address), HttpServerOptions(),
+      [this](RequestToken token, const HttpRequest& request) {
+        OnRequest(token, request);
+      },
+      [](RequestToken) {});
+}
+
+void StandInWorker::WriteLine(const char* event,
+                              const std::string& task_id,
+                              uint64_t attempt,
+                              uint64_t lease_epoch) {
+  log_.Write("{\"event\":\"" + std::string(event) +
+             "\",\"worker\":" + JsonQuote(options_.name) +
+             ",\"incarnation\":" + std::to_string(incarnation_) +
+             ",\"task_id\":" + JsonQuote(task_id) +
+             ",\"attempt\":" + std::to_string(attempt) +
+             ",\"lease_epoch\":" + std::to_string(lease_epoch) +
+             ",\"wall_ms\":" + std::to_string(ReadClock().wall_ms) + "}");
+}
+
+void StandInWorker::Reply(RequestToken token, int status, std::string body) {
+  HttpReply reply;
+  reply.status = status;
+  reply.body = std::move(body);
+  server_->Respond(token, reply);
+}
+
+void StandInWorker::OnRequest(RequestToken token, const HttpRequest& request) {
+  if (request.method == "POST" && request.path == "/v1/tasks") {
+    OnStart(token, request);
+    return;
+  }
+  if (request.path.rfind(kTaskPrefix, 0) != 0) {
+    Reply(token, 404, "{}");
+    return;
+  }
+  const std::string rest = request.path.substr(kTaskPrefix.size());
+  const size_t colon = rest.rfind(':');
+  const std::string verb =
+      colon == std::string::npos ? "" : rest.substr(colon + 1);
+  if (request.method == "GET") {
+    OnLookup(token, rest);
+  } else if (request.method == "DELETE") {
+    OnStop(token, rest);
+  } else if (verb == "checkpoint" || verb == "throttle") {
+    Reply(token, 200, "{\"task_id\":" + JsonQuote(rest.substr(0, colon)) + "}");
+  } else {
+    Reply(token, 404, "{}");
+  }
+}
+
+void StandInWorker::OnStart(RequestToken token, const HttpRequest& request) {
+  const std::optional<StartBody> body = ReadStart(request.body);
+  if (!body) {
+    Reply(token, 400, "{}");
+    return;
+  }
+  const auto refuse = [&](int status, const char* why) {
+    WriteLine(why, body->task_id, body->attempt, body->lease_epoch);
+    Reply(token, status,
+          "{\"task_id\":" + JsonQuote(body->task_id) +
+              ",\"lease_epoch\":" + std::to_string(lease_epoch_) + "}");
+  };
+  if (lease_epoch_ == 0 || body->lease_epoch < lease_epoch_) {
+    refuse(409, "refused_stale");
+    return;
+  }
+  if (leaving_) {
+    refuse(503, "refused_leaving");
+    return;
+  }
+  if (running_.size() >= static_cast<size_t>(options_.slots) ||
+      running_.contains(body->task_id)) {
+    refuse(429, "refused_full");
+    return;
+  }
+  const Micros now = MonotonicMicros();
+  WriteLine("start", body->task_id, body->attempt, body->lease_epoch);
+  const Payload payload = ReadPayload(*body);
+  if (payload.crashes) {
+    Crash(now);
+    return;
+  }
+  std::uniform_real_distribution<double> chance(0, 1);
+  Run run;
+  run.task_id = body->task_id;
+  run.attempt = body->attempt;
+  run.token = token;
+  run.output = payload.output;
+  run.fails = payload.fails || chance(random_) < options_.fail_rate;
+  const bool straggles = chance(random_) < options_.straggle_rate;
+  const int64_t run_ms =
+      run.fails ? std::min<int64_t>(payload.run_ms, 1) : payload.run_ms;
+  run.ends_at =
+      now + run_ms * kMillisecond * (straggles ? kStragglerFactor : 1);
+  running_[run.task_id] = run;
+}
+
+void StandInWorker::OnLookup(RequestToken token, const std::string& task_id) {
+  const std::string about = ",\"lease_epoch\":" + std::to_string(lease_epoch_) +
+                            ",\"incarnation\":" + std::to_string(incarnation_) +
+                            "}";
+  const std::string head = "{\"task_id\":" + JsonQuote(task_id);
+  if (running_.contains(task_id)) {
+    Reply(token, 200, head + ",\"state\":\"running\"" + about);
+    return;
+  }
+  const auto found = ended_.find(task_id);
+  if (found == ended_.end()) {
+    Reply(token, 200, head + ",\"state\":\"never_seen\"" + about);
+    return;
+  }
+  const std::string state =
+      found->second.failed
+          ? ",\"state\":\"failed\""
+          : ",\"state\":\"done\",\"output\":" + JsonQuote(found->second.output);
+  Reply(token, 200, head + state + about);
+}
+
+void StandInWorker::OnStop(RequestToken token, const std::string& task_id) {
+  const auto found = running_.find(task_id);
+  if (found != running_.end()) {
+    const Run run = found->second;
+    running_.erase(found);
+    WriteLine("stop", task_id, run.attempt, lease_epoch_);
+    Remember(task_id, {true, ""});
+    Reply(run.token, 500, "{\"task_id\":" + JsonQuote(task_id) + "}");
+  }
+  Reply(token, 200, "{\"task_id\":" + JsonQuote(task_id) + "}");
+}
+
+void StandInWorker::Remember(const std::string& task_id, Ended ended) {
+  if (!ended_.contains(task_id)) {
+    ended_order_.push_back(task_id);
+  }
+  ended_[task_id] = std::move(ended);
+  if (ended_order_.size() > kMaxEnded) {
+    ended_.erase(ended_order_.front());
+    ended_order_.pop_front();
+  }
+}
+
+void StandInWorker::End(const Run& run, Micros /*now*/) {
+  WriteLine(run.fails ? "fail" : "finish", run.task_id, run.attempt,
+            lease_epoch_);
+  Remember(run.task_id, {run.fails, run.output});
+  const std::string head = "{\"task_id\":" + JsonQuote(run.task_id);
+  Reply(run.token, run.fails ? 500 : 200,
+        run.fails ? head + "}"
+                  : head + ",\"output\":" + JsonQuote(run.output) + "}");
+}
+
+void StandInWorker::Crash(Micros now) {
+  running_.clear();
+  ended_.clear();
+  ended_order_.clear();
+  lease_epoch_ = 0;
+  back_at_ = now + kCrashPause;
+}
+
+void StandInWorker::Leave() {
+  leaving_ = true;
+  announce_at_ = 0;
+}
+
+void StandInWorker::Announce(Micros now) {
+  announcing_ = true;
+  announce_at_ = now + kDefaultRenew;
+  std::string running;
+  for (const auto& [task_id, run] : running_) {
+    running += (running.empty() ? "" : ",") + JsonQuote(task_id);
+  }
+  HttpCall call;
+  call.address = entry_.empty()
+                     ? options_.entries[next_entry_ % options_.entries.size()]
+                     : entry_;
+  call.method = "POST";
+  call.path = "/v1/backend_servers";
+  call.timeout = kAnnounceTimeout;
+  call.body = "{\"name\":" + JsonQuote(options_.name) +
+              ",\"address\":" + JsonQuote(options_.address) +
+              ",\"failure_domain\":" + JsonQuote(options_.failure_domain) +
+              ",\"rack\":" + JsonQuote(options_.rack) +
+              ",\"slots\":" + std::to_string(options_.slots) +
+              ",\"memory_mb\":" + std::to_string(options_.memory_mb) +
+              ",\"accelerators\":" + std::to_string(options_.accelerators) +
+              ",\"incarnation\":" + std::to_string(incarnation_) +
+              ",\"state\":\"" + (leaving_ ? "leaving" : "serving") +
+              "\",\"lease_epoch\":" + std::to_string(lease_epoch_) +
+              ",\"running\":[" + running +
+              "],\"usage\":{\"busy_slots\":" + std::to_string(running_.size()) +
+              "}}";
+  const uint64_t incarnation = incarnation_;
+  const bool tells_leaving = leaving_;
+  client_.Call(call, [this, incarnation, tells_leaving](
+                         CallEnd end, const HttpResponse& response) {
+    announcing_ = false;
+    if (incarnation == incarnation_) {
+      told_leaving_ = told_leaving_ || tells_leaving;
+      OnLease(end, response);
+    }
+  });
+}
+
+void StandInWorker::OnLease(CallEnd end, const HttpResponse& response) {
+  const Micros now = MonotonicMicros();
+  const auto json = ParseJson(response.body);
+  const bool readable = end == CallEnd::kResponse && response.status == 200 &&
+                        json && json->type() == typeid(Poco::JSON::Object::Ptr);
+  if (!readable) {
+    entry_.clear();
+    ++next_entry_;
+    announce_at_ = now + kRetryAnnounce;
+    return;
+  }
+  FieldErrors errors;
+  ObjectReader reader(*json, "", errors);
+  const auto epoch =
+      static_cast<uint64_t>(reader.Integer("lease_epoch", {0, INT64_MAX}));
+  const Micros renew =
+      reader.Integer("renew_ms", {1, 3'600'000}, 500) * kMillisecond;
+  lease_epoch_ = std::max(lease_epoch_, epoch);
+  entry_ = reader.Text("entry", {0, 256}, "");
+  announce_at_ = leaving_ && !told_leaving_ ? now : now + renew;
+}
+
+Micros StandInWorker::Advance(Micros now) {
+  if (back_at_ != 0) {
+    server_.reset();
+    if (now < back_at_) {
+      return back_at_;
+    }
+    back_at_ = 0;
+    incarnation_ = static_cast<uint64_t>(ReadClock().wall_ms);
+    announcing_ = false;
+    announce_at_ = now;
+    Listen();
+  }
+  std::vector<Run> over;
+  Micros next = now + kSecond;
+  for (const auto& [task_id, run] : running_) {
+    if (run.ends_at <= now) {
+      over.push_back(run);
+    } else {
+      next = std::min(next, run.ends_at);
+    }
+  }
+  for (const Run& run : over) {
+    running_.erase(run.task_id);
+    End(run, now);
+  }
+  if (!announcing_ && now >= announce_at_) {
+    Announce(now);
+  }
+  if (now - closed_stale_at_ > kCloseStalePeriod) {
+    closed_stale_at_ = now;
+    server_->CloseStale(now);
+    client_.CloseStale(now);
+  }
+  return announcing_ ? next : std::min(next, announce_at_);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/borrowing.cc
@@ -0,0 +1,325 @@
+#include "goldcrest/borrowing.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/membership.h"
+#include "goldcrest/placement.h"
+#include "goldcrest/worker_table.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int kMaxSlotsAsked = 64;
+// A borrowed slot is kept at most this long while there is work for it.
+constexpr Micros kBorrowedFor = 250 * kMillisecond;
+// How long a borrower counts on a lent worker without hearing from the lender.
+constexpr Micros kBorrowedLease = 2 * kSecond;
+
+bool IsLender(const Blackboard& bb, const std::string& vm, bool own_domain) {
+  const Peer& peer = bb.membership.peers.at(vm);
+  const bool in_domain =
+      bb.deployment.Find(vm)->failure_domain == bb.deployment.failure_domain;
+  return peer.reachable && !peer.draining && peer.slots > 0 &&
+         in_domain == own_domain;
+}
+
+// The neighbours to ask: those of the domain, or all others when the domain
+// has no worker in reach.
+std::vector<std::string> Lenders(const Blackboard& bb) {
+  for (const bool own_domain : {true, false}) {
+    std::vector<std::string> lenders;
+    for (const auto& [vm, peer] : bb.membership.peers) {
+      if (IsLender(bb, vm, own_domain)) {
+        lenders.push_back(vm);
+      }
+    }
+    if (!lenders.empty() || bb.workers.leased_slots > 0) {
+      return lenders;
+    }
+  }
+  return {};
+}
+
+// The lender that last reported the most free slots.
+std::string BestLender(const Blackboard& bb) {
+  std::string best;
+  int best_free = -1;
+  for (const std::string& vm : Lenders(bb)) {
+    const int free = bb.membership.peers.at(vm).free_slots;
+    if (free > best_free) {
+      best = vm;
+      best_free = free;
+    }
+  }
+  return best;
+}
+
+const QueuedTask* HeadOfQueue(const Blackboard& bb) {
+  if (bb.queue.ready.empty()) {
+    return nullptr;
+  }
+  return &bb.queue.ready.begin()->lane->tasks.begin()->second;
+}
+
+void SendRequest(Blackboard& bb,
+                 const std::string& vm,
+                 const BorrowRequest& request,
+                 Actions& actions) {
+  wire::PeerMessage message;
+  wire::BorrowSlots* body = message.mutable_borrow_slots();
+  body->set_slots(static_cast<uint32_t>(request.slots));
+  body->set_memory_mb(request.shape.memory_mb);
+  body->set_accelerators(request.shape.accelerators);
+  body->set_priority(static_cast<uint32_t>(request.priority));
+  ++bb.counters.borrow_requests;
+  Send(bb, vm, std::move(message), actions);
+}
+
+void WithdrawRequests(Blackboard& bb, Now now, Actions& actions) {
+  for (const auto& [vm, request] : bb.workers.requests) {
+    if (request.expires_at > now.mono && request.slots > 0) {
+      SendRequest(bb, vm, BorrowRequest(), actions);
+    }
+  }
+  bb.workers.requests.clear();
+}
+
+// Whether the neighbour's request goes before this VM's own queue.
+bool GoesFirst(const Blackboard& bb, const BorrowRequest& request) {
+  const QueuedTask* head = HeadOfQueue(bb);
+  return head == nullptr || request.priority < head->job->kind.priority;
+}
+
+bool CanLend(const Worker& worker, const BorrowRequest& request, Now now) {
+  return !worker.borrowed() && IsUsable(worker) && worker.free_slots() > 0 &&
+         !worker.outlier.probation && worker.lease_until > now.mono &&
+         worker.memory_mb - worker.busy_memory_mb >= request.shape.memory_mb &&
+         worker.accelerators - worker.busy_accelerators >=
+             request.shape.accelerators;
+}
+
+void Lend(Blackboard& bb,
+          const std::string& vm,
+          Worker& worker,
+          int slots,
+          Actions& actions) {
+  worker.lent[vm] += slots;
+  ReindexWorker(bb, worker);
+  bb.counters.borrowed_slots += static_cast<uint64_t>(slots);
+  wire::PeerMessage message;
+  wire::SlotGrant* grant = message.mutable_slot_grant();
+  grant->set_worker(worker.name);
+  grant->set_address(worker.address);
+  grant->set_rack(worker.rack);
+  grant->set_lease_epoch(worker.lease_epoch);
+  grant->set_slots(static_cast<uint32_t>(slots));
+  grant->set_memory_mb(static_cast<uint32_t>(worker.memory_mb));
+  grant->set_accelerators(static_cast<uint32_t>(worker.accelerators));
+  grant->set_incarnation(worker.incarnation);
+  Send(bb, vm, std::move(message), actions);
+}
+
+void ServeBorrower(Blackboard& bb,
+                   const std::string& vm,
+                   BorrowRequest& request,
+                   Now now,
+                   Actions& actions) {
+  std::vector<Worker*> lendable;
+  for (const std::set<FreeKey>* index :
+       {&bb.workers.free_plain, &bb.workers.free_accelerated}) {
+    for (const FreeKey& key : *index) {
+      if (CanLend(*key.worker, request, now)) {
+        lendable.push_back(key.worker);
+      }
+    }
+  }
+  for (Worker* worker : lendable) {
+    if (request.slots <= 0) {
+      return;
+    }
+    const int slots = std::min(request.slots, worker->free_slots());
+    request.slots -= slots;
+    Lend(bb, vm, *worker, slots, actions);
+  }
+}
+
+void SendReturn(Blackboard& bb,
+                const Worker& worker,
+                int slots,
+                Actions& actions) {
+  wire::PeerMessage message;
+  wire::SlotReturn* giving = message.mutable_slot_return();
+  giving->set_worker(worker.name);
+  giving->set_lease_epoch(worker.lease_epoch);
+  giving->set_slots(static_cast<uint32_t>(slots));
+  Send(bb, worker.lender, std::move(message), actions);
+}
+
+}  // namespace
+
+void RequestSlots(Blackboard& bb, Now now, Actions& actions) {
+  const QueuedTask* head = HeadOfQueue(bb);
+  if (head == nullptr) {
+    if (!bb.workers.requests.empty()) {
+      WithdrawRequests(bb, now, actions);
+    }
+    return;
+  }
+  if (!HoldsServingLease(bb, now)) {
+    return;
+  }
+  const std::string lender = BestLender(bb);
+  if (lender.empty()) {
+    return;
+  }
+  const BorrowRequest& standing = bb.workers.requests[lender];
+  if (standing.expires_at > now.mono && standing.slots > 0) {
+    return;
+  }
+  BorrowRequest request;
+  request.slots =
+      static_cast<int>(std::min<size_t>(bb.queue.queued_tasks, kMaxSlotsAsked));
+  request.shape =
+      ShapeOf(head->job->submission.tasks(static_cast<int>(head->index)));
+  request.priority = head->job->kind.priority;
+  request.expires_at = now.mono + bb.tuning.borrow_patience;
+  bb.workers.requests[lender] = request;
+  SendRequest(bb, lender, request, actions);
+}
+
+void ServeBorrowers(Blackboard& bb, Now now, Actions& actions) {
+  for (auto it = bb.workers.borrowers.begin();
+       it != bb.workers.borrowers.end();) {
+    auto& [vm, request] = *it;
+    if (bb.workers.free_slots > 0 && GoesFirst(bb, request)) {
+      ServeBorrower(bb, vm, request, now, actions);
+    }
+    const bool over = request.slots <= 0 || request.expires_at <= now.mono;
+    it = over ? bb.workers.borrowers.erase(it) : std::next(it);
+  }
+}
+
+void ReturnIdleSlots(Blackboard& bb, Now now, Actions& actions) {
+  std::vector<std::string> empty;
+  for (auto& [key, worker] : bb.workers.workers) {
+    if (!worker->borrowed()) {
+      continue;
+    }
+    const int free = worker->free_slots();
+    const bool held_long = worker->borrowed_until <= now.mono;
+    const bool useless = worker->released || bb.queue.ready.empty();
+    if (free > 0 && (held_long || useless)) {
+      worker->slots -= free;
+      ReindexWorker(bb, *worker);
+      SendReturn(bb, *worker, free, actions);
+    }
+    if (worker->slots <= 0 && worker->busy == 0) {
+      empty.push_back(key);
+    }
+  }
+  for (const std::string& key : empty) {
+    RemoveWorker(bb, key);
+  }
+}
+
+void OnBorrowSlots(Blackboard& bb,
+                   const std::string& from,
+                   const wire::BorrowSlots& request,
+                   Now now) {
+  if (request.slots() == 0) {
+    bb.workers.borrowers.erase(from);
+    return;
+  }
+  BorrowRequest& standing = bb.workers.borrowers[from];
+  standing.slots =
+      static_cast<int>(std::min<uint32_t>(request.slots(), kMaxSlotsAsked));
+  standing.shape = {request.memory_mb(), request.accelerators()};
+  standing.priority = request.priority();
+  standing.expires_at = now.mono + bb.tuning.borrow_patience;
+  bb.placement_due = true;
+}
+
+void OnSlotGrant(Blackboard& bb,
+                 const std::string& from,
+                 const wire::SlotGrant& grant,
+                 Now now) {
+  const std::string key = grant.worker() + "@" + from;
+  Worker* worker = FindWorker(bb, key);
+  if (grant.recall()) {
+    if (worker != nullptr) {
+      worker->released = true;
+      ReindexWorker(bb, *worker);
+      bb.placement_due = true;
+    }
+    return;
+  }
+  if (worker == nullptr) {
+    Worker added;
+    added.name = grant.worker();
+    added.lender = from;
+    added.accelerators = grant.accelerators();
+    added.lease_until = now.mono + kBorrowedLease;
+    worker = &AddWorker(bb, std::move(added));
+  }
+  worker->address = grant.address();
+  worker->rack = grant.rack();
+  worker->failure_domain = bb.deployment.Find(from)->failure_domain;
+  worker->lease_epoch = grant.lease_epoch();
+  worker->incarnation = grant.incarnation();
+  worker->memory_mb = grant.memory_mb();
+  worker->released = false;
+  worker->slots += static_cast<int>(grant.slots());
+  worker->lease_until = now.mono + kBorrowedLease;
+  worker->borrowed_until = now.mono + kBorrowedFor;
+  ReindexWorker(bb, *worker);
+  BorrowRequest& standing = bb.workers.requests[from];
+  standing.slots -= static_cast<int>(grant.slots());
+  bb.placement_due = true;
+}
+
+void OnSlotReturn(Blackboard& bb,
+                  const std::string& from,
+                  const wire::SlotReturn& giving) {
+  Worker* worker = FindWorker(bb, giving.worker());
+  if (worker == nullptr) {
+    return;
+  }
+  const auto lent = worker->lent.find(from);
+  if (lent == worker->lent.end()) {
+    return;
+  }
+  lent->second -= static_cast<int>(giving.slots());
+  if (lent->second <= 0) {
+    worker->lent.erase(lent);
+  }
+  ReindexWorker(bb, *worker);
+  bb.placement_due = true;
+}
+
+void RecallSlots(Blackboard& bb, Worker& worker, Actions& actions) {
+  for (const auto& [vm, slots] : worker.lent) {
+    wire::PeerMessage message;
+    message.mutable_slot_grant()->set_worker(worker.name);
+    message.mutable_slot_grant()->set_recall(true);
+    Send(bb, vm, std::move(message), actions);
+  }
+  worker.lent.clear();
+  ReindexWorker(bb, worker);
+}
+
+void ForgetNeighbour(Blackboard& bb, const std::string& vm) {
+  bb.workers.borrowers.erase(vm);
+  bb.workers.requests.erase(vm);
+  for (auto& [key, worker] : bb.workers.workers) {
+    if (worker->lent.erase(vm) > 0) {
+      ReindexWorker(bb, *worker);
+    }
+    if (worker->lender == vm) {
+      worker->released = true;
+      ReindexWorker(bb, *worker);
+    }
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/borrowing.h
@@ -0,0 +1,53 @@
+#ifndef GOLDCREST_BORROWING_H_
+#define GOLDCREST_BORROWING_H_
+
+// Free slots move between the entry VMs of a domain.
+//
+// A VM with queued tasks and no free slot asks a neighbour that has some. The
+// neighbour keeps the request for a short time and lends slots of single
+// workers as they are free and its own queue is not more urgent. The borrower
+// starts tasks on them itself, so a task's payload and answer never take a
+// second hop and its intent names the worker. It gives a slot back when it
+// has no work for it, or when it has had it for a while.
+//
+// Other domains are asked only when no worker of the own domain is in reach.
+
+#include <string>
+
+#include "goldcrest/blackboard.h"
+
+namespace goldcrest {
+
+// Asks neighbours for slots when the queue cannot start here, and takes the
+// requests back when it is empty.
+void RequestSlots(Blackboard& bb, Now now, Actions& actions);
+
+// Lends free slots to the neighbours whose requests stand.
+void ServeBorrowers(Blackboard& bb, Now now, Actions& actions);
+
+// Gives back borrowed slots without work. Called after placement.
+void ReturnIdleSlots(Blackboard& bb, Now now, Actions& actions);
+
+void OnBorrowSlots(Blackboard& bb,
+                   const std::string& from,
+                   const wire::BorrowSlots& request,
+                   Now now);
+
+void OnSlotGrant(Blackboard& bb,
+                 const std::string& from,
+                 const wire::SlotGrant& grant,
+                 Now now);
+
+void OnSlotReturn(Blackboard& bb,
+                  const std::string& from,
+                  const wire::SlotReturn& giving);
+
+// Tells the borrowers of `worker` to start nothing there any more.
+void RecallSlots(Blackboard& bb, Worker& worker, Actions& actions);
+
+// Forgets what was lent to and borrowed from a VM that is unreachable.
+void ForgetNeighbour(Blackboard& bb, const std::string& vm);
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_BORROWING_H_
--- /dev/null
+++ b/goldcrest/claim_owner.h
@@ -0,0 +1,77 @@
+#ifndef GOLDCREST_CLAIM_OWNER_H_
+#define GOLDCREST_CLAIM_OWNER_H_
+
+// The proposer's side of the claim register: winning a claim, adding to it,
+// taking it over.
+//
+// A job is claimed before any of its tasks starts. The preferred owner wins
+// with one round to the voters; anybody else, and anybody after a lapse of the
+// serving lease, takes two. What a VM may do with a job follows from its state:
+// kClaiming starts nothing, kActive starts tasks while the serving lease holds.
+//
+// A claim that finds no majority ends in "unknown": nothing was started now,
+// but an earlier owner may have run it.
+
+#include <string>
+
+#include "goldcrest/blackboard.h"
+
+namespace goldcrest {
+
+// Starts to claim `job` for this VM.
+void StartClaim(Blackboard& bb, Job& job, Now now, Actions& actions);
+
+// Handles a voter's answer to a claim request.
+void OnClaimReply(Blackboard& bb,
+                  const std::string& from,
+                  const wire::ClaimReply& reply,
+                  Now now,
+                  Actions& actions);
+
+// Sends unanswered claim messages again, or gives up.
+void OnClaimTimer(Blackboard& bb,
+                  const std::string& id,
+                  Now now,
+                  Actions& actions);
+
+// Adds to the claim of an owned job at its voters. `job` learns through
+// OnUpdateMajority() when a majority has recorded it. Returns its number.
+uint64_t AddToClaim(Blackboard& bb,
+                    Job& job,
+                    wire::ClaimUpdate update,
+                    Now now,
+                    Actions& actions);
+
+// Handles a voter's answer to an addition.
+void OnClaimUpdateReply(Blackboard& bb,
+                        const std::string& from,
+                        const wire::ClaimUpdateReply& reply,
+                        Now now,
+                        Actions& actions);
+
+// Sends unanswered additions again, or gives up waiting for them.
+void OnClaimUpdateTimer(Blackboard& bb,
+                        const std::string& id,
+                        Now now,
+                        Actions& actions);
+
+// Handles a synced (or failed) journal record of this VM's own vote.
+void OnClaimSynced(Blackboard& bb,
+                   uint64_t token,
+                   bool ok,
+                   Now now,
+                   Actions& actions);
+
+// Claims every unfinished submission whose owner is gone and that this VM is
+// next to own.
+void TakeOverOrphans(Blackboard& bb, Now now, Actions& actions);
+
+// Claims again the owned jobs from before a lapse of the serving lease.
+void ReclaimAfterLapse(Blackboard& bb, Now now, Actions& actions);
+
+// Returns the first ballot of this VM in `round`.
+uint64_t MakeBallot(const Blackboard& bb, uint64_t round);
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_CLAIM_OWNER_H_
--- /dev/null
+++ b/goldcrest/claim_voter.cc
@@ -0,0 +1,304 @@
+#include "goldcrest/claim_voter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/claim_store.h"
+#include "goldcrest/membership.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int kSyncPageRecords = 256;
+constexpr size_t kSyncPageBytes = 512 * 1024;
+constexpr Micros kSyncPeriod = 500 * kMillisecond;
+
+wire::ClaimReply MakeReply(const wire::ClaimRequest& request,
+                           wire::ClaimStatus status) {
+  wire::ClaimReply reply;
+  reply.set_phase(request.phase());
+  reply.set_ballot(request.ballot());
+  reply.set_status(status);
+  reply.set_submission_id(request.record().submission_id());
+  return reply;
+}
+
+// The VM whose running lease forbids a promise to `from`, or an empty name.
+std::string LeaseInTheWay(const Blackboard& bb,
+                          const std::string& from,
+                          const ClaimEntry* entry,
+                          const wire::ClaimRequest& request,
+                          Now now) {
+  if (entry != nullptr && entry->record.accepted() != 0) {
+    const wire::ClaimRecord& record = entry->record;
+    const bool in_way =
+        record.owner() != from &&
+        GrantMayRun(bb, record.owner(), record.owner_incarnation(), now);
+    return in_way ? record.owner() : "";
+  }
+  const std::string& domain = request.record().home();
+  const std::vector<std::string> ranking =
+      OwnerRanking(bb.deployment, domain, request.record().submission_id());
+  if (ranking.empty() || ranking.front() == from ||
+      ranking.front() == bb.deployment.self) {
+    return "";
+  }
+  const auto preferred = bb.membership.peers.find(ranking.front());
+  if (preferred != bb.membership.peers.end() && preferred->second.draining) {
+    return "";  // a draining VM claims nothing new
+  }
+  return AnyGrantMayRun(bb, ranking.front(), now) ? ranking.front() : "";
+}
+
+wire::ClaimReply VoteOnPrepare(Blackboard& bb,
+                               const std::string& from,
+                               const wire::ClaimRequest& request,
+                               Now now) {
+  const std::string& id = request.record().submission_id();
+  ClaimEntry* entry = FindClaim(bb, id);
+  if (entry != nullptr && entry->record.finished()) {
+    wire::ClaimReply reply = MakeReply(request, wire::CLAIM_GRANTED);
+    *reply.mutable_record() = entry->record;
+    return reply;
+  }
+  const std::string holder = LeaseInTheWay(bb, from, entry, request, now);
+  if (!holder.empty()) {
+    wire::ClaimReply reply = MakeReply(request, wire::CLAIM_HELD);
+    reply.mutable_record()->set_owner(holder);
+    if (entry != nullptr) {
+      reply.mutable_record()->set_digest(entry->record.digest());
+    }
+    return reply;
+  }
+  if (entry == nullptr) {
+    entry = &OpenClaim(bb, id, now);
+  }
+  if (request.ballot() < entry->record.promised()) {
+    wire::ClaimReply reply = MakeReply(request, wire::CLAIM_STALE);
+    reply.set_promised(entry->record.promised());
+    return reply;
+  }
+  entry->record.set_promised(request.ballot());
+  wire::ClaimReply reply = MakeReply(request, wire::CLAIM_GRANTED);
+  *reply.mutable_record() = entry->record;
+  return reply;
+}
+
+// Whether a fast accept meets an empty register, or is the same one again.
+bool FastMayPass(const ClaimEntry& entry,
+                 const std::string& from,
+                 uint64_t from_incarnation,
+                 uint64_t ballot) {
+  const wire::ClaimRecord& record = entry.record;
+  if (record.promised() == 0 && record.accepted() == 0) {
+    return true;
+  }
+  return record.accepted() == ballot && record.promised() == ballot &&
+         record.owner() == from &&
+         record.owner_incarnation() == from_incarnation && !record.finished();
+}
+
+void Accept(Blackboard& bb,
+            const std::string& from,
+            uint64_t from_incarnation,
+            const wire::ClaimRequest& request,
+            ClaimEntry& entry) {
+  wire::ClaimRecord& record = entry.record;
+  const std::string earlier_owner = record.owner();
+  record.set_promised(request.ballot());
+  record.set_accepted(request.ballot());
+  record.set_owner(from);
+  record.set_owner_incarnation(from_incarnation);
+  MergeClaim(record, request.record());
+  IndexClaim(bb, entry, earlier_owner);
+}
+
+wire::ClaimReply VoteOnAccept(Blackboard& bb,
+                              const std::string& from,
+                              uint64_t from_incarnation,
+                              const wire::ClaimRequest& request,
+                              Now now) {
+  ClaimEntry& entry = OpenClaim(bb, request.record().submission_id(), now);
+  const wire::ClaimRecord& record = entry.record;
+  const bool same_content =
+      record.digest().empty() || record.digest() == request.record().digest();
+  const bool passes =
+      request.fast()
+          ? FastMayPass(entry, from, from_incarnation, request.ballot())
+          : request.ballot() >= record.promised() && !record.finished();
+  if (!passes || !same_content) {
+    wire::ClaimReply reply = MakeReply(request, wire::CLAIM_STALE);
+    reply.set_promised(std::max(record.promised(), record.accepted()));
+    reply.mutable_record()->set_digest(record.digest());
+    return reply;
+  }
+  Accept(bb, from, from_incarnation, request, entry);
+  return MakeReply(request, wire::CLAIM_GRANTED);
+}
+
+// Records of finished jobs travel without their answers: a resubmission finds
+// those at the voters that never lost them.
+wire::ClaimRecord ForSync(const wire::ClaimRecord& record) {
+  wire::ClaimRecord copy = record;
+  if (copy.finished() && copy.result().outputs_size() > 0) {
+    copy.mutable_result()->clear_outputs();
+    copy.mutable_result()->set_code(
+        static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  }
+  return copy;
+}
+
+void SendSyncRequest(Blackboard& bb,
+                     const std::string& domain,
+                     const std::string& voter,
+                     const std::string& after,
+                     Actions& actions) {
+  wire::PeerMessage message;
+  message.mutable_claim_sync()->set_failure_domain(domain);
+  message.mutable_claim_sync()->set_after(after);
+  Send(bb, voter, std::move(message), actions);
+}
+
+// Whether a record belongs to the claim group of `domain`.
+bool IsOfGroup(const wire::ClaimRecord& record, const std::string& domain) {
+  return record.home() == domain;
+}
+
+}  // namespace
+
+std::string HomeOf(const Blackboard& bb, const wire::Submission& submission) {
+  return submission.home().empty()
+             ? DerivedHome(bb.deployment, submission.submission_id())
+             : submission.home();
+}
+
+wire::ClaimReply VoteOnClaim(Blackboard& bb,
+                             const std::string& from,
+                             uint64_t from_incarnation,
+                             const wire::ClaimRequest& request,
+                             Now now) {
+  const bool remembers =
+      RemembersSubmission(bb, request.record().submitted_at_ms(), now);
+  if (!remembers) {
+    return MakeReply(request, wire::CLAIM_ABSTAIN);
+  }
+  if (request.phase() == wire::CLAIM_PREPARE) {
+    return VoteOnPrepare(bb, from, request, now);
+  }
+  return VoteOnAccept(bb, from, from_incarnation, request, now);
+}
+
+wire::ClaimUpdateReply VoteOnUpdate(Blackboard& bb,
+                                    const std::string& from,
+                                    const wire::ClaimUpdate& update,
+                                    Now /*now*/) {
+  wire::ClaimUpdateReply reply;
+  reply.set_submission_id(update.submission_id());
+  reply.set_ballot(update.ballot());
+  reply.set_update(update.update());
+  ClaimEntry* entry = FindClaim(bb, update.submission_id());
+  if (entry == nullptr) {
+    return reply;
+  }
+  reply.set_promised(entry->record.promised());
+  const bool released_already =
+      update.released() && entry->record.released() >= update.ballot();
+  if (released_already) {
+    reply.set_applied(true);
+    return reply;
+  }
+  if (entry->record.promised() > update.ballot() ||
+      entry->record.accepted() != update.ballot() ||
+      entry->record.owner() != from) {
+    return reply;
+  }
+  reply.set_applied(true);
+  wire::ClaimRecord addition;
+  *addition.mutable_intents() = update.intents();
+  addition.set_cancelled(update.cancelled());
+  MergeClaim(entry->record, addition);
+  if (update.finished()) {
+    FinishClaim(bb, *entry, update.result());
+  }
+  if (update.released()) {
+    ReleaseClaim(bb, *entry, update.ballot());
+  }
+  return reply;
+}
+
+void OnClaimSync(Blackboard& bb,
+                 const std::string& from,
+                 const wire::ClaimSync& request,
+                 Actions& actions) {
+  std::vector<const wire::ClaimRecord*> records;
+  for (const auto& [id, entry] : bb.claims.entries) {
+    if (id > request.after() &&
+        IsOfGroup(entry.record, request.failure_domain())) {
+      records.push_back(&entry.record);
+    }
+  }
+  const size_t page = std::min<size_t>(records.size(), kSyncPageRecords);
+  std::partial_sort(records.begin(),
+                    records.begin() + static_cast<std::ptrdiff_t>(page),
+                    records.end(), [](const auto* a, const auto* b) {
+                      return a->submission_id() < b->submission_id();
+                    });
+  wire::PeerMessage message;
+  wire::ClaimSyncPage* reply = message.mutable_claim_sync_page();
+  reply->set_failure_domain(request.failure_domain());
+  reply->set_after(request.after());
+  reply->set_amnesiac(bb.membership.memory != MemoryState::kWhole);
+  size_t sent = 0;
+  for (; sent < page && reply->ByteSizeLong() < kSyncPageBytes; ++sent) {
+    *reply->add_records() = ForSync(*records[sent]);
+  }
+  reply->set_last(sent == records.size());
+  Send(bb, from, std::move(message), actions);
+}
+
+void OnClaimSyncPage(Blackboard& bb,
+                     const std::string& from,
+                     const wire::ClaimSyncPage& page,
+                     Now now,
+                     Actions& actions) {
+  const SyncKey key{page.failure_domain(), from};
+  const auto cursor = bb.membership.sync_cursors.find(key);
+  if (bb.membership.memory == MemoryState::kWhole || page.amnesiac() ||
+      cursor == bb.membership.sync_cursors.end() ||
+      cursor->second != page.after()) {
+    return;
+  }
+  std::string after = page.after();
+  for (const wire::ClaimRecord& record : page.records()) {
+    ClaimEntry& entry = OpenClaim(bb, record.submission_id(), now);
+    const std::string earlier_owner = entry.record.owner();
+    MergeClaim(entry.record, record);
+    IndexClaim(bb, entry, earlier_owner);
+    after = record.submission_id();
+  }
+  if (page.last()) {
+    NoteSynced(bb, page.failure_domain(), from, actions);
+    return;
+  }
+  cursor->second = after;
+  SendSyncRequest(bb, page.failure_domain(), from, after, actions);
+}
+
+void OnClaimSyncTimer(Blackboard& bb, Now now, Actions& actions) {
+  if (bb.membership.memory != MemoryState::kAmnesiac) {
+    return;
+  }
+  for (const ClaimGroup* group : VotingGroups(bb)) {
+    for (const std::string& voter : group->voters) {
+      const auto& done = bb.membership.synced_from[group->failure_domain];
+      if (voter != bb.deployment.self && !done.contains(voter)) {
+        const SyncKey key{group->failure_domain, voter};
+        SendSyncRequest(bb, group->failure_domain, voter,
+                        bb.membership.sync_cursors[key], actions);
+      }
+    }
+  }
+  bb.timers.Set(now.mono + kSyncPeriod, TimerKind::kClaimSync);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/drain.cc
@@ -0,0 +1,97 @@
+#include "goldcrest/drain.h"
+
+#include <algorithm>
+
+#include "goldcrest/claim_owner.h"
+#include "goldcrest/forwarding.h"
+#include "goldcrest/jobs.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/placement.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kDrainPeriod = 50 * kMillisecond;
+
+// Whether another VM can take `job` over whole.
+bool MayHandOver(const Blackboard& bb, const Job& job) {
+  const std::string target = ChooseOwner(bb, job);
+  return job.state == JobState::kActive && !job.any_started &&
+         !job.taken_over && !target.empty() && target != bb.deployment.self;
+}
+
+void HandOver(Blackboard& bb, Job& job, Now now, Actions& actions) {
+  SuspendTasks(bb, job);
+  job.state = JobState::kFinishing;
+  job.handing_over = true;
+  job.accepted = false;
+  wire::ClaimUpdate update;
+  update.set_released(true);
+  AddToClaim(bb, job, update, now, actions);
+}
+
+void HandOverQueuedJobs(Blackboard& bb, Now now, Actions& actions) {
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : bb.jobs) {
+    if (MayHandOver(bb, *job)) {
+      ids.push_back(id);
+    }
+  }
+  for (const std::string& id : ids) {
+    Job* job = FindJob(bb, id);
+    if (job != nullptr) {
+      HandOver(bb, *job, now, actions);
+    }
+  }
+}
+
+// A forwarded job that nobody here waits for is left behind once its new
+// owner has accepted it.
+bool MayLeave(const Job& job) {
+  return job.state == JobState::kForwarded && job.waiters.empty() &&
+         job.accepted;
+}
+
+bool IsDrained(const Blackboard& bb) {
+  return bb.callers.empty() &&
+         std::all_of(bb.jobs.begin(), bb.jobs.end(),
+                     [](const auto& entry) { return MayLeave(*entry.second); });
+}
+
+}  // namespace
+
+void OnDrain(Blackboard& bb,
+             const DrainRequest& request,
+             Now now,
+             Actions& actions) {
+  if (request.token != kNoToken) {
+    actions.emplace_back(
+        ReplyJson{request.token, 202, "{\"state\":\"draining\"}"});
+  }
+  if (bb.draining) {
+    return;
+  }
+  bb.draining = true;
+  bb.drain_started_at = now.mono;
+  Log(actions, LogLevel::kInfo, "drain_started",
+      {{"jobs", std::to_string(bb.jobs.size())}});
+  OnHeartbeatTimer(bb, true, now, actions);
+  OnHeartbeatTimer(bb, false, now, actions);
+  HandOverQueuedJobs(bb, now, actions);
+  bb.timers.Set(now.mono + kDrainPeriod, TimerKind::kDrain);
+}
+
+void OnDrainTimer(Blackboard& bb, Now now, Actions& actions) {
+  const bool out_of_time =
+      now.mono - bb.drain_started_at > bb.tuning.drain_timeout;
+  if (IsDrained(bb) || out_of_time) {
+    bb.drained = true;
+    Log(actions, LogLevel::kInfo, "drain_finished",
+        {{"jobs_left", std::to_string(bb.jobs.size())}});
+    return;
+  }
+  HandOverQueuedJobs(bb, now, actions);
+  bb.timers.Set(now.mono + kDrainPeriod, TimerKind::kDrain);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/event.h
@@ -0,0 +1,123 @@
+#ifndef GOLDCREST_EVENT_H_
+#define GOLDCREST_EVENT_H_
+
+// What the edges report to a step. Each event is one thing that happened
+// outside: a request, an answer, a peer's message, a synced record, or time.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "goldcrest/action.h"
+#include "goldcrest/outcome.h"
+#include "proto/goldcrest.pb.h"
+
+namespace goldcrest {
+
+inline constexpr int64_t kWaitForAnswer = -1;
+
+// A caller's POST /v1/jobs.
+struct SubmitRequest {
+  ReplyToken token = kNoToken;
+  wire::Submission submission;
+  // How long the caller waits for the answer before it is told "pending", in
+  // milliseconds; kWaitForAnswer waits for the answer.
+  int64_t wait_ms = kWaitForAnswer;
+};
+
+// A caller's GET /v1/jobs/ID.
+struct LookupRequest {
+  ReplyToken token = kNoToken;
+  std::string submission_id;
+};
+
+// A caller's DELETE /v1/jobs/ID (one id) or POST /v1/jobs:cancel (many).
+struct CancelRequest {
+  ReplyToken token = kNoToken;
+  std::vector<std::string> submission_ids;
+  bool single = false;
+};
+
+// The connection of a waiting request was closed; its reply has no reader.
+struct CallerGone {
+  ReplyToken token = kNoToken;
+};
+
+// The body of POST /v1/backend_servers.
+struct WorkerAnnouncement {
+  std::string name;
+  std::string address;
+  std::string failure_domain;
+  std::string rack;
+  int64_t slots = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+  uint64_t incarnation = 0;
+  bool leaving = false;
+  uint64_t lease_epoch = 0;  // 0 when the worker does not report it
+  std::vector<std::string> running;
+};
+
+struct AnnounceRequest {
+  ReplyToken token = kNoToken;
+  WorkerAnnouncement announcement;
+  std::string json;  // the body as received, for handing on to the holder
+};
+
+// How a start or a lookup of a task ended.
+struct TaskAnswer {
+  std::string worker;
+  std::string submission_id;
+  uint32_t index = 0;
+  uint32_t attempt = 0;
+  bool is_lookup = false;
+  TaskOutcome outcome = TaskOutcome::kLost;
+  std::string output;
+  // The lease epoch and incarnation that the worker named, 0 when it did not.
+  uint64_t lease_epoch = 0;
+  uint64_t worker_incarnation = 0;
+};
+
+// A message from another entry VM.
+struct PeerReceived {
+  wire::PeerMessage message;
+};
+
+// An appended record is durable (ok) or could not be made so.
+struct JournalSynced {
+  uint64_t token = 0;
+  bool ok = false;
+};
+
+// An operator's PUT /v1/configuration. The document is canonical JSON.
+struct ConfigurationPut {
+  ReplyToken token = kNoToken;
+  uint64_t if_version = 0;
+  std::string document;
+  std::string digest;
+};
+
+// An operator's POST /v1/drain, or SIGTERM.
+struct DrainRequest {
+  ReplyToken token = kNoToken;
+};
+
+// Time has passed; due timers fire.
+struct Tick {};
+
+using Event = std::variant<SubmitRequest,
+                           LookupRequest,
+                           CancelRequest,
+                           CallerGone,
+                           AnnounceRequest,
+                           TaskAnswer,
+                           PeerReceived,
+                           JournalSynced,
+                           ConfigurationPut,
+                           DrainRequest,
+                           Tick>;
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_EVENT_H_
--- /dev/null
+++ b/goldcrest/forwarding.cc
@@ -0,0 +1,403 @@
+#include "goldcrest/forwarding.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "goldcrest/admission.h"
+#include "goldcrest/claim_owner.h"
+#include "goldcrest/claim_store.h"
+#include "goldcrest/jobs.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/submission.h"
+
+namespace goldcrest {
+namespace {
+
+bool IsDraining(const Blackboard& bb, const std::string& vm) {
+  if (vm == bb.deployment.self) {
+    return bb.draining;
+  }
+  return bb.membership.peers.at(vm).draining;
+}
+
+uint64_t IncarnationOf(const Blackboard& bb, const std::string& vm) {
+  const auto found = bb.membership.peers.find(vm);
+  return found == bb.membership.peers.end() ? 0 : found->second.incarnation;
+}
+
+// Whether the target may have lost the job since it was sent there.
+bool MustSendAgain(const Blackboard& bb, const Job& job) {
+  return !job.accepted ||
+         job.forwarded_incarnation != IncarnationOf(bb, job.forwarded_to);
+}
+
+void ArmForwardTimer(Blackboard& bb, Job& job, Now now) {
+  bb.timers.Clear(job.forward_timer_due, TimerKind::kForward, job.id);
+  job.forward_timer_due = now.mono + bb.tuning.forward_resend;
+  bb.timers.Set(job.forward_timer_due, TimerKind::kForward, job.id);
+}
+
+wire::JobResult UnknownHome(const Job& job) {
+  const ResultCode code = job.forwarded_to.empty()
+                              ? ResultCode::kHomeUnreachable
+                              : ResultCode::kOwnerUnreachable;
+  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
+  result.set_retry_after_ms(kMinRetryAfterMs);
+  return result;
+}
+
+wire::JobResult Pending() {
+  return MakeResult(Outcome::kPending, Ran::kNone, ResultCode::kOk);
+}
+
+// What this VM can say about a submission: nothing, pending, or its result.
+std::optional<wire::JobResult> LocalState(Blackboard& bb,
+                                          const std::string& id) {
+  const Job* job = FindJob(bb, id);
+  if (job != nullptr) {
+    return job->state == JobState::kFinishing ? job->result : Pending();
+  }
+  const ClaimEntry* entry = FindClaim(bb, id);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  const bool dropped = entry->record.result().code() ==
+                       static_cast<uint32_t>(ResultCode::kAnswerDropped);
+  if (entry->record.finished() && !dropped) {
+    return ResultOfClaim(entry->record);
+  }
+  return std::nullopt;
+}
+
+// Asks every reachable VM about `id`; the first one that knows it answers.
+void AskAll(Blackboard& bb,
+            ReplyToken token,
+            const std::string& id,
+            bool cancel,
+            Now now,
+            Actions& actions) {
+  const uint64_t number = NextId(bb);
+  LookupQuery query{token, id, {}, cancel};
+  for (const auto& [vm, peer] : bb.membership.peers) {
+    if (!peer.reachable) {
+      continue;
+    }
+    query.waiting_for.insert(vm);
+    if (cancel) {
+      wire::PeerMessage message;
+      message.mutable_cancel()->add_submission_ids(id);
+      Send(bb, vm, std::move(message), actions);
+    }
+    wire::PeerMessage message;
+    message.mutable_lookup()->set_submission_id(id);
+    message.mutable_lookup()->set_query(number);
+    Send(bb, vm, std::move(message), actions);
+  }
+  bb.queries[number] = std::move(query);
+  bb.timers.Set(now.mono + bb.tuning.lookup_timeout, TimerKind::kQuery,
+                std::to_string(number));
+  if (bb.queries[number].waiting_for.empty()) {
+    OnQueryTimer(bb, std::to_string(number), actions);
+  }
+}
+
+// Cancels what this VM has of `id`. Returns whether it had anything.
+bool CancelHere(Blackboard& bb,
+                const std::string& id,
+                Now now,
+                Actions& actions) {
+  Job* job = FindJob(bb, id);
+  if (job == nullptr) {
+    return false;
+  }
+  switch (job->state) {
+    case JobState::kForwarded:
+      return false;
+    case JobState::kClaiming:
+      job->cancelled = true;
+      return true;
+    case JobState::kActive:
+      FinishJob(bb, *job,
+                MakeResult(Outcome::kCancelled, RanOfJob(*job),
+                           ResultCode::kCancelled),
+                now, actions);
+      return true;
+    case JobState::kFinishing:
+      return true;
+  }
+  return false;
+}
+
+void CancelOne(Blackboard& bb,
+               const CancelRequest& request,
+               Now now,
+               Actions& actions) {
+  const std::string& id = request.submission_ids.front();
+  Waiter waiter;
+  waiter.token = request.token;
+  waiter.cancelling = true;
+  Job* job = FindJob(bb, id);
+  if (job != nullptr && job->state == JobState::kForwarded) {
+    AddWaiter(bb, *job, waiter, actions);
+    wire::PeerMessage message;
+    message.mutable_cancel()->add_submission_ids(id);
+    if (!job->forwarded_to.empty()) {
+      Send(bb, job->forwarded_to, std::move(message), actions);
+    }
+    job->cancelled = true;
+    return;
+  }
+  if (job != nullptr && !job->replied) {
+    AddWaiter(bb, *job, waiter, actions);
+    CancelHere(bb, id, now, actions);
+    return;
+  }
+  if (const auto state = LocalState(bb, id)) {
+    Answer(bb, id, "", waiter, *state, actions);
+    return;
+  }
+  AskAll(bb, request.token, id, true, now, actions);
+}
+
+// A wave goes to each other VM in one message.
+void CancelMany(Blackboard& bb,
+                const CancelRequest& request,
+                Now now,
+                Actions& actions) {
+  wire::Cancel elsewhere;
+  size_t here = 0;
+  for (const std::string& id : request.submission_ids) {
+    if (CancelHere(bb, id, now, actions)) {
+      ++here;
+    } else {
+      elsewhere.add_submission_ids(id);
+    }
+  }
+  size_t asked = 0;
+  for (const auto& [vm, peer] : bb.membership.peers) {
+    if (peer.reachable && elsewhere.submission_ids_size() > 0) {
+      wire::PeerMessage message;
+      *message.mutable_cancel() = elsewhere;
+      Send(bb, vm, std::move(message), actions);
+      ++asked;
+    }
+  }
+  actions.emplace_back(ReplyJson{
+      request.token, 200,
+      "{\"requested\":" + std::to_string(request.submission_ids.size()) +
+          ",\"cancelled_here\":" + std::to_string(here) +
+          ",\"vms_asked\":" + std::to_string(asked) + "}"});
+}
+
+}  // namespace
+
+std::string ChooseOwner(const Blackboard& bb, const Job& job) {
+  bool self_is_left = false;
+  for (const std::string& vm : OwnerRanking(bb.deployment, job.home, job.id)) {
+    if (!IsReachable(bb, vm)) {
+      continue;
+    }
+    if (!IsDraining(bb, vm)) {
+      return vm;
+    }
+    self_is_left = self_is_left || vm == bb.deployment.self;
+  }
+  return self_is_left ? bb.deployment.self : "";
+}
+
+void SendForward(Blackboard& bb, Job& job, Actions& actions) {
+  if (job.forwarded_to.empty()) {
+    return;
+  }
+  job.forwarded_incarnation = IncarnationOf(bb, job.forwarded_to);
+  wire::PeerMessage message;
+  wire::Forward* forward = message.mutable_forward();
+  *forward->mutable_submission() = job.submission;
+  forward->set_elapsed_ms(job.forward_elapsed_ms);
+  forward->set_want_accepted(
+      std::any_of(job.waiters.begin(), job.waiters.end(),
+                  [](const Waiter& waiter) { return waiter.until_accepted; }));
+  ++bb.counters.forwards;
+  Send(bb, job.forwarded_to, std::move(message), actions);
+  if (job.cancelled) {
+    wire::PeerMessage cancel;
+    cancel.mutable_cancel()->add_submission_ids(job.id);
+    Send(bb, job.forwarded_to, std::move(cancel), actions);
+  }
+}
+
+void ForwardJob(Blackboard& bb,
+                Job& job,
+                const std::string& target,
+                Now now,
+                Actions& actions) {
+  job.state = JobState::kForwarded;
+  job.forwarded_to = target;
+  job.forward_elapsed_ms = (now.mono - job.received_at) / kMillisecond;
+  ArmForwardTimer(bb, job, now);
+  if (target.empty()) {
+    if (job.unreachable_since == 0) {
+      job.unreachable_since = now.mono;
+    }
+    return;
+  }
+  job.unreachable_since = 0;
+  SendForward(bb, job, actions);
+}
+
+void OnForwardReply(Blackboard& bb,
+                    const std::string& from,
+                    const wire::ForwardReply& reply,
+                    Now now,
+                    Actions& actions) {
+  Job* job = FindJob(bb, reply.submission_id());
+  if (job == nullptr || job->state != JobState::kForwarded ||
+      job->submission.digest() != reply.digest()) {
+    return;
+  }
+  if (OutcomeOf(reply.result()) == Outcome::kPending) {
+    if (job->forwarded_to == from) {
+      MarkAccepted(bb, *job, actions);
+    }
+    return;
+  }
+  // An earlier target that could not claim the job says nothing final while
+  // another one has it.
+  const bool final_answer = OutcomeOf(reply.result()) != Outcome::kUnknown;
+  if (job->forwarded_to == from || final_answer) {
+    AnswerAndRemove(bb, *job, reply.result(), now, actions);
+  }
+}
+
+void OnForwardTimer(Blackboard& bb,
+                    const std::string& id,
+                    Now now,
+                    Actions& actions) {
+  Job* job = FindJob(bb, id);
+  if (job == nullptr || job->state != JobState::kForwarded) {
+    return;
+  }
+  const bool target_gone =
+      job->forwarded_to.empty() || !IsReachable(bb, job->forwarded_to);
+  if (!target_gone) {
+    ArmForwardTimer(bb, *job, now);
+    if (MustSendAgain(bb, *job)) {
+      ++bb.counters.forward_resends;
+      for (Waiter& waiter : job->waiters) {
+        waiter.until_accepted = waiter.until_accepted && !job->accepted;
+      }
+      job->accepted = false;
+      SendForward(bb, *job, actions);
+    }
+    return;
+  }
+  const std::string target = ChooseOwner(bb, *job);
+  if (target == bb.deployment.self) {
+    ClaimForwardedJob(bb, *job, now, actions);
+    return;
+  }
+  const bool out_of_patience =
+      job->unreachable_since != 0 &&
+      now.mono - job->unreachable_since > bb.tuning.forward_patience;
+  if (target.empty() && out_of_patience) {
+    AnswerAndRemove(bb, *job, UnknownHome(*job), now, actions);
+    return;
+  }
+  ForwardJob(bb, *job, target, now, actions);
+}
+
+void OnLookup(Blackboard& bb,
+              const LookupRequest& request,
+              Now now,
+              Actions& actions) {
+  if (const auto state = LocalState(bb, request.submission_id)) {
+    actions.emplace_back(
+        ReplyResult{request.token, request.submission_id, *state});
+    return;
+  }
+  AskAll(bb, request.token, request.submission_id, false, now, actions);
+}
+
+void OnPeerLookup(Blackboard& bb,
+                  const std::string& from,
+                  const wire::Lookup& lookup,
+                  Actions& actions) {
+  wire::PeerMessage message;
+  wire::LookupReply* reply = message.mutable_lookup_reply();
+  reply->set_submission_id(lookup.submission_id());
+  reply->set_query(lookup.query());
+  if (const auto state = LocalState(bb, lookup.submission_id())) {
+    reply->set_known(true);
+    reply->set_finished(OutcomeOf(*state) != Outcome::kPending);
+    *reply->mutable_result() = *state;
+  }
+  Send(bb, from, std::move(message), actions);
+}
+
+void OnLookupReply(Blackboard& bb,
+                   const std::string& from,
+                   const wire::LookupReply& reply,
+                   Actions& actions) {
+  const auto found = bb.queries.find(reply.query());
+  if (found == bb.queries.end()) {
+    return;
+  }
+  LookupQuery& query = found->second;
+  query.waiting_for.erase(from);
+  if (reply.known()) {
+    actions.emplace_back(ReplyResult{query.token, query.submission_id,
+                                     reply.result(), query.cancel});
+    bb.queries.erase(found);
+    return;
+  }
+  if (query.waiting_for.empty()) {
+    OnQueryTimer(bb, std::to_string(reply.query()), actions);
+  }
+}
+
+void OnQueryTimer(Blackboard& bb, const std::string& key, Actions& actions) {
+  const auto found = bb.queries.find(std::stoull(key));
+  if (found == bb.queries.end()) {
+    return;
+  }
+  const LookupQuery query = std::move(found->second);
+  bb.queries.erase(found);
+  const bool all_answered =
+      query.waiting_for.empty() &&
+      std::all_of(bb.membership.peers.begin(), bb.membership.peers.end(),
+                  [](const auto& entry) { return entry.second.reachable; });
+  if (all_answered) {
+    const ResultCodeRow& row = RowOf(ResultCode::kNotFound);
+    actions.emplace_back(ReplyJson{
+        query.token, row.http_status,
+        ErrorJson({row.code, "submission_id", "no VM knows this submission"})});
+    return;
+  }
+  wire::JobResult unknown =
+      MakeResult(Outcome::kUnknown, Ran::kUnknown, ResultCode::kNoQuorum);
+  unknown.set_retry_after_ms(kMinRetryAfterMs);
+  actions.emplace_back(ReplyResult{query.token, query.submission_id, unknown});
+}
+
+void OnCancel(Blackboard& bb,
+              const CancelRequest& request,
+              Now now,
+              Actions& actions) {
+  if (request.single && !request.submission_ids.empty()) {
+    CancelOne(bb, request, now, actions);
+    return;
+  }
+  CancelMany(bb, request, now, actions);
+}
+
+void OnPeerCancel(Blackboard& bb,
+                  const wire::Cancel& cancel,
+                  Now now,
+                  Actions& actions) {
+  for (const std::string& id : cancel.submission_ids()) {
+    CancelHere(bb, id, now, actions);
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/placement.cc
@@ -0,0 +1,469 @@
+#include "goldcrest/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/baseline.h"
+#include "goldcrest/claim_owner.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/worker_table.h"
+
+namespace goldcrest {
+namespace {
+
+// Workers whose free memory is looked at for one task.
+constexpr int kMaxWorkersTried = 32;
+
+// Lanes kept although they are empty.
+constexpr size_t kLanesKept = 512;
+
+// The additions that a pass makes to the claims of jobs whose kinds may not be
+// repeated, one for each job.
+using IntentUpdates = std::map<std::string, wire::ClaimUpdate>;
+
+// The limits of a team hold for the whole service; each VM enforces an equal
+// share of them without exchanging messages.
+int64_t RunningShare(const Blackboard& bb, const std::string& team) {
+  const TeamPolicy* policy = bb.configuration.active.FindTeam(team);
+  if (policy == nullptr) {
+    return 1;
+  }
+  const auto vms = static_cast<int64_t>(bb.deployment.vms.size());
+  return std::max<int64_t>(1, (policy->max_running_tasks + vms - 1) / vms);
+}
+
+bool IsOverShare(const Blackboard& bb, const TeamUse& use) {
+  const auto teams = static_cast<int64_t>(bb.queue.active_teams);
+  const int64_t slots = bb.workers.leased_slots;
+  const int64_t fair =
+      std::max<int64_t>(1, slots / std::max<int64_t>(1, teams));
+  return use.running_tasks >= fair;
+}
+
+void Unlist(TaskQueue& queue, Lane& lane) {
+  if (!lane.listed) {
+    return;
+  }
+  queue.ready.erase({lane.listed_key.priority, lane.listed_over_share,
+                     lane.listed_key, &lane});
+  lane.listed = false;
+}
+
+void List(Blackboard& bb, Lane& lane, const TeamUse& use) {
+  Unlist(bb.queue, lane);
+  const bool at_limit = use.running_tasks >= RunningShare(bb, lane.team);
+  if (lane.tasks.empty() || at_limit) {
+    return;
+  }
+  lane.listed = true;
+  lane.listed_key = lane.tasks.begin()->first;
+  lane.listed_over_share = IsOverShare(bb, use);
+  bb.queue.ready.insert({lane.listed_key.priority, lane.listed_over_share,
+                         lane.listed_key, &lane});
+}
+
+void RelistTeam(Blackboard& bb, const std::string& team) {
+  const TeamUse& use = bb.queue.teams[team];
+  for (Lane* lane : use.lanes) {
+    List(bb, *lane, use);
+  }
+}
+
+Lane& OpenLane(Blackboard& bb, const std::string& team, TaskShape shape) {
+  std::unique_ptr<Lane>& lane = bb.queue.lanes[{team, shape}];
+  if (lane == nullptr) {
+    lane = std::make_unique<Lane>();
+    lane->team = team;
+    lane->shape = shape;
+    bb.queue.teams[team].lanes.push_back(lane.get());
+  }
+  return *lane;
+}
+
+bool IsActive(const TeamUse& use) {
+  return use.running_tasks + use.queued_tasks > 0;
+}
+
+// Changes the counts of a team and keeps the number of active teams.
+void CountTeam(TaskQueue& queue,
+               TeamUse& use,
+               int64_t queued,
+               int64_t running) {
+  const bool before = IsActive(use);
+  use.queued_tasks += queued;
+  use.running_tasks += running;
+  const bool after = IsActive(use);
+  queue.active_teams += static_cast<size_t>(after && !before);
+  queue.active_teams -= static_cast<size_t>(before && !after);
+}
+
+Micros WorkOf(const Blackboard& bb, const Job& job, uint32_t index) {
+  const wire::Task& task = job.submission.tasks(static_cast<int>(index));
+  return bb.run_times.Estimate(job.kind.name, task.run_ms()).median;
+}
+
+void TakeFromLane(Blackboard& bb,
+                  Lane& lane,
+                  std::map<QueueKey, QueuedTask>::iterator position) {
+  TaskQueue& queue = bb.queue;
+  const QueuedTask task = position->second;
+  TaskRecord& record = task.job->tasks[task.index];
+  queue.queued_work[static_cast<size_t>(position->first.priority)] -=
+      record.queued_work;
+  record.queued_work = 0;
+  lane.tasks.erase(position);
+  --queue.queued_tasks;
+  CountTeam(queue, queue.teams[lane.team], -1, 0);
+}
+
+bool Fits(const Worker& worker, TaskShape shape) {
+  return worker.memory_mb - worker.busy_memory_mb >= shape.memory_mb &&
+         worker.accelerators - worker.busy_accelerators >= shape.accelerators;
+}
+
+bool MayUse(const Worker& worker, bool idempotent, Now now) {
+  const bool probation_ok =
+      !worker.outlier.probation || (idempotent && worker.busy == 0);
+  return probation_ok && worker.lease_until > now.mono;
+}
+
+// Looks through one index for a worker; `second` receives a fitting worker
+// that should be avoided.
+const Worker* Search(const std::set<FreeKey>& index,
+                     TaskShape shape,
+                     bool idempotent,
+                     const std::string& avoid,
+                     Now now,
+                     const Worker** second) {
+  int tried = 0;
+  for (const FreeKey& key : index) {
+    if (++tried > kMaxWorkersTried) {
+      return nullptr;
+    }
+    const Worker& worker = *key.worker;
+    if (!Fits(worker, shape) || !MayUse(worker, idempotent, now)) {
+      continue;
+    }
+    if (worker.name == avoid) {
+      *second = &worker;
+      continue;
+    }
+    return &worker;
+  }
+  return nullptr;
+}
+
+void AddIntent(const Job& job, uint32_t index, IntentUpdates& updates) {
+  const TaskStart& start = job.tasks[index].start;
+  wire::TaskIntent* intent = updates[job.id].add_intents();
+  intent->set_index(index);
+  intent->set_attempt(start.attempt);
+  intent->set_worker(start.worker);
+  intent->set_worker_address(start.address);
+  intent->set_lease_epoch(start.lease_epoch);
+  intent->set_worker_incarnation(start.worker_incarnation);
+}
+
+void Assign(Blackboard& bb,
+            QueuedTask task,
+            const std::string& worker_key,
+            IntentUpdates& updates,
+            Now now,
+            Actions& actions) {
+  Job& job = *task.job;
+  const Worker& worker = *bb.workers.workers[worker_key];
+  TaskRecord& record = job.tasks[task.index];
+  ++record.attempts;
+  record.start = {worker.name,        worker.address,     record.attempts,
+                  worker.lease_epoch, worker.incarnation, now.mono};
+  TakeSlot(bb, worker_key, job, task.index, record.attempts, now);
+  if (job.kind.idempotent) {
+    SendStart(bb, job, task.index, now, actions);
+    return;
+  }
+  record.state = TaskState::kIntent;
+  AddIntent(job, task.index, updates);
+}
+
+// The first ready lane whose need a worker can meet, with that worker.
+struct Choice {
+  Lane* lane = nullptr;
+  std::string worker;
+};
+
+Choice Choose(Blackboard& bb, std::vector<TaskShape>& unmet, Now now) {
+  for (const ReadyKey& key : bb.queue.ready) {
+    Lane& lane = *key.lane;
+    if (std::find(unmet.begin(), unmet.end(), lane.shape) != unmet.end()) {
+      continue;
+    }
+    const QueuedTask& head = lane.tasks.begin()->second;
+    const TaskRecord& record = head.job->tasks[head.index];
+    const bool idempotent = head.job->kind.idempotent;
+    const std::string worker =
+        bb.tuning.placement == PlacementPolicy::kSlack
+            ? PickWorker(bb, lane.shape, idempotent, record.start.worker, now)
+            : PickBaselineWorker(bb, lane.shape, now);
+    if (!worker.empty()) {
+      return {&lane, worker};
+    }
+    // On probation a worker may refuse a kind that another lane's kind may
+    // use, so only a repeatable head proves that the need is unmet.
+    if (idempotent) {
+      unmet.push_back(lane.shape);
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+TaskShape ShapeOf(const wire::Task& task) {
+  return {task.memory_mb(), task.accelerators()};
+}
+
+void EnqueueTask(Blackboard& bb, Job& job, uint32_t index) {
+  TaskQueue& queue = bb.queue;
+  TaskRecord& record = job.tasks[index];
+  const wire::Task& task = job.submission.tasks(static_cast<int>(index));
+  record.state = TaskState::kQueued;
+  record.queued_work = WorkOf(bb, job, index);
+  record.key = {job.kind.priority, job.due_at - record.queued_work,
+                queue.next_sequence++};
+  if (bb.tuning.placement != PlacementPolicy::kSlack) {
+    record.key.priority = 0;
+    record.key.latest_start = 0;
+  }
+  Lane& lane = OpenLane(bb, job.submission.team(), ShapeOf(task));
+  lane.tasks.emplace(record.key, QueuedTask{&job, index});
+  ++queue.queued_tasks;
+  queue.queued_work[static_cast<size_t>(record.key.priority)] +=
+      record.queued_work;
+  TeamUse& use = queue.teams[lane.team];
+  CountTeam(queue, use, 1, 0);
+  if (!lane.listed || record.key < lane.listed_key) {
+    List(bb, lane, use);
+  }
+  bb.placement_due = true;
+}
+
+void RemoveQueuedTask(Blackboard& bb, Job& job, uint32_t index) {
+  const wire::Task& task = job.submission.tasks(static_cast<int>(index));
+  const auto found =
+      bb.queue.lanes.find({job.submission.team(), ShapeOf(task)});
+  if (found == bb.queue.lanes.end()) {
+    return;
+  }
+  Lane& lane = *found->second;
+  const auto position = lane.tasks.find(job.tasks[index].key);
+  if (position == lane.tasks.end() || position->second.job != &job) {
+    return;
+  }
+  const bool was_head = position == lane.tasks.begin();
+  TakeFromLane(bb, lane, position);
+  if (was_head) {
+    List(bb, lane, bb.queue.teams[lane.team]);
+  }
+}
+
+void RemoveQueuedTasks(Blackboard& bb, Job& job) {
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    if (job.tasks[index].state == TaskState::kQueued) {
+      RemoveQueuedTask(bb, job, index);
+    }
+  }
+}
+
+void SuspendTasks(Blackboard& bb, Job& job) {
+  RemoveQueuedTasks(bb, job);
+  job.updates.clear();
+  for (uint32_t index = 0; index < job.tasks.size(); ++index) {
+    TaskRecord& record = job.tasks[index];
+    if (record.state == TaskState::kIntent) {
+      ReleaseSlot(bb, StartKey(job.id, index, record.start.attempt));
+      record.state = TaskState::kQueued;
+    }
+  }
+}
+
+void TakeSlot(Blackboard& bb,
+              const std::string& worker_key,
+              const Job& job,
+              uint32_t index,
+              uint32_t attempt,
+              Now now) {
+  const wire::Task& task = job.submission.tasks(static_cast<int>(index));
+  SlotUse use;
+  use.worker = worker_key;
+  use.submission_id = job.id;
+  use.index = index;
+  use.attempt = attempt;
+  use.shape = ShapeOf(task);
+  use.team = job.submission.team();
+  use.kind = job.kind.name;
+  use.run_ms = task.run_ms();
+  use.started_at = now.mono;
+  Worker& worker = *bb.workers.workers[worker_key];
+  ++worker.busy;
+  worker.busy_memory_mb += use.shape.memory_mb;
+  worker.busy_accelerators += use.shape.accelerators;
+  ReindexWorker(bb, worker);
+  CountTeam(bb.queue, bb.queue.teams[use.team], 0, 1);
+  RelistTeam(bb, use.team);
+  bb.workers.uses[StartKey(job.id, index, attempt)] = std::move(use);
+}
+
+void ReleaseSlot(Blackboard& bb, const std::string& start_key) {
+  const auto found = bb.workers.uses.find(start_key);
+  if (found == bb.workers.uses.end()) {
+    return;
+  }
+  const SlotUse use = std::move(found->second);
+  bb.workers.uses.erase(found);
+  CountTeam(bb.queue, bb.queue.teams[use.team], 0, -1);
+  RelistTeam(bb, use.team);
+  const auto worker = bb.workers.workers.find(use.worker);
+  if (worker != bb.workers.workers.end()) {
+    worker->second->busy -= 1;
+    worker->second->busy_memory_mb -= use.shape.memory_mb;
+    worker->second->busy_accelerators -= use.shape.accelerators;
+    ReindexWorker(bb, *worker->second);
+  }
+  bb.placement_due = true;
+}
+
+std::string PickWorker(const Blackboard& bb,
+                       TaskShape shape,
+                       bool idempotent,
+                       const std::string& avoid,
+                       Now now) {
+  const Worker* second = nullptr;
+  const Worker* found = nullptr;
+  // Workers with accelerators are kept for the tasks that need them.
+  if (shape.accelerators == 0) {
+    found =
+        Search(bb.workers.free_plain, shape, idempotent, avoid, now, &second);
+  }
+  if (found == nullptr) {
+    found = Search(bb.workers.free_accelerated, shape, idempotent, avoid, now,
+                   &second);
+  }
+  if (found == nullptr) {
+    found = second;
+  }
+  return found == nullptr ? "" : WorkerKey(*found);
+}
+
+void SendStart(Blackboard& bb,
+               Job& job,
+               uint32_t index,
+               Now now,
+               Actions& actions) {
+  TaskRecord& record = job.tasks[index];
+  const wire::Task& task = job.submission.tasks(static_cast<int>(index));
+  if (!Ensure(bb,
+              record.state != TaskState::kDone &&
+                  record.state != TaskState::kRunning &&
+                  job.state == JobState::kActive,
+              "a task is started once at a time by the job's owner", actions)) {
+    ReleaseSlot(bb, StartKey(job.id, index, record.start.attempt));
+    return;
+  }
+  record.state = TaskState::kRunning;
+  record.start.started_at = now.mono;
+  job.any_started = true;
+  ++bb.counters.starts;
+  bb.retry_budget.tokens =
+      std::min(kMaxRetryTokens, bb.retry_budget.tokens +
+                                    bb.configuration.active.limits.retry_ratio);
+  StartTask start;
+  start.worker = record.start.worker;
+  start.address = record.start.address;
+  start.submission_id = job.id;
+  start.index = index;
+  start.attempt = record.start.attempt;
+  start.lease_epoch = record.start.lease_epoch;
+  start.run_ms = task.run_ms();
+  start.deadline_ms = (job.deadline_at - now.mono) / kMillisecond;
+  start.payload = task.payload();
+  start.idempotent = job.kind.idempotent;
+  actions.emplace_back(std::move(start));
+  if (job.kind.hedge) {
+    const RunTimeEstimate estimate =
+        bb.run_times.Estimate(job.kind.name, task.run_ms());
+    bb.timers.Set(now.mono + 2 * estimate.high, TimerKind::kTaskHedge,
+                  TaskKey(job.id, index));
+  }
+}
+
+void PlaceTasks(Blackboard& bb, Now now, Actions& actions) {
+  if (!HoldsServingLease(bb, now)) {
+    return;
+  }
+  std::vector<TaskShape> unmet;
+  IntentUpdates updates;
+  for (int starts = 0; starts < bb.tuning.max_starts_per_pass; ++starts) {
+    const Choice choice = Choose(bb, unmet, now);
+    if (choice.lane == nullptr) {
+      break;
+    }
+    Lane& lane = *choice.lane;
+    const QueuedTask task = lane.tasks.begin()->second;
+    TakeFromLane(bb, lane, lane.tasks.begin());
+    List(bb, lane, bb.queue.teams[lane.team]);
+    Assign(bb, task, choice.worker, updates, now, actions);
+  }
+  for (auto& [id, update] : updates) {
+    Job* job = FindJob(bb, id);
+    if (job != nullptr) {
+      AddToClaim(bb, *job, std::move(update), now, actions);
+    }
+  }
+}
+
+int CapacitySlots(const Blackboard& bb) {
+  if (bb.workers.leased_slots > 0) {
+    return bb.workers.leased_slots;
+  }
+  int slots = 0;
+  for (const auto& [vm, peer] : bb.membership.peers) {
+    if (peer.reachable && bb.deployment.Find(vm)->failure_domain ==
+                              bb.deployment.failure_domain) {
+      slots += peer.slots;
+    }
+  }
+  return slots;
+}
+
+Micros ExpectedWait(const Blackboard& bb, int64_t priority) {
+  const int slots = CapacitySlots(bb);
+  if (slots == 0 || bb.workers.free_slots > 0) {
+    return 0;
+  }
+  Micros work = 0;
+  for (int64_t p = 0; p <= priority; ++p) {
+    work += bb.queue.queued_work[static_cast<size_t>(p)];
+  }
+  return work / slots;
+}
+
+void DropEmptyLanes(Blackboard& bb) {
+  if (bb.queue.lanes.size() <= kLanesKept) {
+    return;
+  }
+  for (auto& [team, use] : bb.queue.teams) {
+    std::erase_if(use.lanes, [](Lane* lane) { return lane->tasks.empty(); });
+  }
+  std::erase_if(bb.queue.lanes,
+                [](const auto& entry) { return entry.second->tasks.empty(); });
+}
+
+void RelistTeams(Blackboard& bb) {
+  for (const auto& [team, use] : bb.queue.teams) {
+    for (Lane* lane : use.lanes) {
+      List(bb, *lane, use);
+    }
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/step.cc
@@ -0,0 +1,269 @@
+#include "goldcrest/step.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/admission.h"
+#include "goldcrest/borrowing.h"
+#include "goldcrest/claim_owner.h"
+#include "goldcrest/claim_store.h"
+#include "goldcrest/claim_voter.h"
+#include "goldcrest/configuration_agreement.h"
+#include "goldcrest/drain.h"
+#include "goldcrest/forwarding.h"
+#include "goldcrest/jobs.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/outlier.h"
+#include "goldcrest/placement.h"
+#include "goldcrest/task_results.h"
+#include "goldcrest/worker_lease.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kHousekeepingPeriod = 50 * kMillisecond;
+constexpr Micros kLongestSleep = kSecond;
+
+void HouseKeep(Blackboard& bb, Now now, Actions& actions) {
+  const uint64_t generation = bb.membership.lease_generation;
+  for (const std::string& vm : RefreshMembership(bb, now, actions)) {
+    ForgetNeighbour(bb, vm);
+  }
+  if (HoldsServingLease(bb, now) && generation > bb.reclaimed_generation) {
+    bb.reclaimed_generation = generation;
+    ReclaimAfterLapse(bb, now, actions);
+  }
+  ExpireWorkers(bb, now, actions);
+  EndEjections(bb, now);
+  ExpireClaims(bb, now);
+  TakeOverOrphans(bb, now, actions);
+  DropEmptyLanes(bb);
+  Bootstrap(bb, now, actions);
+  bb.placement_due = true;
+  bb.timers.Set(now.mono + kHousekeepingPeriod, TimerKind::kHousekeeping);
+}
+
+void Fire(Blackboard& bb, const Timer& timer, Now now, Actions& actions) {
+  switch (timer.kind) {
+    case TimerKind::kNearHeartbeat:
+      return OnHeartbeatTimer(bb, true, now, actions);
+    case TimerKind::kFarHeartbeat:
+      return OnHeartbeatTimer(bb, false, now, actions);
+    case TimerKind::kHousekeeping:
+      return HouseKeep(bb, now, actions);
+    case TimerKind::kJobDeadline:
+      return OnJobDeadline(bb, timer.key, now, actions);
+    case TimerKind::kTaskRetry:
+      return OnTaskRetryTimer(bb, timer.key);
+    case TimerKind::kTaskLookup:
+      return OnTaskLookupTimer(bb, timer.key, now, actions);
+    case TimerKind::kTaskHedge:
+      return OnTaskHedgeTimer(bb, timer.key, now, actions);
+    case TimerKind::kClaim:
+      return OnClaimTimer(bb, timer.key, now, actions);
+    case TimerKind::kClaimUpdate:
+      return OnClaimUpdateTimer(bb, timer.key, now, actions);
+    case TimerKind::kForward:
+      return OnForwardTimer(bb, timer.key, now, actions);
+    case TimerKind::kWait:
+      return OnWaitTimer(bb, timer.key, actions);
+    case TimerKind::kQuery:
+      return OnQueryTimer(bb, timer.key, actions);
+    case TimerKind::kAnnounce:
+      return OnAnnounceTimer(bb, timer.key, now, actions);
+    case TimerKind::kConfiguration:
+      return OnConfigurationTimer(bb, now, actions);
+    case TimerKind::kConfigurationRecovery:
+      return OnConfigurationRecoveryTimer(bb, now, actions);
+    case TimerKind::kClaimSync:
+      return OnClaimSyncTimer(bb, now, actions);
+    case TimerKind::kDrain:
+      return OnDrainTimer(bb, now, actions);
+  }
+}
+
+void OnClaimRequest(Blackboard& bb,
+                    const wire::PeerMessage& message,
+                    Now now,
+                    Actions& actions) {
+  wire::PeerMessage reply;
+  *reply.mutable_claim_reply() = VoteOnClaim(
+      bb, message.from(), message.incarnation(), message.claim_request(), now);
+  ++bb.counters.claim_messages;
+  Send(bb, message.from(), std::move(reply), actions);
+}
+
+void OnClaimUpdate(Blackboard& bb,
+                   const wire::PeerMessage& message,
+                   Now now,
+                   Actions& actions) {
+  wire::PeerMessage reply;
+  *reply.mutable_claim_update_reply() =
+      VoteOnUpdate(bb, message.from(), message.claim_update(), now);
+  ++bb.counters.claim_messages;
+  Send(bb, message.from(), std::move(reply), actions);
+}
+
+void OnPeerMessage(Blackboard& bb,
+                   const wire::PeerMessage& message,
+                   Now now,
+                   Actions& actions) {
+  const std::string& from = message.from();
+  if (!NoteHeard(bb, from, message.incarnation(), now, actions)) {
+    return;
+  }
+  using Body = wire::PeerMessage;
+  switch (message.body_case()) {
+    case Body::kHeartbeat:
+      OnHeartbeat(bb, from, message.heartbeat(), now, actions);
+      return FetchNewer(bb, from, message.heartbeat().configuration_version(),
+                        now, actions);
+    case Body::kClaimRequest:
+      return OnClaimRequest(bb, message, now, actions);
+    case Body::kClaimReply:
+      return OnClaimReply(bb, from, message.claim_reply(), now, actions);
+    case Body::kClaimUpdate:
+      return OnClaimUpdate(bb, message, now, actions);
+    case Body::kClaimUpdateReply:
+      return OnClaimUpdateReply(bb, from, message.claim_update_reply(), now,
+                                actions);
+    case Body::kClaimSync:
+      return OnClaimSync(bb, from, message.claim_sync(), actions);
+    case Body::kClaimSyncPage:
+      return OnClaimSyncPage(bb, from, message.claim_sync_page(), now, actions);
+    case Body::kForward:
+      return OnForward(bb, from, message.forward(), now, actions);
+    case Body::kForwardReply:
+      return OnForwardReply(bb, from, message.forward_reply(), now, actions);
+    case Body::kLookup:
+      return OnPeerLookup(bb, from, message.lookup(), actions);
+    case Body::kLookupReply:
+      return OnLookupReply(bb, from, message.lookup_reply(), actions);
+    case Body::kCancel:
+      return OnPeerCancel(bb, message.cancel(), now, actions);
+    case Body::kBorrowSlots:
+      return OnBorrowSlots(bb, from, message.borrow_slots(), now);
+    case Body::kSlotGrant:
+      return OnSlotGrant(bb, from, message.slot_grant(), now);
+    case Body::kSlotReturn:
+      return OnSlotReturn(bb, from, message.slot_return());
+    case Body::kAnnounceForward:
+      return OnAnnounceForward(bb, from, message.announce_forward(), now,
+                               actions);
+    case Body::kAnnounceReply:
+      return OnAnnounceReply(bb, message.announce_reply(), actions);
+    case Body::kConfigurationRequest:
+      return OnConfigurationRequest(bb, from, message.configuration_request(),
+                                    now, actions);
+    case Body::kConfigurationReply:
+      return OnConfigurationReply(bb, from, message.configuration_reply(), now,
+                                  actions);
+    case Body::kConfigurationFetch:
+      return OnConfigurationFetch(bb, from, message.configuration_fetch(),
+                                  actions);
+    case Body::kConfigurationInForce:
+      return OnConfigurationInForce(bb, message.configuration_in_force(),
+                                    actions);
+    case Body::kConfigurationRecoverReply:
+      return OnConfigurationRecoverReply(
+          bb, from, message.configuration_recover_reply(), actions);
+    case Body::BODY_NOT_SET:
+      return;
+  }
+}
+
+// Hands each kind of event to its controller.
+struct Dispatch {
+  Blackboard& bb;
+  Now now;
+  Actions& actions;
+
+  void operator()(const SubmitRequest& event) {
+    OnSubmit(bb, event, now, actions);
+  }
+  void operator()(const LookupRequest& event) {
+    OnLookup(bb, event, now, actions);
+  }
+  void operator()(const CancelRequest& event) {
+    OnCancel(bb, event, now, actions);
+  }
+  void operator()(const CallerGone& event) { OnCallerGone(bb, event); }
+  void operator()(const AnnounceRequest& event) {
+    OnAnnounce(bb, event, now, actions);
+  }
+  void operator()(const TaskAnswer& event) {
+    OnTaskAnswer(bb, event, now, actions);
+  }
+  void operator()(const PeerReceived& event) {
+    OnPeerMessage(bb, event.message, now, actions);
+  }
+  void operator()(const JournalSynced& event) {
+    OnVoteSynced(bb, event.token, event.ok, now, actions);
+    OnClaimSynced(bb, event.token, event.ok, now, actions);
+  }
+  void operator()(const ConfigurationPut& event) {
+    OnConfigurationPut(bb, event, now, actions);
+  }
+  void operator()(const DrainRequest& event) {
+    OnDrain(bb, event, now, actions);
+  }
+  void operator()(const Tick& /*event*/) {}
+};
+
+void Place(Blackboard& bb, Now now, Actions& actions) {
+  if (!bb.placement_due) {
+    return;
+  }
+  bb.placement_due = false;
+  ServeBorrowers(bb, now, actions);
+  PlaceTasks(bb, now, actions);
+  ReturnIdleSlots(bb, now, actions);
+  RequestSlots(bb, now, actions);
+}
+
+void RestoreClaims(Blackboard& bb, const Recovered& recovered, Now now) {
+  for (const wire::ClaimRecord& record : recovered.claims) {
+    ClaimEntry& entry = OpenClaim(bb, record.submission_id(), now);
+    const std::string earlier_owner = entry.record.owner();
+    entry.record = record;
+    IndexClaim(bb, entry, earlier_owner);
+  }
+}
+
+}  // namespace
+
+Blackboard MakeBlackboard(Deployment deployment, Tuning tuning) {
+  Blackboard bb;
+  bb.random.seed(deployment.seed);
+  bb.deployment = std::move(deployment);
+  bb.tuning = tuning;
+  return bb;
+}
+
+void Start(Blackboard& bb,
+           const Recovered& recovered,
+           Now now,
+           Actions& actions) {
+  const bool memory_kept = bb.deployment.IsAlone() && bb.tuning.synced_claims;
+  StartMembership(bb, now, recovered.lived_before, memory_kept);
+  StartConfiguration(bb, now, recovered.vote, recovered.has_vote,
+                     recovered.in_force, actions);
+  RestoreClaims(bb, recovered, now);
+  bb.timers.Set(now.mono, TimerKind::kHousekeeping);
+  Step(bb, Tick{}, now, actions);
+}
+
+void Step(Blackboard& bb, const Event& event, Now now, Actions& actions) {
+  std::visit(Dispatch{bb, now, actions}, event);
+  while (const auto timer = bb.timers.TakeDue(now.mono)) {
+    Fire(bb, *timer, now, actions);
+  }
+  Place(bb, now, actions);
+}
+
+Micros NextWakeUp(const Blackboard& bb, Now now) {
+  return std::min(bb.timers.NextDue(now.mono + kLongestSleep),
+                  now.mono + kLongestSleep);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/task_results.cc
@@ -0,0 +1,461 @@
+#include "goldcrest/task_results.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/jobs.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/outlier.h"
+#include "goldcrest/placement.h"
+#include "goldcrest/submission.h"
+#include "goldcrest/worker_table.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int kMaxDelayDoublings = 10;
+
+// Which of a task's starts an answer belongs to.
+enum class StartRole { kCurrent, kHedge, kOlder };
+
+StartRole RoleOf(const TaskRecord& task, uint32_t attempt) {
+  if (task.start.attempt == attempt) {
+    return StartRole::kCurrent;
+  }
+  if (task.hedge && task.hedge->attempt == attempt) {
+    return StartRole::kHedge;
+  }
+  return StartRole::kOlder;
+}
+
+Micros RetryDelay(const Blackboard& bb, int failures) {
+  const int doublings = std::min(std::max(failures - 1, 0), kMaxDelayDoublings);
+  return std::min(bb.tuning.retry_delay << doublings,
+                  bb.tuning.max_retry_delay);
+}
+
+void RetryAfter(Blackboard& bb,
+                Job& job,
+                uint32_t index,
+                Micros delay,
+                Now now) {
+  job.tasks[index].state = TaskState::kBackoff;
+  ++bb.counters.retries;
+  bb.timers.Set(now.mono + delay, TimerKind::kTaskRetry,
+                TaskKey(job.id, index));
+}
+
+void FailTask(Blackboard& bb,
+              Job& job,
+              ResultCode code,
+              Ran ran,
+              const std::string& detail,
+              Now now,
+              Actions& actions) {
+  wire::JobResult result = MakeResult(Outcome::kFailed, ran, code);
+  if (!detail.empty()) {
+    result.set_message(result.message() + " " + detail);
+  }
+  FinishJob(bb, job, result, now, actions);
+}
+
+std::string TaskDetail(uint32_t index) {
+  return "Task " + std::to_string(index) + ".";
+}
+
+// Repeats a task of an idempotent kind, or fails its job.
+void RepeatOrFail(Blackboard& bb,
+                  Job& job,
+                  uint32_t index,
+                  ResultCode single_code,
+                  Now now,
+                  Actions& actions) {
+  TaskRecord& task = job.tasks[index];
+  ++task.possible_runs;
+  const bool lost = single_code == ResultCode::kWorkerLost;
+  if (!job.kind.idempotent || task.possible_runs >= job.kind.max_attempts) {
+    const ResultCode code =
+        job.kind.idempotent ? ResultCode::kAttemptsExhausted : single_code;
+    const Ran ran = lost ? Ran::kUnknown : Ran::kPartly;
+    FailTask(bb, job, code, ran, TaskDetail(index), now, actions);
+    return;
+  }
+  Micros delay = RetryDelay(bb, task.possible_runs);
+  if (bb.retry_budget.tokens < 1) {
+    // Out of budget: the retry waits while first starts refill it.
+    ++bb.counters.retries_denied;
+    delay = bb.tuning.max_retry_delay;
+  } else {
+    bb.retry_budget.tokens -= 1;
+  }
+  RetryAfter(bb, job, index, delay, now);
+}
+
+void StopOtherStart(Blackboard& bb,
+                    const Job& job,
+                    uint32_t index,
+                    uint32_t answered_attempt,
+                    Actions& actions) {
+  const TaskRecord& task = job.tasks[index];
+  const auto stop = [&](const TaskStart& start) {
+    const bool running =
+        bb.workers.uses.contains(StartKey(job.id, index, start.attempt));
+    if (start.attempt != answered_attempt && running) {
+      ++bb.counters.stops;
+      actions.emplace_back(StopTask{start.address, job.id, index});
+    }
+  };
+  if (task.hedge) {
+    ++bb.counters.hedges_lost;
+    stop(task.start);
+    stop(*task.hedge);
+  }
+}
+
+void CompleteTask(Blackboard& bb,
+                  Job& job,
+                  uint32_t index,
+                  const TaskAnswer& answer,
+                  Now now,
+                  Actions& actions) {
+  TaskRecord& task = job.tasks[index];
+  StopOtherStart(bb, job, index, answer.attempt, actions);
+  if (task.state == TaskState::kQueued) {
+    // An older start answered after all; the retry is not needed.
+    RemoveQueuedTask(bb, job, index);
+  }
+  if (task.state == TaskState::kIntent) {
+    ReleaseSlot(bb, StartKey(job.id, index, task.start.attempt));
+  }
+  task.state = TaskState::kDone;
+  task.output = answer.output;
+  task.hedge.reset();
+  ++job.done_tasks;
+  if (job.done_tasks == job.tasks.size() && job.state == JobState::kActive) {
+    CompleteJob(bb, job, now, actions);
+  }
+}
+
+// A start that provably did not run: any kind may start again.
+void OnNotRun(Blackboard& bb,
+              Job& job,
+              uint32_t index,
+              TaskOutcome outcome,
+              Now now) {
+  TaskRecord& task = job.tasks[index];
+  ++task.refused_starts;
+  ++bb.counters.refused_starts;
+  const bool at_once =
+      outcome == TaskOutcome::kStaleEpoch || outcome == TaskOutcome::kLeaving;
+  const Micros delay = at_once && task.refused_starts == 1
+                           ? 0
+                           : RetryDelay(bb, task.refused_starts);
+  RetryAfter(bb, job, index, delay, now);
+}
+
+void OnStartEnded(Blackboard& bb,
+                  Job& job,
+                  const TaskAnswer& answer,
+                  Now now,
+                  Actions& actions) {
+  TaskRecord& task = job.tasks[answer.index];
+  const StartRole role = RoleOf(task, answer.attempt);
+  if (task.state == TaskState::kDone) {
+    ++bb.counters.late_answers;
+    return;
+  }
+  if (answer.outcome == TaskOutcome::kDone) {
+    CompleteTask(bb, job, answer.index, answer, now, actions);
+    return;
+  }
+  if (role == StartRole::kHedge) {
+    task.hedge.reset();
+    return;
+  }
+  const bool awaited =
+      task.state == TaskState::kRunning ||
+      (task.state == TaskState::kChecking && ProvesNotRun(answer.outcome));
+  if (role == StartRole::kOlder || !awaited) {
+    ++bb.counters.late_answers;
+    return;
+  }
+  if (ProvesNotRun(answer.outcome)) {
+    OnNotRun(bb, job, answer.index, answer.outcome, now);
+    return;
+  }
+  if (task.hedge) {
+    // The second start goes on alone.
+    task.start = *task.hedge;
+    task.hedge.reset();
+    return;
+  }
+  if (answer.outcome == TaskOutcome::kFailed) {
+    RepeatOrFail(bb, job, answer.index, ResultCode::kTaskFailed, now, actions);
+    return;
+  }
+  if (job.kind.idempotent) {
+    RepeatOrFail(bb, job, answer.index, ResultCode::kWorkerLost, now, actions);
+    return;
+  }
+  CheckTask(bb, job, answer.index, now, actions);
+}
+
+// Whether a worker that never saw a task can no longer receive its old start.
+bool IsFenced(Blackboard& bb,
+              const TaskRecord& task,
+              const TaskAnswer& answer) {
+  if (answer.lease_epoch != 0) {
+    return answer.lease_epoch > task.start.lease_epoch;
+  }
+  // The worker does not name its epoch: a renewal that followed the one that
+  // carried the new epoch shows that it has arrived.
+  const Worker* worker = FindWorker(bb, task.start.worker);
+  return worker != nullptr && worker->confirmed_epoch > task.start.lease_epoch;
+}
+
+// Asks for a new lease epoch, so that the old start is fenced.
+void AskForNewEpoch(Blackboard& bb, const TaskRecord& task) {
+  Worker* worker = FindWorker(bb, task.start.worker);
+  if (worker != nullptr && worker->lease_epoch <= task.start.lease_epoch) {
+    worker->renew_epoch = true;
+  }
+}
+
+void LookUpLater(Blackboard& bb, const Job& job, uint32_t index, Now now) {
+  bb.timers.Set(now.mono + bb.tuning.lookup_period, TimerKind::kTaskLookup,
+                TaskKey(job.id, index));
+}
+
+void OnNeverSeen(Blackboard& bb,
+                 Job& job,
+                 const TaskAnswer& answer,
+                 Now now,
+                 Actions& actions) {
+  TaskRecord& task = job.tasks[answer.index];
+  const Worker* worker = FindWorker(bb, task.start.worker);
+  const uint64_t incarnation =
+      answer.worker_incarnation != 0
+          ? answer.worker_incarnation
+          : (worker == nullptr ? 0 : worker->incarnation);
+  const bool same_process = incarnation == task.start.worker_incarnation;
+  if (!same_process && incarnation != 0) {
+    // The process that may have run it is gone, and its memory with it.
+    RepeatOrFail(bb, job, answer.index, ResultCode::kWorkerLost, now, actions);
+    return;
+  }
+  if (same_process && IsFenced(bb, task, answer)) {
+    RetryAfter(bb, job, answer.index, 0, now);
+    return;
+  }
+  AskForNewEpoch(bb, task);
+  if (++task.lookups > bb.tuning.max_lookups) {
+    RepeatOrFail(bb, job, answer.index, ResultCode::kWorkerLost, now, actions);
+    return;
+  }
+  LookUpLater(bb, job, answer.index, now);
+}
+
+void OnLookupAnswer(Blackboard& bb,
+                    Job& job,
+                    const TaskAnswer& answer,
+                    Now now,
+                    Actions& actions) {
+  TaskRecord& task = job.tasks[answer.index];
+  if (task.state != TaskState::kChecking ||
+      task.start.attempt != answer.attempt) {
+    return;
+  }
+  switch (answer.outcome) {
+    case TaskOutcome::kDone:
+      CompleteTask(bb, job, answer.index, answer, now, actions);
+      return;
+    case TaskOutcome::kFailed:
+      RepeatOrFail(bb, job, answer.index, ResultCode::kTaskFailed, now,
+                   actions);
+      return;
+    case TaskOutcome::kNeverSeen:
+      OnNeverSeen(bb, job, answer, now, actions);
+      return;
+    case TaskOutcome::kRunning:
+      LookUpLater(bb, job, answer.index, now);
+      return;
+    default:
+      if (++task.lookups > bb.tuning.max_lookups) {
+        RepeatOrFail(bb, job, answer.index, ResultCode::kWorkerLost, now,
+                     actions);
+        return;
+      }
+      LookUpLater(bb, job, answer.index, now);
+  }
+}
+
+// Gives the slot of an answered start back and learns from the answer.
+void SettleStart(Blackboard& bb,
+                 const TaskAnswer& answer,
+                 Now now,
+                 Actions& actions) {
+  const std::string key =
+      StartKey(answer.submission_id, answer.index, answer.attempt);
+  const auto found = bb.workers.uses.find(key);
+  if (found == bb.workers.uses.end()) {
+    return;
+  }
+  const SlotUse& use = found->second;
+  if (answer.outcome == TaskOutcome::kDone) {
+    bb.run_times.Observe(use.kind, use.run_ms, now.mono - use.started_at);
+  }
+  const bool failed = answer.outcome == TaskOutcome::kFailed ||
+                      answer.outcome == TaskOutcome::kLost ||
+                      answer.outcome == TaskOutcome::kNotSent;
+  const bool counts = failed || answer.outcome == TaskOutcome::kDone;
+  if (counts) {
+    NoteWorkerResult(bb, use.worker, failed, now, actions);
+  }
+  ReleaseSlot(bb, key);
+}
+
+Job* FindOwnedJob(Blackboard& bb, const std::string& id, uint32_t index) {
+  Job* job = FindJob(bb, id);
+  const bool owned = job != nullptr && (job->state == JobState::kActive ||
+                                        job->state == JobState::kClaiming);
+  return owned && index < job->tasks.size() ? job : nullptr;
+}
+
+Job* JobOfKey(Blackboard& bb, const std::string& key, uint32_t& index) {
+  std::string id;
+  if (!ParseTaskKey(key, id, index)) {
+    return nullptr;
+  }
+  return FindOwnedJob(bb, id, index);
+}
+
+}  // namespace
+
+void OnTaskAnswer(Blackboard& bb,
+                  const TaskAnswer& answer,
+                  Now now,
+                  Actions& actions) {
+  if (!answer.is_lookup) {
+    SettleStart(bb, answer, now, actions);
+  }
+  Job* job = FindOwnedJob(bb, answer.submission_id, answer.index);
+  if (job == nullptr) {
+    bb.counters.late_answers += answer.is_lookup ? 0 : 1;
+    return;
+  }
+  if (answer.is_lookup) {
+    OnLookupAnswer(bb, *job, answer, now, actions);
+  } else {
+    OnStartEnded(bb, *job, answer, now, actions);
+  }
+}
+
+void OnTaskRetryTimer(Blackboard& bb, const std::string& key) {
+  uint32_t index = 0;
+  Job* job = JobOfKey(bb, key, index);
+  if (job == nullptr || job->tasks[index].state != TaskState::kBackoff) {
+    return;
+  }
+  if (job->state == JobState::kActive) {
+    EnqueueTask(bb, *job, index);
+  } else {
+    job->tasks[index].state = TaskState::kQueued;
+  }
+}
+
+void CheckTask(Blackboard& bb,
+               Job& job,
+               uint32_t index,
+               Now now,
+               Actions& actions) {
+  TaskRecord& task = job.tasks[index];
+  task.state = TaskState::kChecking;
+  AskForNewEpoch(bb, task);
+  OnTaskLookupTimer(bb, TaskKey(job.id, index), now, actions);
+}
+
+void OnTaskLookupTimer(Blackboard& bb,
+                       const std::string& key,
+                       Now /*now*/,
+                       Actions& actions) {
+  uint32_t index = 0;
+  const Job* job = JobOfKey(bb, key, index);
+  if (job == nullptr || job->tasks[index].state != TaskState::kChecking) {
+    return;
+  }
+  const TaskStart& start = job->tasks[index].start;
+  ++bb.counters.lookups;
+  actions.emplace_back(
+      LookupTask{start.worker, start.address, job->id, index, start.attempt});
+}
+
+void OnTaskHedgeTimer(Blackboard& bb,
+                      const std::string& key,
+                      Now now,
+                      Actions& actions) {
+  uint32_t index = 0;
+  Job* job = JobOfKey(bb, key, index);
+  if (job == nullptr || job->state != JobState::kActive) {
+    return;
+  }
+  TaskRecord& task = job->tasks[index];
+  const wire::Task& body = job->submission.tasks(static_cast<int>(index));
+  const bool useful = task.state == TaskState::kRunning && !task.hedge &&
+                      bb.queue.ready.empty() && !bb.draining &&
+                      HoldsServingLease(bb, now);
+  if (!useful) {
+    return;
+  }
+  const std::string worker_key =
+      PickWorker(bb, ShapeOf(body), true, task.start.worker, now);
+  const Worker* worker = FindWorker(bb, worker_key);
+  if (worker == nullptr || worker->name == task.start.worker) {
+    return;
+  }
+  const uint32_t attempt = ++task.attempts;
+  task.hedge = TaskStart{worker->name,        worker->address,     attempt,
+                         worker->lease_epoch, worker->incarnation, now.mono};
+  TakeSlot(bb, worker_key, *job, index, attempt, now);
+  ++bb.counters.hedges;
+  ++bb.counters.starts;
+  StartTask start;
+  start.worker = worker->name;
+  start.address = worker->address;
+  start.submission_id = job->id;
+  start.index = index;
+  start.attempt = attempt;
+  start.lease_epoch = worker->lease_epoch;
+  start.run_ms = body.run_ms();
+  start.deadline_ms = RemainingTime(*job, now) / kMillisecond;
+  start.payload = body.payload();
+  start.idempotent = true;
+  actions.emplace_back(std::move(start));
+}
+
+void GiveUpStarts(Blackboard& bb,
+                  const std::string& worker_key,
+                  Now now,
+                  Actions& actions) {
+  std::vector<TaskAnswer> lost;
+  for (const auto& [key, use] : bb.workers.uses) {
+    if (use.worker != worker_key) {
+      continue;
+    }
+    TaskAnswer answer;
+    answer.submission_id = use.submission_id;
+    answer.index = use.index;
+    answer.attempt = use.attempt;
+    answer.outcome = TaskOutcome::kLost;
+    lost.push_back(answer);
+  }
+  for (const TaskAnswer& answer : lost) {
+    ReleaseSlot(bb,
+                StartKey(answer.submission_id, answer.index, answer.attempt));
+    Job* job = FindOwnedJob(bb, answer.submission_id, answer.index);
+    if (job != nullptr) {
+      OnStartEnded(bb, *job, answer, now, actions);
+    }
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/testing/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/goldcrest/time_units.h
@@ -0,0 +1,31 @@
+#ifndef GOLDCREST_TIME_UNITS_H_
+#define GOLDCREST_TIME_UNITS_H_
+
+// Time as the decisions see it.
+//
+// Every decision receives the time as an argument, so that a test, a recorded
+// trace and the running daemon drive the same code. `Micros` counts
+// microseconds of a monotonic clock that starts anywhere; wall-clock values
+// are milliseconds since the Unix epoch and carry `wall_ms` in their names.
+
+#include <cstdint>
+
+namespace goldcrest {
+
+// Microseconds, either a point on the monotonic clock or a duration.
+using Micros = int64_t;
+
+inline constexpr Micros kMillisecond = 1000;
+inline constexpr Micros kSecond = 1000 * kMillisecond;
+inline constexpr Micros kMinute = 60 * kSecond;
+
+// The time of one step: the monotonic clock in microseconds and the wall clock
+// in milliseconds since the Unix epoch.
+struct Now {
+  Micros mono = 0;
+  int64_t wall_ms = 0;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_TIME_UNITS_H_
--- /dev/null
+++ b/goldcrest/timers.h
@@ -0,0 +1,82 @@
+#ifndef GOLDCREST_TIMERS_H_
+#define GOLDCREST_TIMERS_H_
+
+// The timers of the decisions.
+//
+// A timer is a kind, a key and the time when it is due. Setting, clearing and
+// taking a due timer cost O(log n). Controllers find by the kind and the key
+// what the timer was for, and a timer whose subject is gone does nothing.
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "goldcrest/time_units.h"
+
+namespace goldcrest {
+
+enum class TimerKind : uint8_t {
+  kNearHeartbeat,
+  kFarHeartbeat,
+  kHousekeeping,
+  kJobDeadline,
+  kTaskRetry,
+  kTaskLookup,
+  kTaskHedge,
+  kClaim,
+  kClaimUpdate,
+  kForward,
+  kWait,
+  kQuery,
+  kAnnounce,
+  kConfiguration,
+  kConfigurationRecovery,
+  kClaimSync,
+  kDrain,
+};
+
+struct Timer {
+  Micros due = 0;
+  TimerKind kind = TimerKind::kHousekeeping;
+  std::string key;
+
+  friend bool operator<(const Timer& a, const Timer& b) {
+    return std::tie(a.due, a.kind, a.key) < std::tie(b.due, b.kind, b.key);
+  }
+};
+
+class TimerQueue {
+ public:
+  void Set(Micros due, TimerKind kind, std::string key = "") {
+    timers_.insert({due, kind, std::move(key)});
+  }
+
+  // Removes one timer, which must be named by the time it was set for.
+  void Clear(Micros due, TimerKind kind, const std::string& key) {
+    timers_.erase({due, kind, key});
+  }
+
+  // Takes the earliest timer that is due at `now`, if there is one.
+  std::optional<Timer> TakeDue(Micros now) {
+    if (timers_.empty() || timers_.begin()->due > now) {
+      return std::nullopt;
+    }
+    return timers_.extract(timers_.begin()).value();
+  }
+
+  // Returns when the earliest timer is due, or `fallback` without timers.
+  Micros NextDue(Micros fallback) const {
+    return timers_.empty() ? fallback : timers_.begin()->due;
+  }
+
+  size_t size() const { return timers_.size(); }
+
+ private:
+  std::set<Timer> timers_;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_TIMERS_H_
--- /dev/null
+++ b/goldcrest/tuning.h
@@ -0,0 +1,83 @@
+#ifndef GOLDCREST_TUNING_H_
+#define GOLDCREST_TUNING_H_
+
+// The periods, timeouts and bounds of the decisions, with their defaults.
+// A test shortens them; the daemon uses them as they are.
+
+#include <cstdint>
+
+#include "goldcrest/time_units.h"
+
+namespace goldcrest {
+
+// How tasks are spread over workers. The baselines exist for comparison runs.
+enum class PlacementPolicy { kSlack, kRandom, kRoundRobin, kLeastLoaded };
+
+struct Tuning {
+  // Heartbeats to the VMs that share a claim group or a failure domain.
+  Micros near_heartbeat = 200 * kMillisecond;
+  // The shortest period of heartbeats to all other VMs.
+  Micros far_heartbeat = kSecond;
+  // Far heartbeats slow down so that a daemon sends at most one of them in
+  // this time on average.
+  Micros far_heartbeat_spacing = 25 * kMillisecond;
+  // A peer not heard of for this many of its periods counts as unreachable.
+  int missed_heartbeats = 4;
+  // How long a voter's grant of a serving lease runs.
+  Micros serving_lease = 1500 * kMillisecond;
+  // Taken off the lease by its holder, for clocks that run at other speeds.
+  Micros lease_margin = 150 * kMillisecond;
+  // The lease of a worker and the period in which it should renew.
+  Micros worker_lease = 2 * kSecond;
+  Micros worker_renew = 500 * kMillisecond;
+  // Unanswered claim messages are sent again after this time.
+  Micros claim_resend = 60 * kMillisecond;
+  // A claim without a majority for this long is answered "unknown".
+  Micros claim_timeout = 2500 * kMillisecond;
+  // The reply to a caller waits at most this long for the record of a result.
+  Micros finish_timeout = 200 * kMillisecond;
+  // A forwarded submission is sent again to its home after this time.
+  Micros forward_resend = 300 * kMillisecond;
+  // A forwarded submission without any reachable home VM waits this long.
+  Micros forward_patience = 2 * kSecond;
+  // The delay before the first retry of a task, doubled for each next one.
+  Micros retry_delay = 20 * kMillisecond;
+  Micros max_retry_delay = 500 * kMillisecond;
+  // The pause between two lookups of one task at its worker.
+  Micros lookup_period = 200 * kMillisecond;
+  // Lookups that fail this often end in "unknown".
+  int max_lookups = 15;
+  // A worker is ejected after this many failures in a row.
+  int outlier_failures = 5;
+  Micros ejection = 5 * kSecond;
+  Micros max_ejection = 60 * kSecond;
+  // At most this share of the workers is ejected at a time.
+  double max_ejected_share = 0.5;
+  // A request for free slots of a neighbour is kept there for this long.
+  Micros borrow_patience = 400 * kMillisecond;
+  // A borrowed slot without work is given back after this time.
+  Micros borrow_idle = 20 * kMillisecond;
+  // A query for a submission that nobody answers ends after this time.
+  Micros lookup_timeout = 500 * kMillisecond;
+  // An announcement handed to the lease holder waits this long for its reply.
+  Micros announce_timeout = 400 * kMillisecond;
+  // Rounds of a configuration change, and its time in all.
+  Micros configuration_resend = 150 * kMillisecond;
+  Micros configuration_timeout = 4 * kSecond;
+  // Submissions wait this long for a first worker before they are refused.
+  Micros worker_patience = 5 * kSecond;
+  // A draining daemon gives up on what is in flight after this time.
+  Micros drain_timeout = 30 * kSecond;
+  // Submissions that one daemon tracks before it refuses more.
+  int max_jobs = 200'000;
+  // Tasks of one job that are started in one pass.
+  int max_starts_per_pass = 4096;
+  PlacementPolicy placement = PlacementPolicy::kSlack;
+  // Whether each claim waits for a synced journal record, for comparison runs
+  // and for a daemon that is its own quorum.
+  bool synced_claims = false;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_TUNING_H_
--- /dev/null
+++ b/goldcrest/worker_lease.cc
@@ -0,0 +1,396 @@
+#include "goldcrest/worker_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/borrowing.h"
+#include "goldcrest/digest.h"
+#include "goldcrest/membership.h"
+#include "goldcrest/submission.h"
+#include "goldcrest/task_results.h"
+#include "goldcrest/worker_table.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int64_t kMaxSlots = 4096;
+constexpr int64_t kMaxMemoryMb = 64LL * 1024 * 1024;
+constexpr size_t kMaxRunning = 8192;
+constexpr size_t kMaxAddressBytes = 256;
+constexpr IntegerRange kCounterRange = {0, INT64_MAX};
+
+struct JsonReply {
+  int status = 200;
+  std::string body;
+};
+
+JsonReply ErrorReply(ResultCode code) {
+  const ResultCodeRow& row = RowOf(code);
+  return {row.http_status, ErrorJson({code, "", std::string(row.meaning)})};
+}
+
+std::vector<std::string> ReadRunning(ObjectReader& reader) {
+  std::vector<std::string> running;
+  if (!reader.Has("running")) {
+    return running;
+  }
+  const Poco::JSON::Array::Ptr array = reader.Array("running", kMaxRunning);
+  for (size_t i = 0; i < array->size(); ++i) {
+    const Poco::Dynamic::Var value = array->get(static_cast<unsigned>(i));
+    if (!value.isString()) {
+      reader.Fail("running", ResultCode::kOutOfRange, "expected task ids");
+      break;
+    }
+    running.push_back(value.extract<std::string>());
+  }
+  return running;
+}
+
+// The VM that should hold the lease of `worker`, or an empty name.
+std::string HolderOf(const Blackboard& bb,
+                     const std::string& domain,
+                     const std::string& worker) {
+  std::string holder;
+  uint64_t best = 0;
+  for (const std::string& vm : bb.deployment.VmsOf(domain)) {
+    const bool is_self = vm == bb.deployment.self;
+    const auto peer = bb.membership.peers.find(vm);
+    const bool draining = is_self ? bb.draining : peer->second.draining;
+    if (!IsReachable(bb, vm) || draining) {
+      continue;
+    }
+    const uint64_t weight = RendezvousWeight(worker, vm);
+    if (holder.empty() || weight > best) {
+      holder = vm;
+      best = weight;
+    }
+  }
+  const bool self_is_left =
+      holder.empty() && domain == bb.deployment.failure_domain;
+  return self_is_left ? bb.deployment.self : holder;
+}
+
+uint64_t NextEpoch(Blackboard& bb, uint64_t reported, Now now) {
+  const uint64_t epoch =
+      std::max({bb.workers.max_lease_epoch + 1, reported + 1,
+                static_cast<uint64_t>(std::max<int64_t>(now.wall_ms, 0))});
+  bb.workers.max_lease_epoch = epoch;
+  return epoch;
+}
+
+// Tasks that the worker reports and that this VM did not start: they use
+// slots beyond the ones that are lent.
+int ForeignTasks(const Blackboard& bb,
+                 const Worker& worker,
+                 const std::vector<std::string>& running) {
+  std::set<std::string> own;
+  for (const auto& [key, use] : bb.workers.uses) {
+    if (use.worker == worker.name) {
+      own.insert(TaskKey(use.submission_id, use.index));
+    }
+  }
+  const auto foreign =
+      std::count_if(running.begin(), running.end(),
+                    [&](const std::string& id) { return !own.contains(id); });
+  return std::max(0, static_cast<int>(foreign) - worker.lent_total());
+}
+
+void CopyAnnouncement(Blackboard& bb,
+                      const WorkerAnnouncement& announcement,
+                      Worker& worker) {
+  bb.workers.leased_slots +=
+      static_cast<int>(announcement.slots) - worker.slots;
+  worker.address = announcement.address;
+  worker.rack = announcement.rack;
+  worker.failure_domain = announcement.failure_domain;
+  worker.slots = static_cast<int>(announcement.slots);
+  worker.memory_mb = announcement.memory_mb;
+  worker.incarnation = announcement.incarnation;
+  worker.leaving = announcement.leaving;
+}
+
+JsonReply LeaseReply(const Blackboard& bb, const Worker& worker) {
+  return {200, "{\"lease_ms\":" +
+                   std::to_string(bb.tuning.worker_lease / kMillisecond) +
+                   ",\"lease_epoch\":" + std::to_string(worker.lease_epoch) +
+                   ",\"renew_ms\":" +
+                   std::to_string(bb.tuning.worker_renew / kMillisecond) +
+                   ",\"entry\":" + JsonQuote(bb.deployment.http_address) + "}"};
+}
+
+void LogLease(const Worker& worker, Actions& actions) {
+  Log(actions, LogLevel::kInfo, "worker_leased",
+      {{"worker", worker.name},
+       {"epoch", std::to_string(worker.lease_epoch)},
+       {"incarnation", std::to_string(worker.incarnation)},
+       {"slots", std::to_string(worker.slots)}});
+}
+
+Worker& OpenWorker(Blackboard& bb, const WorkerAnnouncement& announcement) {
+  Worker* worker = FindWorker(bb, announcement.name);
+  if (worker != nullptr && worker->accelerators == announcement.accelerators) {
+    return *worker;
+  }
+  if (worker != nullptr) {
+    // The index depends on the accelerators; take the worker out of it first.
+    const bool leaving = worker->leaving;
+    worker->leaving = true;
+    ReindexWorker(bb, *worker);
+    worker->leaving = leaving;
+    worker->accelerators = announcement.accelerators;
+    return *worker;
+  }
+  Worker added;
+  added.name = announcement.name;
+  added.accelerators = announcement.accelerators;
+  return AddWorker(bb, std::move(added));
+}
+
+// Grants or renews the lease of a worker at this VM.
+JsonReply GrantLease(Blackboard& bb,
+                     const WorkerAnnouncement& announcement,
+                     Now now,
+                     Actions& actions) {
+  const Worker* known = FindWorker(bb, announcement.name);
+  if (known != nullptr && announcement.incarnation < known->incarnation) {
+    return ErrorReply(ResultCode::kStaleIncarnation);
+  }
+  const bool restarted =
+      known != nullptr && announcement.incarnation > known->incarnation;
+  if (restarted) {
+    GiveUpStarts(bb, announcement.name, now, actions);
+  }
+  Worker& worker = OpenWorker(bb, announcement);
+  const bool lapsed = worker.lease_until <= now.mono;
+  const bool new_epoch = worker.lease_epoch == 0 || lapsed || restarted ||
+                         worker.released || worker.renew_epoch ||
+                         announcement.lease_epoch > worker.lease_epoch;
+  CopyAnnouncement(bb, announcement, worker);
+  // The worker renews where the last reply sent it, so a renewal shows that
+  // the reply before it arrived; a worker that names its epoch says so itself.
+  worker.confirmed_epoch = announcement.lease_epoch != 0
+                               ? announcement.lease_epoch
+                               : worker.lease_epoch;
+  if (new_epoch) {
+    worker.lease_epoch = NextEpoch(bb, announcement.lease_epoch, now);
+    worker.renew_epoch = false;
+    LogLease(worker, actions);
+  }
+  if (restarted) {
+    worker.outlier = OutlierState();
+    worker.lent.clear();
+  }
+  worker.released = false;
+  worker.lease_until = now.mono + bb.tuning.worker_lease;
+  worker.reported_running = static_cast<int>(announcement.running.size());
+  worker.foreign = ForeignTasks(bb, worker, announcement.running);
+  bb.workers.last_worker_seen = now.mono;
+  ReindexWorker(bb, worker);
+  return LeaseReply(bb, worker);
+}
+
+// Stops using a worker whose lease another VM is to hold.
+void ReleaseWorker(Blackboard& bb, const std::string& name, Actions& actions) {
+  Worker* worker = FindWorker(bb, name);
+  if (worker == nullptr || worker->released) {
+    return;
+  }
+  worker->released = true;
+  ReindexWorker(bb, *worker);
+  RecallSlots(bb, *worker, actions);
+  Log(actions, LogLevel::kInfo, "worker_released", {{"worker", name}});
+}
+
+void HandOn(Blackboard& bb,
+            const AnnounceRequest& request,
+            const std::string& holder,
+            Now now,
+            Actions& actions) {
+  const uint64_t number = NextId(bb);
+  bb.announcements[number] = {request.token, request, holder};
+  wire::PeerMessage message;
+  message.mutable_announce_forward()->set_token(number);
+  message.mutable_announce_forward()->set_announcement_json(request.json);
+  Send(bb, holder, std::move(message), actions);
+  bb.timers.Set(now.mono + bb.tuning.announce_timeout, TimerKind::kAnnounce,
+                std::to_string(number));
+}
+
+}  // namespace
+
+tl::expected<WorkerAnnouncement, FieldError> ParseAnnouncement(
+    const std::string& body) {
+  const auto json = ParseJson(body);
+  if (!json) {
+    return tl::make_unexpected(json.error());
+  }
+  FieldErrors errors;
+  ObjectReader reader(*json, "", errors);
+  WorkerAnnouncement announcement;
+  announcement.name = reader.Text("name", {1, kMaxNameBytes});
+  announcement.address = reader.Text("address", {3, kMaxAddressBytes});
+  announcement.failure_domain =
+      reader.Text("failure_domain", {1, kMaxNameBytes});
+  announcement.rack = reader.Text("rack", {0, kMaxNameBytes}, "");
+  announcement.slots = reader.Integer("slots", {0, kMaxSlots});
+  announcement.memory_mb =
+      reader.Integer("memory_mb", {0, kMaxMemoryMb}, kMaxMemoryMb);
+  announcement.accelerators = reader.Integer("accelerators", {0, 1024}, 0);
+  announcement.incarnation =
+      static_cast<uint64_t>(reader.Integer("incarnation", kCounterRange));
+  const std::string state = reader.Text("state", {1, 16}, "serving");
+  announcement.leaving = state == "leaving";
+  announcement.lease_epoch =
+      static_cast<uint64_t>(reader.Integer("lease_epoch", kCounterRange, 0));
+  announcement.running = ReadRunning(reader);
+  if (reader.Has("usage")) {
+    ObjectReader usage(reader.Value("usage"), "usage", errors);
+  }
+  reader.Finish();
+  if (state != "serving" && state != "leaving") {
+    reader.Fail("state", ResultCode::kOutOfRange,
+                "expected serving or leaving");
+  }
+  if (!announcement.name.empty() && !IsName(announcement.name)) {
+    reader.Fail("name", ResultCode::kOutOfRange,
+                "expected letters, digits, '.', '_', ':' or '-'");
+  }
+  if (!errors.empty()) {
+    return tl::make_unexpected(errors.front());
+  }
+  return announcement;
+}
+
+void OnAnnounce(Blackboard& bb,
+                const AnnounceRequest& request,
+                Now now,
+                Actions& actions) {
+  const WorkerAnnouncement& announcement = request.announcement;
+  if (bb.deployment.GroupOf(announcement.failure_domain) == nullptr) {
+    const JsonReply reply = ErrorReply(ResultCode::kWorkerDomain);
+    actions.emplace_back(ReplyJson{request.token, reply.status, reply.body});
+    return;
+  }
+  const std::string holder =
+      HolderOf(bb, announcement.failure_domain, announcement.name);
+  if (holder == bb.deployment.self) {
+    const JsonReply reply = GrantLease(bb, announcement, now, actions);
+    actions.emplace_back(ReplyJson{request.token, reply.status, reply.body});
+    return;
+  }
+  ReleaseWorker(bb, announcement.name, actions);
+  if (holder.empty()) {
+    const JsonReply reply = ErrorReply(ResultCode::kLeaseHolderUnreachable);
+    actions.emplace_back(ReplyJson{request.token, reply.status, reply.body});
+    return;
+  }
+  HandOn(bb, request, holder, now, actions);
+}
+
+// The sender judged that this VM is the holder, so the lease is granted even
+// if this VM's own view differs for the moment: the epoch fences the other.
+void OnAnnounceForward(Blackboard& bb,
+                       const std::string& from,
+                       const wire::AnnounceForward& forward,
+                       Now now,
+                       Actions& actions) {
+  const auto announcement = ParseAnnouncement(forward.announcement_json());
+  JsonReply reply = ErrorReply(ResultCode::kWorkerDomain);
+  if (announcement &&
+      announcement->failure_domain == bb.deployment.failure_domain) {
+    reply = GrantLease(bb, *announcement, now, actions);
+  }
+  wire::PeerMessage message;
+  message.mutable_announce_reply()->set_token(forward.token());
+  message.mutable_announce_reply()->set_status(
+      static_cast<uint32_t>(reply.status));
+  message.mutable_announce_reply()->set_body_json(reply.body);
+  Send(bb, from, std::move(message), actions);
+}
+
+void OnAnnounceReply(Blackboard& bb,
+                     const wire::AnnounceReply& reply,
+                     Actions& actions) {
+  const auto found = bb.announcements.find(reply.token());
+  if (found == bb.announcements.end()) {
+    return;
+  }
+  actions.emplace_back(ReplyJson{found->second.token,
+                                 static_cast<int>(reply.status()),
+                                 reply.body_json()});
+  bb.announcements.erase(found);
+}
+
+void OnAnnounceTimer(Blackboard& bb,
+                     const std::string& key,
+                     Now now,
+                     Actions& actions) {
+  const auto found = bb.announcements.find(std::stoull(key));
+  if (found == bb.announcements.end()) {
+    return;
+  }
+  const ForwardedAnnouncement waiting = std::move(found->second);
+  bb.announcements.erase(found);
+  if (!IsReachable(bb, waiting.holder)) {
+    OnAnnounce(bb, waiting.request, now, actions);
+    return;
+  }
+  const JsonReply reply = ErrorReply(ResultCode::kLeaseHolderUnreachable);
+  actions.emplace_back(ReplyJson{waiting.token, reply.status, reply.body});
+}
+
+void ExpireWorkers(Blackboard& bb, Now now, Actions& actions) {
+  std::vector<std::string> gone;
+  for (auto& [key, worker] : bb.workers.workers) {
+    if (worker->lease_until <= now.mono || worker->released) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Worker* worker = FindWorker(bb, key);
+    if (worker->lease_until <= now.mono) {
+      if (!worker->released) {
+        Log(actions, LogLevel::kWarning, "worker_lease_expired",
+            {{"worker", key}, {"busy", std::to_string(worker->busy)}});
+        worker->released = true;
+        ReindexWorker(bb, *worker);
+        RecallSlots(bb, *worker, actions);
+      }
+      GiveUpStarts(bb, key, now, actions);
+    }
+    worker = FindWorker(bb, key);
+    if (worker != nullptr && worker->busy == 0) {
+      RemoveWorker(bb, key);
+    }
+  }
+}
+
+bool CouldEverFit(const Blackboard& bb, TaskShape shape) {
+  const bool here = std::any_of(
+      bb.workers.workers.begin(), bb.workers.workers.end(),
+      [&](const auto& entry) {
+        const Worker& worker = *entry.second;
+        return worker.slots > 0 && worker.memory_mb >= shape.memory_mb &&
+               worker.accelerators >= shape.accelerators;
+      });
+  // Heartbeats carry the largest memory and accelerators of a VM's workers,
+  // not of one worker: this errs towards accepting.
+  return here ||
+         std::any_of(bb.membership.peers.begin(), bb.membership.peers.end(),
+                     [&](const auto& entry) {
+                       const Peer& peer = entry.second;
+                       return peer.slots > 0 &&
+                              peer.max_memory_mb >= shape.memory_mb &&
+                              peer.max_accelerators >= shape.accelerators;
+                     });
+}
+
+bool KnowsWorkers(const Blackboard& bb) {
+  return bb.workers.leased_slots > 0 ||
+         std::any_of(bb.membership.peers.begin(), bb.membership.peers.end(),
+                     [](const auto& entry) {
+                       return entry.second.reachable && entry.second.slots > 0;
+                     });
+}
+
+}  // namespace goldcrest
