--- a/edge/status_json.cc
+++ b/edge/status_json.cc
@@ -12,16 +12,12 @@
   return value ? "true" : "false";
 }
 
-std::string_view NameOf(MemoryState state) {
-  switch (state) {
-    case MemoryState::kUndetermined:
-      return "undetermined";
-    case MemoryState::kWhole:
-      return "whole";
-    case MemoryState::kAmnesiac:
-      return "recovering";
+std::string_view MemoryName(const Blackboard& bb) {
+  if (RemembersAll(bb)) {
+    return "whole";
   }
-  return "undetermined";
+  return bb.membership.memory == MemoryState::kAmnesiac ? "recovering"
+                                                        : "undetermined";
 }
 
 std::string PeerJson(const std::string& vm, const Peer& peer) {
@@ -93,7 +89,7 @@
          ",\"state\":\"" + (bb.draining ? "draining" : "serving") +
          "\",\"serving_lease\":{\"held\":" + Bool(leased) +
          ",\"generation\":" + std::to_string(membership.lease_generation) +
-         "},\"voter_memory\":\"" + std::string(NameOf(membership.memory)) +
+         "},\"voter_memory\":\"" + std::string(MemoryName(bb)) +
          "\",\"configuration\":" + ConfigurationJsonOf(bb) +
          ",\"queue\":" + QueueJson(bb) +
          ",\"claims\":" + std::to_string(bb.claims.entries.size()) +
--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -161,6 +161,9 @@
 
 // Says whether it is certain, without asking, that nobody owns `submission`.
 bool IsSurelyNew(const Blackboard& bb, const Job& job, Now now) {
+  if (IsBroken(bb, Break::kRefuseUnasked)) {
+    return true;
+  }
   const auto entry = bb.claims.entries.find(job.id);
   const bool held = entry != bb.claims.entries.end() &&
                     (entry->second.record.accepted() != 0 ||
@@ -204,8 +207,8 @@
     return true;
   }
   const ClaimEntry* entry = FindClaim(bb, id);
-  if (entry == nullptr || !entry->record.finished()) {
-    return false;
+  if (entry == nullptr || !entry->record.finished() || !entry->recorded) {
+    return false;  // the claim voters have to be asked
   }
   const bool dropped = entry->record.result().code() ==
                        static_cast<uint32_t>(ResultCode::kAnswerDropped);
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -8,6 +8,7 @@
 // holds a clock, a thread, a socket or a file, so one process may hold many
 // blackboards, as the randomised tests do.
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <deque>
@@ -252,6 +253,12 @@
   bool probation = false;
 };
 
+// Slots of one worker lent to one VM.
+struct LentSlots {
+  int slots = 0;
+  Micros expires_at = 0;
+};
+
 // A worker whose slots this VM may use: leased to it, or lent by a neighbour.
 struct Worker {
   std::string name;
@@ -271,11 +278,11 @@
   int busy = 0;
   int64_t busy_memory_mb = 0;
   int64_t busy_accelerators = 0;
-  // Tasks of other VMs that the worker reports beyond what is lent.
+  // Tasks of other VMs that the worker last reported.
   int foreign = 0;
   // Tasks that the worker itself last reported.
   int reported_running = 0;
-  std::map<std::string, int> lent;
+  std::map<std::string, LentSlots> lent;
   OutlierState outlier;
   // Another VM is to hold the lease: nothing new is started here.
   bool released = false;
@@ -293,12 +300,16 @@
 
   int lent_total() const {
     int total = 0;
-    for (const auto& [vm, count] : lent) {
-      total += count;
+    for (const auto& [vm, part] : lent) {
+      total += part.slots;
     }
     return total;
   }
-  int free_slots() const { return slots - busy - foreign - lent_total(); }
+  // Tasks of other VMs run on slots that were lent, or on ones whose loan has
+  // run out or was made by an earlier holder.
+  int free_slots() const {
+    return slots - busy - std::max(foreign, lent_total());
+  }
   bool borrowed() const { return !lender.empty(); }
 };
 
@@ -422,6 +433,8 @@
   bool ever_amnesiac = false;
   Micros amnesiac_since = 0;
   int64_t amnesiac_since_wall_ms = 0;
+  // Claim groups whose records were all fetched again after a restart.
+  std::set<std::string> healed_groups;
   // Groups whose records are being fetched: co-voters that delivered all.
   std::map<std::string, std::set<std::string>> synced_from;
   // The last submission id fetched of each.
@@ -439,6 +452,8 @@
 
 struct ClaimEntry {
   wire::ClaimRecord record;
+  // Whether this VM knows that a majority of the voters has the result.
+  bool recorded = false;
   Micros created_at = 0;
   Micros expires_at = 0;
   size_t answer_bytes = 0;
@@ -504,6 +519,11 @@
   uint64_t highest_ballot = 0;
   // Replies that wait until a vote is durable, by journal token.
   std::map<uint64_t, SendPeer> unsynced_replies;
+  // Replies to operators that wait until the version that they name is durable
+  // here, by journal token.
+  std::multimap<uint64_t, ReplyJson> unsynced_answers;
+  // The journal token of the version in force, while it is not durable.
+  uint64_t unsynced_version = 0;
   // Proposed when nothing is in force; canonical JSON.
   std::string first_document;
   Micros fetched_at = 0;
@@ -513,12 +533,21 @@
 
 // ---------------------------------------------------------------- the rest
 
+// A result as some voters hold it at one ballot.
+struct TentativeResult {
+  std::string home;
+  wire::JobResult result;
+  std::set<std::string> voters;
+};
+
 // A query for a submission that this VM does not know.
 struct LookupQuery {
   ReplyToken token = kNoToken;
   std::string submission_id;
   std::set<std::string> waiting_for;
   bool cancel = false;
+  // Results that single voters hold, each with who holds it.
+  std::map<uint64_t, TentativeResult> tentative;
 };
 
 // What happened, counted since the start. Every counter is exported.
@@ -606,6 +635,11 @@
   std::vector<Observation> observations;
 };
 
+// Says whether a test took the mechanism `which` away.
+inline bool IsBroken(const Blackboard& bb, Break which) {
+  return bb.tuning.break_for_test == which;
+}
+
 // Returns a number unique within this run of the daemon.
 inline uint64_t NextId(Blackboard& bb) {
   return bb.next_id++;
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -14,7 +14,10 @@
 // A borrowed slot is kept at most this long while there is work for it.
 constexpr Micros kBorrowedFor = 250 * kMillisecond;
 // How long a borrower counts on a lent worker without hearing from the lender.
-constexpr Micros kBorrowedLease = 2 * kSecond;
+constexpr Micros kBorrowedLease = kSecond;
+// A loan that nobody gave back ends after this time: the grant or the return
+// was lost, or a long task runs, which the worker itself reports.
+constexpr Micros kLentFor = 2 * kSecond;
 
 bool IsLender(const Blackboard& bb, const std::string& vm, bool own_domain) {
   const Peer& peer = bb.membership.peers.at(vm);
@@ -103,8 +106,11 @@
           const std::string& vm,
           Worker& worker,
           int slots,
+          Now now,
           Actions& actions) {
-  worker.lent[vm] += slots;
+  LentSlots& lent = worker.lent[vm];
+  lent.slots += slots;
+  lent.expires_at = now.mono + kLentFor;
   ReindexWorker(bb, worker);
   bb.counters.borrowed_slots += static_cast<uint64_t>(slots);
   wire::PeerMessage message;
@@ -140,7 +146,7 @@
     }
     const int slots = std::min(request.slots, worker->free_slots());
     request.slots -= slots;
-    Lend(bb, vm, *worker, slots, actions);
+    Lend(bb, vm, *worker, slots, now, actions);
   }
 }
 
@@ -289,8 +295,8 @@
   if (lent == worker->lent.end()) {
     return;
   }
-  lent->second -= static_cast<int>(giving.slots());
-  if (lent->second <= 0) {
+  lent->second.slots -= static_cast<int>(giving.slots());
+  if (lent->second.slots <= 0) {
     worker->lent.erase(lent);
   }
   ReindexWorker(bb, *worker);
@@ -308,6 +314,17 @@
   ReindexWorker(bb, worker);
 }
 
+void ExpireLoans(Blackboard& bb, Now now) {
+  for (auto& [key, worker] : bb.workers.workers) {
+    const auto expired = std::erase_if(worker->lent, [&](const auto& entry) {
+      return entry.second.expires_at <= now.mono;
+    });
+    if (expired > 0) {
+      ReindexWorker(bb, *worker);
+    }
+  }
+}
+
 void ForgetNeighbour(Blackboard& bb, const std::string& vm) {
   bb.workers.borrowers.erase(vm);
   bb.workers.requests.erase(vm);
--- a/goldcrest/borrowing.h
+++ b/goldcrest/borrowing.h
@@ -45,6 +45,9 @@
 // Tells the borrowers of `worker` to start nothing there any more.
 void RecallSlots(Blackboard& bb, Worker& worker, Actions& actions);
 
+// Ends loans that were not given back in time.
+void ExpireLoans(Blackboard& bb, Now now);
+
 // Forgets what was lent to and borrowed from a VM that is unreachable.
 void ForgetNeighbour(Blackboard& bb, const std::string& vm);
 
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -57,6 +57,8 @@
     *record->mutable_intents() = job.claim.merged.intents();
     record->set_cancelled(job.cancelled);
     *record->mutable_submission() = job.submission;
+    record->set_finished(job.claim.merged.finished());
+    *record->mutable_result() = job.claim.merged.result();
   }
   return request;
 }
@@ -84,6 +86,21 @@
   actions.emplace_back(std::move(append));
 }
 
+// A witness keeps neither content nor outputs.
+void StripResult(wire::JobResult& result) {
+  if (result.outputs_size() > 0) {
+    result.clear_outputs();
+    result.set_code(static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  }
+}
+
+void StripForWitness(wire::ClaimRecord& record) {
+  record.clear_submission();
+  if (record.finished()) {
+    StripResult(*record.mutable_result());
+  }
+}
+
 void SendClaim(Blackboard& bb, Job& job, Now now, Actions& actions) {
   const wire::ClaimRequest request = MakeRequest(job);
   const std::string id = job.id;
@@ -99,7 +116,7 @@
     wire::PeerMessage message;
     *message.mutable_claim_request() = request;
     if (bb.deployment.Find(voter)->failure_domain != job.home) {
-      message.mutable_claim_request()->mutable_record()->clear_submission();
+      StripForWitness(*message.mutable_claim_request()->mutable_record());
     }
     ++bb.counters.claim_messages;
     Send(bb, voter, std::move(message), actions);
@@ -177,7 +194,23 @@
   return true;
 }
 
+// Answers with a result that an earlier owner left.
+void AnswerFromClaim(Blackboard& bb, Job& job, Now now, Actions& actions) {
+  ClaimEntry& entry = OpenClaim(bb, job.id, now);
+  const std::string earlier_owner = entry.record.owner();
+  MergeClaim(entry.record, job.claim.merged);
+  IndexClaim(bb, entry, earlier_owner);
+  FinishClaim(bb, entry, job.claim.merged.result());
+  entry.recorded = true;
+  ++bb.counters.attached;
+  AnswerAndRemove(bb, job, ResultOfClaim(job.claim.merged), now, actions);
+}
+
 void BecomeOwner(Blackboard& bb, Job& job, Now now, Actions& actions) {
+  if (job.claim.merged.finished()) {
+    AnswerFromClaim(bb, job, now, actions);
+    return;
+  }
   if (job.lease_generation != bb.membership.lease_generation) {
     StartClaim(bb, job, now, actions);
     return;
@@ -186,6 +219,12 @@
   job.state = JobState::kActive;
   job.cancelled = job.cancelled || job.claim.merged.cancelled();
   RestoreTasks(job, job.claim.merged);
+  if (job.orphan) {
+    job.orphan = false;
+    ++bb.counters.takeovers;
+    Log(actions, LogLevel::kInfo, "claim_taken_over",
+        {{"submission", job.id}, {"owner", job.claim.merged.owner()}});
+  }
   OnJobOwned(bb, job, now, actions);
 }
 
@@ -201,11 +240,12 @@
     if (answer_may_follow) {
       return;
     }
-    ClaimEntry& entry = OpenClaim(bb, job.id, now);
-    MergeClaim(entry.record, claim.merged);
-    IndexClaim(bb, entry, entry.record.owner());
-    ++bb.counters.attached;
-    AnswerAndRemove(bb, job, ResultOfClaim(claim.merged), now, actions);
+    // Perhaps only one voter has this result: a majority must have it before
+    // anybody is told.
+    claim.phase = wire::CLAIM_ACCEPT;
+    claim.granted.clear();
+    claim.abstained.clear();
+    SendClaim(bb, job, now, actions);
     return;
   }
   if (DropIfIdle(bb, job, now, actions)) {
@@ -239,7 +279,8 @@
 }
 
 void OnGranted(Blackboard& bb, Job& job, Now now, Actions& actions) {
-  const size_t majority = MajorityOf(VotersOf(bb, job).size());
+  const size_t majority =
+      IsBroken(bb, Break::kNoClaim) ? 1 : MajorityOf(VotersOf(bb, job).size());
   if (job.claim.granted.size() < majority) {
     return;
   }
@@ -304,10 +345,8 @@
 
 // What a witness gets of an update: no outputs.
 wire::ClaimUpdate ForWitness(wire::ClaimUpdate update) {
-  if (update.finished() && update.result().outputs_size() > 0) {
-    update.mutable_result()->clear_outputs();
-    update.mutable_result()->set_code(
-        static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  if (update.finished()) {
+    StripResult(*update.mutable_result());
   }
   return update;
 }
@@ -394,8 +433,10 @@
 bool IsNextOwner(const Blackboard& bb,
                  const wire::ClaimRecord& record,
                  Now now) {
-  if (record.home() != bb.deployment.failure_domain ||
-      GrantMayRun(bb, record.owner(), record.owner_incarnation(), now)) {
+  const bool lease_may_run =
+      GrantMayRun(bb, record.owner(), record.owner_incarnation(), now) &&
+      !IsBroken(bb, Break::kNoWaitForLease);
+  if (record.home() != bb.deployment.failure_domain || lease_may_run) {
     return false;
   }
   for (const std::string& vm :
@@ -414,9 +455,6 @@
               const wire::ClaimRecord& record,
               Now now,
               Actions& actions) {
-  ++bb.counters.takeovers;
-  Log(actions, LogLevel::kInfo, "claim_taken_over",
-      {{"submission", record.submission_id()}, {"owner", record.owner()}});
   const int64_t elapsed_ms = now.wall_ms - record.received_wall_ms();
   Job& job =
       CreateJob(bb, record.submission(), std::max<int64_t>(elapsed_ms, 0), now);
@@ -440,7 +478,7 @@
                                               entry->record.accepted() == 0);
   const bool preferred = ranking.front() == bb.deployment.self;
   const bool remembers =
-      RemembersSubmission(bb, job.submission.submitted_at_ms(), now);
+      RemembersSubmission(bb, job.home, job.submission.submitted_at_ms());
   SuspendTasks(bb, job);
   job.state = JobState::kClaiming;
   job.lease_generation = bb.membership.lease_generation;
--- a/goldcrest/claim_store.cc
+++ b/goldcrest/claim_store.cc
@@ -93,9 +93,12 @@
 void FinishClaim(Blackboard& bb,
                  ClaimEntry& entry,
                  const wire::JobResult& result) {
-  if (entry.record.finished()) {
+  const bool better =
+      result.outputs_size() > entry.record.result().outputs_size();
+  if (entry.record.finished() && !better) {
     return;
   }
+  bb.claims.answer_bytes -= entry.answer_bytes;
   entry.record.set_finished(true);
   *entry.record.mutable_result() = result;
   entry.record.clear_submission();
@@ -109,6 +112,15 @@
   IndexClaim(bb, entry, entry.record.owner());
 }
 
+void ReopenClaim(Blackboard& bb, ClaimEntry& entry) {
+  bb.claims.answer_bytes -= entry.answer_bytes;
+  entry.answer_bytes = 0;
+  entry.recorded = false;
+  entry.record.set_finished(false);
+  entry.record.clear_result();
+  IndexClaim(bb, entry, entry.record.owner());
+}
+
 void ReleaseClaim(Blackboard& bb, ClaimEntry& entry, uint64_t ballot) {
   wire::ClaimRecord& record = entry.record;
   const std::string owner = record.owner();
@@ -164,12 +176,23 @@
       *record.add_intents() = intent;
     }
   }
-  if (other.accepted() > record.accepted()) {
+  const bool later = other.accepted() > record.accepted();
+  const bool same = other.accepted() == record.accepted();
+  if (later) {
     record.set_accepted(other.accepted());
     record.set_owner(other.owner());
     record.set_owner_incarnation(other.owner_incarnation());
   }
+  // A witness keeps no outputs: the copy that has them is the better one.
+  const bool more_outputs =
+      other.result().outputs_size() > record.result().outputs_size();
+  const bool better = other.finished() && (!record.finished() || more_outputs);
+  if (later || (same && better)) {
+    record.set_finished(other.finished());
+    *record.mutable_result() = other.result();
+  }
   record.set_promised(std::max(record.promised(), other.promised()));
+  record.set_released(std::max(record.released(), other.released()));
   record.set_cancelled(record.cancelled() || other.cancelled());
   if (record.digest().empty()) {
     record.set_digest(other.digest());
@@ -185,14 +208,6 @@
     record.set_home(other.home());
     record.set_submitted_at_ms(other.submitted_at_ms());
   }
-  record.set_released(std::max(record.released(), other.released()));
-  // A witness keeps no outputs: the copy that has them is the better one.
-  const bool more_outputs =
-      other.result().outputs_size() > record.result().outputs_size();
-  if (other.finished() && (!record.finished() || more_outputs)) {
-    record.set_finished(true);
-    *record.mutable_result() = other.result();
-  }
 }
 
 wire::JobResult ResultOfClaim(const wire::ClaimRecord& record) {
--- a/goldcrest/claim_store.h
+++ b/goldcrest/claim_store.h
@@ -31,14 +31,18 @@
                  ClaimEntry& entry,
                  const wire::JobResult& result);
 
+// Takes the result out of `entry`: a later owner runs the job again.
+void ReopenClaim(Blackboard& bb, ClaimEntry& entry);
+
 // Withdraws the claim accepted at `ballot`: its submission was refused.
 void ReleaseClaim(Blackboard& bb, ClaimEntry& entry, uint64_t ballot);
 
 // Drops records past the retention window.
 void ExpireClaims(Blackboard& bb, Now now);
 
-// Adds the facts of `other` to `record`: intents, result, cancellation, and
-// the owner of the higher ballot.
+// Adds the facts of `other` to `record`. Intents and cancellations add up.
+// Owner and result are those of the higher accepted ballot: an owner that was
+// accepted later had seen every result that a majority held.
 void MergeClaim(wire::ClaimRecord& record, const wire::ClaimRecord& other);
 
 // Returns the result that a caller gets from a finished record.
--- a/goldcrest/claim_voter.cc
+++ b/goldcrest/claim_voter.cc
@@ -29,6 +29,12 @@
                           const ClaimEntry* entry,
                           const wire::ClaimRequest& request,
                           Now now) {
+  if (IsBroken(bb, Break::kNoWaitForLease)) {
+    return "";
+  }
+  if (entry != nullptr && entry->record.finished()) {
+    return "";  // nothing more runs under this claim
+  }
   if (entry != nullptr && entry->record.accepted() != 0) {
     const wire::ClaimRecord& record = entry->record;
     const bool in_way =
@@ -56,11 +62,6 @@
                                Now now) {
   const std::string& id = request.record().submission_id();
   ClaimEntry* entry = FindClaim(bb, id);
-  if (entry != nullptr && entry->record.finished()) {
-    wire::ClaimReply reply = MakeReply(request, wire::CLAIM_GRANTED);
-    *reply.mutable_record() = entry->record;
-    return reply;
-  }
   const std::string holder = LeaseInTheWay(bb, from, entry, request, now);
   if (!holder.empty()) {
     wire::ClaimReply reply = MakeReply(request, wire::CLAIM_HELD);
@@ -111,6 +112,12 @@
   record.set_owner_incarnation(from_incarnation);
   MergeClaim(record, request.record());
   IndexClaim(bb, entry, earlier_owner);
+  if (record.finished() && !request.record().finished()) {
+    ReopenClaim(bb, entry);
+  }
+  if (request.record().finished()) {
+    FinishClaim(bb, entry, request.record().result());
+  }
 }
 
 wire::ClaimReply VoteOnAccept(Blackboard& bb,
@@ -125,7 +132,7 @@
   const bool passes =
       request.fast()
           ? FastMayPass(entry, from, from_incarnation, request.ballot())
-          : request.ballot() >= record.promised() && !record.finished();
+          : request.ballot() >= record.promised();
   if (!passes || !same_content) {
     wire::ClaimReply reply = MakeReply(request, wire::CLAIM_STALE);
     reply.set_promised(std::max(record.promised(), record.accepted()));
@@ -177,8 +184,8 @@
                              uint64_t from_incarnation,
                              const wire::ClaimRequest& request,
                              Now now) {
-  const bool remembers =
-      RemembersSubmission(bb, request.record().submitted_at_ms(), now);
+  const bool remembers = RemembersSubmission(
+      bb, request.record().home(), request.record().submitted_at_ms());
   if (!remembers) {
     return MakeReply(request, wire::CLAIM_ABSTAIN);
   }
@@ -247,7 +254,7 @@
   wire::ClaimSyncPage* reply = message.mutable_claim_sync_page();
   reply->set_failure_domain(request.failure_domain());
   reply->set_after(request.after());
-  reply->set_amnesiac(bb.membership.memory != MemoryState::kWhole);
+  reply->set_amnesiac(!RemembersGroup(bb, request.failure_domain()));
   size_t sent = 0;
   for (; sent < page && reply->ByteSizeLong() < kSyncPageBytes; ++sent) {
     *reply->add_records() = ForSync(*records[sent]);
@@ -263,7 +270,7 @@
                      Actions& actions) {
   const SyncKey key{page.failure_domain(), from};
   const auto cursor = bb.membership.sync_cursors.find(key);
-  if (bb.membership.memory == MemoryState::kWhole || page.amnesiac() ||
+  if (RemembersGroup(bb, page.failure_domain()) || page.amnesiac() ||
       cursor == bb.membership.sync_cursors.end() ||
       cursor->second != page.after()) {
     return;
@@ -285,10 +292,13 @@
 }
 
 void OnClaimSyncTimer(Blackboard& bb, Now now, Actions& actions) {
-  if (bb.membership.memory != MemoryState::kAmnesiac) {
+  if (RemembersAll(bb)) {
     return;
   }
   for (const ClaimGroup* group : VotingGroups(bb)) {
+    if (RemembersGroup(bb, group->failure_domain)) {
+      continue;
+    }
     for (const std::string& voter : group->voters) {
       const auto& done = bb.membership.synced_from[group->failure_domain];
       if (voter != bb.deployment.self && !done.contains(voter)) {
--- a/goldcrest/configuration_agreement.cc
+++ b/goldcrest/configuration_agreement.cc
@@ -73,6 +73,8 @@
   RelistTeams(bb);
   bb.placement_due = true;
   AppendJournal append;
+  append.token = bb.deployment.has_disk ? NextId(bb) : 0;
+  board.unsynced_version = append.token;
   *append.record.mutable_configuration_in_force() = state;
   actions.emplace_back(std::move(append));
   Log(actions, LogLevel::kInfo, "configuration_in_force",
@@ -246,8 +248,11 @@
   }
 }
 
-// Says what an operator is told when `state` is in force.
-void ReplyDecided(const ConfigurationProposal& proposal,
+// Says what an operator is told when `state` is in force. A success waits
+// until a disk here has the version, so that a restart of this VM never shows
+// less than it has acknowledged.
+void ReplyDecided(Blackboard& bb,
+                  const ConfigurationProposal& proposal,
                   const wire::ConfigurationState& state,
                   Actions& actions) {
   const uint64_t wanted = proposal.if_version + 1;
@@ -255,6 +260,13 @@
     wire::ConfigurationState mine;
     mine.set_version(wanted);
     mine.set_digest(proposal.digest);
+    ConfigurationBoard& board = bb.configuration;
+    if (board.unsynced_version != 0 && proposal.token != kNoToken) {
+      board.unsynced_answers.emplace(
+          board.unsynced_version,
+          ReplyJson{proposal.token, 200, VersionJson(mine)});
+      return;
+    }
     ReplyToPut(proposal.token, 200, VersionJson(mine), actions);
     return;
   }
@@ -275,7 +287,7 @@
   if (proposal.proposed.version() == 0) {
     // Nothing is in force, and the operator expected something.
     const ConfigurationProposal ended = proposal;
-    ReplyDecided(ended, newest, actions);
+    ReplyDecided(bb, ended, newest, actions);
     NextProposal(bb, now, actions);
     return;
   }
@@ -290,12 +302,12 @@
   const ConfigurationProposal proposal = bb.configuration.proposals.front();
   Adopt(bb, proposal.proposed, actions);
   Spread(bb, actions);
-  ReplyDecided(proposal, proposal.proposed, actions);
+  ReplyDecided(bb, proposal, proposal.proposed, actions);
   NextProposal(bb, now, actions);
 }
 
 // Answers a change from what is in force here, when that decides it.
-bool AnswerAtOnce(const Blackboard& bb,
+bool AnswerAtOnce(Blackboard& bb,
                   const ConfigurationPut& put,
                   Actions& actions) {
   const wire::ConfigurationState& in_force = bb.configuration.in_force;
@@ -306,10 +318,29 @@
   proposal.token = put.token;
   proposal.if_version = put.if_version;
   proposal.digest = put.digest;
-  ReplyDecided(proposal, in_force, actions);
+  ReplyDecided(bb, proposal, in_force, actions);
   return true;
 }
 
+// Sends the operators' answers that waited for a version to be durable.
+void AnswerSynced(Blackboard& bb, uint64_t token, bool ok, Actions& actions) {
+  ConfigurationBoard& board = bb.configuration;
+  if (board.unsynced_version == token) {
+    board.unsynced_version = 0;
+  }
+  const auto [begin, end] = board.unsynced_answers.equal_range(token);
+  for (auto it = begin; it != end; ++it) {
+    ReplyJson reply = it->second;
+    if (!ok) {
+      const ResultCode code = ResultCode::kConfigurationUnknown;
+      reply.status = RowOf(code).http_status;
+      reply.body = CodeJson(board.in_force, code);
+    }
+    actions.emplace_back(std::move(reply));
+  }
+  board.unsynced_answers.erase(begin, end);
+}
+
 }  // namespace
 
 std::string DigestOfVersion(const wire::ConfigurationState& state,
@@ -335,7 +366,8 @@
   board.bootstrap_at = now.mono + kBootstrapPatience;
   Adopt(bb, in_force, actions);
   const bool alone = Voters(bb).size() == 1 && IsVoter(bb, bb.deployment.self);
-  board.recovering = IsVoter(bb, bb.deployment.self) && !has_vote && !alone;
+  board.recovering = IsVoter(bb, bb.deployment.self) && !has_vote && !alone &&
+                     !IsBroken(bb, Break::kNoConfigurationRecovery);
   if (board.recovering) {
     bb.timers.Set(now.mono, TimerKind::kConfigurationRecovery);
   }
@@ -551,6 +583,7 @@
                   Now now,
                   Actions& actions) {
   ConfigurationBoard& board = bb.configuration;
+  AnswerSynced(bb, token, ok, actions);
   const auto found = board.unsynced_replies.find(token);
   if (found == board.unsynced_replies.end()) {
     return;
--- a/goldcrest/drain.cc
+++ b/goldcrest/drain.cc
@@ -84,7 +84,10 @@
 void OnDrainTimer(Blackboard& bb, Now now, Actions& actions) {
   const bool out_of_time =
       now.mono - bb.drain_started_at > bb.tuning.drain_timeout;
-  if (IsDrained(bb) || out_of_time) {
+  if (IsDrained(bb) || out_of_time || IsBroken(bb, Break::kDropOnDrain)) {
+    if (out_of_time) {
+      AnswerAllUnknown(bb, now, actions);
+    }
     bb.drained = true;
     Log(actions, LogLevel::kInfo, "drain_finished",
         {{"jobs_left", std::to_string(bb.jobs.size())}});
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -56,7 +56,9 @@
                                           const std::string& id) {
   const Job* job = FindJob(bb, id);
   if (job != nullptr) {
-    return job->state == JobState::kFinishing ? job->result : Pending();
+    // A result that is not recorded yet may still be overtaken.
+    return job->replied && job->state == JobState::kFinishing ? job->result
+                                                              : Pending();
   }
   const ClaimEntry* entry = FindClaim(bb, id);
   if (entry == nullptr) {
@@ -64,12 +66,49 @@
   }
   const bool dropped = entry->record.result().code() ==
                        static_cast<uint32_t>(ResultCode::kAnswerDropped);
-  if (entry->record.finished() && !dropped) {
+  if (entry->record.finished() && entry->recorded && !dropped) {
     return ResultOfClaim(entry->record);
   }
   return std::nullopt;
 }
 
+// Counts a result that one voter holds. Returns the result once a majority of
+// the voters holds it.
+std::optional<wire::JobResult> CountTentative(const Blackboard& bb,
+                                              LookupQuery& query,
+                                              const std::string& voter,
+                                              const wire::LookupReply& reply) {
+  TentativeResult& held = query.tentative[reply.ballot()];
+  held.home = reply.home();
+  held.voters.insert(voter);
+  if (reply.result().outputs_size() >= held.result.outputs_size()) {
+    held.result = reply.result();
+  }
+  const ClaimGroup* group = bb.deployment.GroupOf(held.home);
+  if (group == nullptr ||
+      held.voters.size() < MajorityOf(group->voters.size())) {
+    return std::nullopt;
+  }
+  wire::ClaimRecord record;
+  *record.mutable_result() = held.result;
+  return ResultOfClaim(record);
+}
+
+// What this VM's own vote says about a submission.
+std::optional<wire::LookupReply> OwnVote(Blackboard& bb,
+                                         const std::string& id) {
+  const ClaimEntry* entry = FindClaim(bb, id);
+  if (entry == nullptr || !entry->record.finished()) {
+    return std::nullopt;
+  }
+  wire::LookupReply reply;
+  reply.set_tentative(true);
+  reply.set_ballot(entry->record.accepted());
+  reply.set_home(entry->record.home());
+  *reply.mutable_result() = entry->record.result();
+  return reply;
+}
+
 // Asks every reachable VM about `id`; the first one that knows it answers.
 void AskAll(Blackboard& bb,
             ReplyToken token,
@@ -78,7 +117,10 @@
             Now now,
             Actions& actions) {
   const uint64_t number = NextId(bb);
-  LookupQuery query{token, id, {}, cancel};
+  LookupQuery query{token, id, {}, cancel, {}};
+  if (const auto vote = OwnVote(bb, id)) {
+    CountTentative(bb, query, bb.deployment.self, *vote);
+  }
   for (const auto& [vm, peer] : bb.membership.peers) {
     if (!peer.reachable) {
       continue;
@@ -331,6 +373,8 @@
     reply->set_known(true);
     reply->set_finished(OutcomeOf(*state) != Outcome::kPending);
     *reply->mutable_result() = *state;
+  } else if (const auto vote = OwnVote(bb, lookup.submission_id())) {
+    reply->MergeFrom(*vote);
   }
   Send(bb, from, std::move(message), actions);
 }
@@ -351,6 +395,14 @@
     bb.queries.erase(found);
     return;
   }
+  if (reply.tentative()) {
+    if (const auto result = CountTentative(bb, query, from, reply)) {
+      actions.emplace_back(
+          ReplyResult{query.token, query.submission_id, *result, query.cancel});
+      bb.queries.erase(found);
+      return;
+    }
+  }
   if (query.waiting_for.empty()) {
     OnQueryTimer(bb, std::to_string(reply.query()), actions);
   }
@@ -364,7 +416,7 @@
   const LookupQuery query = std::move(found->second);
   bb.queries.erase(found);
   const bool all_answered =
-      query.waiting_for.empty() &&
+      query.waiting_for.empty() && query.tentative.empty() &&
       std::all_of(bb.membership.peers.begin(), bb.membership.peers.end(),
                   [](const auto& entry) { return entry.second.reachable; });
   if (all_answered) {
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -102,6 +102,15 @@
   }
 }
 
+// Keeps the result at its owner, also where the owner is no voter.
+void NoteRecorded(Blackboard& bb, const Job& job, Now now) {
+  ClaimEntry& entry = OpenClaim(bb, job.id, now);
+  entry.record.set_digest(job.submission.digest());
+  entry.record.set_home(job.home);
+  FinishClaim(bb, entry, job.result);
+  entry.recorded = true;
+}
+
 wire::JobResult UnknownResult(ResultCode code) {
   wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
   result.set_retry_after_ms(kMinRetryAfterMs);
@@ -295,6 +304,9 @@
     ForwardJob(bb, job, ChooseOwner(bb, job), now, actions);
     return;
   }
+  if (body.finished()) {
+    NoteRecorded(bb, job, now);
+  }
   if (body.finished() || body.released()) {
     if (!job.replied) {
       AnswerWaiters(bb, job, job.result, now, actions);
@@ -381,6 +393,15 @@
   return std::max<Micros>(job.deadline_at - now.mono, 0);
 }
 
+void AnswerAllUnknown(Blackboard& bb, Now now, Actions& actions) {
+  for (const auto& [id, job] : bb.jobs) {
+    if (!job->waiters.empty()) {
+      AnswerWaiters(bb, *job, UnknownResult(ResultCode::kOwnerUnreachable), now,
+                    actions);
+    }
+  }
+}
+
 void OnJobDeadline(Blackboard& bb,
                    const std::string& id,
                    Now now,
--- a/goldcrest/jobs.h
+++ b/goldcrest/jobs.h
@@ -103,6 +103,10 @@
 // Returns the time left to the deadline, at least 0.
 Micros RemainingTime(const Job& job, Now now);
 
+// Answers everybody who still waits for a job with "unknown", before the
+// daemon ends.
+void AnswerAllUnknown(Blackboard& bb, Now now, Actions& actions);
+
 // Fails jobs whose deadline has passed.
 void OnJobDeadline(Blackboard& bb,
                    const std::string& id,
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -68,7 +68,8 @@
 // The parts of a heartbeat that are the same for every receiver.
 wire::Heartbeat MakeHeartbeat(const Blackboard& bb) {
   wire::Heartbeat heartbeat;
-  heartbeat.set_amnesiac(bb.membership.memory == MemoryState::kAmnesiac);
+  heartbeat.set_amnesiac(bb.membership.memory == MemoryState::kAmnesiac &&
+                         !RemembersAll(bb));
   heartbeat.set_draining(bb.draining);
   const wire::ConfigurationState& state = bb.configuration.in_force;
   heartbeat.set_configuration_version(state.version());
@@ -398,7 +399,8 @@
 }
 
 bool HoldsServingLease(const Blackboard& bb, Now now) {
-  return bb.membership.lease_valid && bb.membership.lease_until > now.mono;
+  return IsBroken(bb, Break::kNoServingLease) ||
+         (bb.membership.lease_valid && bb.membership.lease_until > now.mono);
 }
 
 bool GrantMayRun(const Blackboard& bb,
@@ -435,13 +437,27 @@
       [&](const LeaseGrant& grant) { return grant.granted_until > now.mono; });
 }
 
+bool RemembersGroup(const Blackboard& bb, const std::string& failure_domain) {
+  return bb.membership.memory == MemoryState::kWhole ||
+         bb.membership.healed_groups.contains(failure_domain) ||
+         IsBroken(bb, Break::kNoAmnesiaRule);
+}
+
+bool RemembersAll(const Blackboard& bb) {
+  const auto groups = VotingGroups(bb);
+  return bb.membership.memory == MemoryState::kWhole ||
+         std::all_of(groups.begin(), groups.end(),
+                     [&](const ClaimGroup* group) {
+                       return RemembersGroup(bb, group->failure_domain);
+                     });
+}
+
 bool RemembersSubmission(const Blackboard& bb,
-                         int64_t submitted_wall_ms,
-                         Now /*now*/) {
-  const Membership& membership = bb.membership;
-  return membership.memory == MemoryState::kWhole ||
+                         const std::string& failure_domain,
+                         int64_t submitted_wall_ms) {
+  return RemembersGroup(bb, failure_domain) ||
          SubmittedAfter(bb, submitted_wall_ms,
-                        membership.amnesiac_since_wall_ms);
+                        bb.membership.amnesiac_since_wall_ms);
 }
 
 bool HeldLeaseSinceSubmission(const Blackboard& bb,
@@ -474,17 +490,16 @@
                 const std::string& failure_domain,
                 const std::string& from,
                 Actions& actions) {
-  bb.membership.synced_from[failure_domain].insert(from);
-  for (const ClaimGroup* group : VotingGroups(bb)) {
-    for (const std::string& voter : group->voters) {
-      if (voter != bb.deployment.self &&
-          !bb.membership.synced_from[group->failure_domain].contains(voter)) {
-        return;
-      }
-    }
-  }
-  if (bb.membership.memory == MemoryState::kAmnesiac) {
-    BecomeWhole(bb, "fetched_from_co_voters", actions);
+  std::set<std::string>& delivered = bb.membership.synced_from[failure_domain];
+  delivered.insert(from);
+  const ClaimGroup* group = bb.deployment.GroupOf(failure_domain);
+  const bool all = std::all_of(
+      group->voters.begin(), group->voters.end(), [&](const std::string& vm) {
+        return vm == bb.deployment.self || delivered.contains(vm);
+      });
+  if (all && bb.membership.healed_groups.insert(failure_domain).second) {
+    Log(actions, LogLevel::kInfo, "voter_memory_fetched",
+        {{"failure_domain", failure_domain}});
   }
 }
 
--- a/goldcrest/membership.h
+++ b/goldcrest/membership.h
@@ -71,11 +71,18 @@
 // The same for whatever incarnations of `vm` there are.
 bool AnyGrantMayRun(const Blackboard& bb, const std::string& vm, Now now);
 
-// Says whether this VM, as a voter, remembers everything about a submission
-// first submitted at `submitted_wall_ms` (0 when unknown).
+// Says whether this VM, as a voter of the claim group of `failure_domain`,
+// remembers everything about a submission first made at `submitted_wall_ms` (0
+// when unknown).
 bool RemembersSubmission(const Blackboard& bb,
-                         int64_t submitted_wall_ms,
-                         Now now);
+                         const std::string& failure_domain,
+                         int64_t submitted_wall_ms);
+
+// Says whether this VM remembers everything about the claims of a group.
+bool RemembersGroup(const Blackboard& bb, const std::string& failure_domain);
+
+// Says whether this VM remembers everything about all groups it votes in.
+bool RemembersAll(const Blackboard& bb);
 
 // Says whether nobody else can have claimed an unknown submission of which
 // this VM is the preferred owner.
@@ -84,7 +91,8 @@
                               Now now);
 
 // Notes that the co-voter `from` delivered all its records of a claim group;
-// the memory is whole once every co-voter of every group has.
+// the memory of the group is whole once every co-voter has. A group without
+// co-voters cannot be healed: it waits for the retention window.
 void NoteSynced(Blackboard& bb,
                 const std::string& failure_domain,
                 const std::string& from,
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -177,7 +177,7 @@
   record.start = {worker.name,        worker.address,     record.attempts,
                   worker.lease_epoch, worker.incarnation, now.mono};
   TakeSlot(bb, worker_key, job, task.index, record.attempts, now);
-  if (job.kind.idempotent) {
+  if (job.kind.idempotent || IsBroken(bb, Break::kNoIntent)) {
     SendStart(bb, job, task.index, now, actions);
     return;
   }
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -34,6 +34,7 @@
     ReclaimAfterLapse(bb, now, actions);
   }
   ExpireWorkers(bb, now, actions);
+  ExpireLoans(bb, now);
   EndEjections(bb, now);
   ExpireClaims(bb, now);
   TakeOverOrphans(bb, now, actions);
--- a/goldcrest/task_results.cc
+++ b/goldcrest/task_results.cc
@@ -131,7 +131,10 @@
   task.output = answer.output;
   task.hedge.reset();
   ++job.done_tasks;
-  if (job.done_tasks == job.tasks.size() && job.state == JobState::kActive) {
+  const bool all_done =
+      job.done_tasks == job.tasks.size() ||
+      (IsBroken(bb, Break::kPartialAnswers) && index + 1 == job.tasks.size());
+  if (all_done && job.state == JobState::kActive) {
     CompleteJob(bb, job, now, actions);
   }
 }
@@ -193,6 +196,10 @@
     RepeatOrFail(bb, job, answer.index, ResultCode::kTaskFailed, now, actions);
     return;
   }
+  if (IsBroken(bb, Break::kRepeatLost)) {
+    RetryAfter(bb, job, answer.index, 0, now);
+    return;
+  }
   if (job.kind.idempotent) {
     RepeatOrFail(bb, job, answer.index, ResultCode::kWorkerLost, now, actions);
     return;
@@ -204,6 +211,9 @@
 bool IsFenced(Blackboard& bb,
               const TaskRecord& task,
               const TaskAnswer& answer) {
+  if (IsBroken(bb, Break::kNoFence)) {
+    return true;
+  }
   if (answer.lease_epoch != 0) {
     return answer.lease_epoch > task.start.lease_epoch;
   }
--- /dev/null
+++ b/goldcrest/tuning.cc
@@ -0,0 +1,40 @@
+#include "goldcrest/tuning.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace goldcrest {
+namespace {
+
+// In the order of the enumeration, after kNone.
+constexpr std::string_view kBreakNames[] = {
+    "no_claim",
+    "no_intent",
+    "no_amnesia_rule",
+    "no_serving_lease",
+    "no_wait_for_lease",
+    "no_fence",
+    "repeat_lost",
+    "refuse_unasked",
+    "partial_answers",
+    "no_configuration_recovery",
+    "use_leaving_workers",
+    "drop_on_drain",
+};
+
+}  // namespace
+
+Break BreakFromName(std::string_view name) {
+  const auto* found =
+      std::find(std::begin(kBreakNames), std::end(kBreakNames), name);
+  if (found == std::end(kBreakNames)) {
+    return Break::kNone;
+  }
+  return static_cast<Break>(found - std::begin(kBreakNames) + 1);
+}
+
+std::span<const std::string_view> BreakNames() {
+  return kBreakNames;
+}
+
+}  // namespace goldcrest
--- a/goldcrest/tuning.h
+++ b/goldcrest/tuning.h
@@ -5,6 +5,8 @@
 // A test shortens them; the daemon uses them as they are.
 
 #include <cstdint>
+#include <span>
+#include <string_view>
 
 #include "goldcrest/time_units.h"
 
@@ -13,6 +15,30 @@
 // How tasks are spread over workers. The baselines exist for comparison runs.
 enum class PlacementPolicy { kSlack, kRandom, kRoundRobin, kLeastLoaded };
 
+// A mechanism that a test takes away, to show that the randomised tests notice
+// when it is missing. The daemon never sets one.
+enum class Break {
+  kNone,
+  kNoClaim,         // tasks start without a claim by a majority
+  kNoIntent,        // unrepeatable tasks start without a recorded intent
+  kNoAmnesiaRule,   // a restarted voter votes on what it has forgotten
+  kNoServingLease,  // owners start tasks without the serving lease
+  kNoWaitForLease,  // voters let others take over at once
+  kNoFence,         // a never-seen start is repeated without a new epoch
+  kRepeatLost,      // lost starts of unrepeatable kinds are repeated
+  kRefuseUnasked,   // refusals say "none" without asking the voters
+  kPartialAnswers,  // a job is answered when its last task ends
+  kNoConfigurationRecovery,  // a voter without memory votes at once
+  kUseLeavingWorkers,        // leaving workers get new tasks
+  kDropOnDrain,              // a draining VM stops at once
+};
+
+// Returns the mechanism named `name`, or kNone for an empty or unknown name.
+Break BreakFromName(std::string_view name);
+
+// Returns the names of all mechanisms that can be taken away.
+std::span<const std::string_view> BreakNames();
+
 struct Tuning {
   // Heartbeats to the VMs that share a claim group or a failure domain.
   Micros near_heartbeat = 200 * kMillisecond;
@@ -76,6 +102,8 @@
   // Whether each claim waits for a synced journal record, for comparison runs
   // and for a daemon that is its own quorum.
   bool synced_claims = false;
+  // For tests only.
+  Break break_for_test = Break::kNone;
 };
 
 }  // namespace goldcrest
--- a/goldcrest/worker_lease.cc
+++ b/goldcrest/worker_lease.cc
@@ -78,8 +78,7 @@
   return epoch;
 }
 
-// Tasks that the worker reports and that this VM did not start: they use
-// slots beyond the ones that are lent.
+// Tasks that the worker reports and that this VM did not start.
 int ForeignTasks(const Blackboard& bb,
                  const Worker& worker,
                  const std::vector<std::string>& running) {
@@ -89,10 +88,9 @@
       own.insert(TaskKey(use.submission_id, use.index));
     }
   }
-  const auto foreign =
+  return static_cast<int>(
       std::count_if(running.begin(), running.end(),
-                    [&](const std::string& id) { return !own.contains(id); });
-  return std::max(0, static_cast<int>(foreign) - worker.lent_total());
+                    [&](const std::string& id) { return !own.contains(id); }));
 }
 
 void CopyAnnouncement(Blackboard& bb,
--- a/goldcrest/worker_table.cc
+++ b/goldcrest/worker_table.cc
@@ -49,7 +49,10 @@
 void ReindexWorker(Blackboard& bb, Worker& worker) {
   Unindex(bb, worker);
   const int free = worker.free_slots();
-  if (free <= 0 || !IsUsable(worker)) {
+  const bool usable =
+      IsUsable(worker) || (IsBroken(bb, Break::kUseLeavingWorkers) &&
+                           worker.leaving && !worker.released);
+  if (free <= 0 || !usable) {
     return;
   }
   IndexOf(bb, worker).insert({-free, worker.rank, &worker});
