Tie ownership to a lease held since before the claim

A VM won a claim while its serving lease had lapsed. Before the lease came back a neighbour took the claim over and recorded a cancellation; the first VM then held a lease again, under the same generation, and ran the job. Ruled out: lost messages (loss is off at that time), voters' memory.

Change: a claim makes an owner only if the lease was held when the round began and has not lapsed since; otherwise the timer starts another round.

--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -108,6 +108,8 @@
   wire::ClaimPhase phase = wire::CLAIM_PREPARE;
   uint64_t ballot = 0;
   bool fast = false;
+  // Whether this VM held its serving lease when the round began.
+  bool leased = false;
   Micros started_at = 0;
   std::set<std::string> granted;
   std::set<std::string> abstained;
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -140,6 +140,12 @@
   bb.timers.Set(due, TimerKind::kClaimUpdate, job.id);
 }
 
+// Remembers under which lease a round begins.
+void NoteLease(const Blackboard& bb, Job& job, Now now) {
+  job.claim.leased = HoldsServingLease(bb, now);
+  job.lease_generation = bb.membership.lease_generation;
+}
+
 void StartRound(Blackboard& bb,
                 Job& job,
                 uint64_t round,
@@ -152,6 +158,7 @@
   claim.granted.clear();
   claim.abstained.clear();
   claim.merged.Clear();
+  NoteLease(bb, job, now);
   SendClaim(bb, job, now, actions);
 }
 
@@ -211,8 +218,13 @@
     AnswerFromClaim(bb, job, now, actions);
     return;
   }
-  if (job.lease_generation != bb.membership.lease_generation) {
-    StartClaim(bb, job, now, actions);
+  // Only a lease held from the round's beginning on keeps others from taking
+  // the claim over unnoticed; without one the timer starts another round.
+  const bool lease_held =
+      job.claim.leased &&
+      job.lease_generation == bb.membership.lease_generation;
+  if (!lease_held && !IsBroken(bb, Break::kNoServingLease)) {
+    job.claim.retry_soon_ms = 1;
     return;
   }
   job.ballot = job.claim.ballot;
@@ -481,9 +493,9 @@
       RemembersSubmission(bb, job.home, job.submission.submitted_at_ms());
   SuspendTasks(bb, job);
   job.state = JobState::kClaiming;
-  job.lease_generation = bb.membership.lease_generation;
   job.claim = ClaimAttempt();
   job.claim.started_at = now.mono;
+  NoteLease(bb, job, now);
   ArmClaimTimer(bb, job, now.mono + bb.tuning.claim_resend);
   if (preferred && untouched && remembers && !job.taken_over) {
     job.claim.phase = wire::CLAIM_ACCEPT;
@@ -595,8 +607,12 @@
   }
   if (!reply.applied()) {
     if (reply.promised() > job->ballot) {
-      // Somebody prepared a higher ballot: claim again before going on.
-      if (job->state == JobState::kActive) {
+      // Somebody prepared a higher ballot: claim again before going on, or
+      // find out what became of the job.
+      const bool unanswered =
+          job->state == JobState::kActive ||
+          (job->state == JobState::kFinishing && !job->replied);
+      if (unanswered) {
         StartClaim(bb, *job, now, actions);
       }
       return;
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -209,8 +209,8 @@
 void CompleteJob(Blackboard& bb, Job& job, Now now, Actions& actions) {
   wire::JobResult result =
       MakeResult(Outcome::kComplete, Ran::kAll, ResultCode::kOk);
-  for (TaskRecord& task : job.tasks) {
-    result.add_outputs(std::move(task.output));
+  for (const TaskRecord& task : job.tasks) {
+    result.add_outputs(task.output);
   }
   if (!Ensure(bb,
               result.outputs_size() == job.submission.tasks_size() &&
