--- a/edge/console.cc
+++ b/edge/console.cc
@@ -147,7 +147,7 @@
 // as text otherwise, for the validation to name.
 std::string NumberOrText(const std::string& value) {
   double number = 0;
-  const std::string trimmed = Poco::trim(value);
+  std::string trimmed = Poco::trim(value);
   const bool digits =
       !trimmed.empty() &&
       trimmed.find_first_not_of("0123456789.-+eE") == std::string::npos;
@@ -185,11 +185,16 @@
   std::string slo;
   for (const Column& column : columns) {
     const std::string field = column.field;
-    const std::string value = CellJson(state, row + "." + field, column.type);
+    std::string name = row;
+    name += ".";
+    name += field;
+    const std::string value = CellJson(state, name, column.type);
     const bool nested = field.rfind("slo.", 0) == 0;
     std::string& target = nested ? slo : json;
     target += target.empty() ? "" : ",";
-    target += JsonQuote(nested ? field.substr(4) : field) + ":" + value;
+    target += JsonQuote(nested ? field.substr(4) : field);
+    target += ":";
+    target += value;
   }
   return "{" + json + (slo.empty() ? "" : ",\"slo\":{" + slo + "}") + "}";
 }
--- a/edge/http_server.cc
+++ b/edge/http_server.cc
@@ -38,10 +38,12 @@
 
 class HttpServer::Connection : public SocketHandler {
  public:
-  Connection(HttpServer& server, uint64_t id, Poco::Net::StreamSocket socket)
+  Connection(HttpServer& server,
+             uint64_t id,
+             const Poco::Net::StreamSocket& socket)
       : server_(server),
         id_(id),
-        socket_(std::move(socket)),
+        socket_(socket),
         last_active_(MonotonicMicros()) {
     socket_.setBlocking(false);
     socket_.setNoDelay(true);
--- a/edge/metrics.cc
+++ b/edge/metrics.cc
@@ -146,7 +146,9 @@
               std::to_string(bb.configuration.in_force.version()));
   AppendGauge(text, "serving_lease", bb.membership.lease_valid ? "1" : "0");
   text += "# TYPE goldcrest_answers_total counter\n";
-  for (const auto& [key, series] : series_) {
+  for (const auto& entry : series_) {
+    const SeriesKey& key = entry.first;
+    const Series& series = entry.second;
     const auto line = [&](const char* result, uint64_t count) {
       AppendLine(text, "answers_total",
                  Labels(key, ",result=\"" + std::string(result) + "\""),
--- /dev/null
+++ b/edge/testing/journal_test.cc
@@ -0,0 +1,121 @@
+#include "edge/journal.h"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <fstream>
+#include <sstream>
+
+#include <Poco/File.h>
+#include <Poco/TemporaryFile.h>
+#include <catch2/catch.hpp>
+
+namespace goldcrest {
+namespace {
+
+wire::JournalRecord VersionRecord(uint64_t version, size_t bytes = 10) {
+  wire::JournalRecord record;
+  wire::ConfigurationState* state = record.mutable_configuration_in_force();
+  state->set_version(version);
+  state->set_document(std::string(bytes, 'x'));
+  return record;
+}
+
+std::string ReadWhole(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void WriteWhole(const std::string& path, const std::string& bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+OpenedJournal Open(const std::string& folder, uint64_t incarnation) {
+  JournalOptions options;
+  options.snapshot_bytes = 20'000;
+  auto opened =
+      OpenJournal(folder, options, incarnation, [](uint64_t, bool) {});
+  REQUIRE(opened);
+  return std::move(*opened);
+}
+
+}  // namespace
+
+TEST_CASE("what was appended is there after a restart") {
+  const Poco::TemporaryFile folder;
+  {
+    OpenedJournal first = Open(folder.path(), 1);
+    CHECK_FALSE(first.recovered.lived_before);
+    first.journal->Append(VersionRecord(7), 0);
+  }
+  const OpenedJournal second = Open(folder.path(), 2);
+  CHECK(second.recovered.lived_before);
+  CHECK(second.recovered.in_force.version() == 7);
+}
+
+TEST_CASE("a journal cut at any byte loses only its last record") {
+  std::string bytes;
+  std::vector<size_t> ends;
+  for (uint64_t version = 1; version <= 5; ++version) {
+    bytes += FrameRecord(VersionRecord(version));
+    ends.push_back(bytes.size());
+  }
+  for (size_t cut = 0; cut <= bytes.size(); ++cut) {
+    const JournalContents contents = ReadJournal(bytes.substr(0, cut));
+    size_t whole = 0;
+    while (whole < ends.size() && ends[whole] <= cut) {
+      ++whole;
+    }
+    CHECK(contents.records.size() == whole);
+    CHECK_FALSE(contents.damaged);
+  }
+}
+
+TEST_CASE("damage before the end sets the journal aside") {
+  const Poco::TemporaryFile folder;
+  {
+    OpenedJournal first = Open(folder.path(), 1);
+    for (uint64_t version = 1; version <= 5; ++version) {
+      first.journal->Append(VersionRecord(version), 0);
+    }
+  }
+  const std::string path = folder.path() + "/journal";
+  std::string bytes = ReadWhole(path);
+  bytes[20] = static_cast<char>(bytes[20] ^ 0x40);
+  WriteWhole(path, bytes);
+  const OpenedJournal second = Open(folder.path(), 2);
+  CHECK(second.damaged);
+  CHECK(second.recovered.lived_before);
+  CHECK_FALSE(second.recovered.has_vote);
+  CHECK(Poco::File(path + ".damaged.2").exists());
+}
+
+TEST_CASE("a long journal is replaced by a snapshot of what counts") {
+  const Poco::TemporaryFile folder;
+  {
+    OpenedJournal first = Open(folder.path(), 1);
+    for (uint64_t version = 1; version <= 200; ++version) {
+      first.journal->Append(VersionRecord(version, 1000), 0);
+      first.journal->Flush();
+    }
+  }
+  CHECK(Poco::File(folder.path() + "/journal").getSize() < 60'000);
+  CHECK(Open(folder.path(), 2).recovered.in_force.version() == 200);
+}
+
+TEST_CASE("a failed write is reported and later records still count") {
+  const Poco::TemporaryFile folder;
+  std::atomic<int> synced{0};
+  auto opened = OpenJournal(folder.path(), JournalOptions(), 1,
+                            [&](uint64_t, bool ok) { synced += ok ? 1 : 0; });
+  REQUIRE(opened);
+  opened->journal->Append(VersionRecord(1), 1);
+  opened->journal->Flush();
+  CHECK(synced == 1);
+  CHECK_FALSE(OpenJournal("/proc/no-such-folder", JournalOptions(), 1,
+                          [](uint64_t, bool) {}));
+}
+
+}  // namespace goldcrest
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -478,7 +478,7 @@
 
 uint64_t MakeBallot(const Blackboard& bb, uint64_t round) {
   const auto position =
-      static_cast<uint64_t>(bb.deployment.IndexOf(bb.deployment.self) + 1);
+      static_cast<uint64_t>(bb.deployment.IndexOf(bb.deployment.self)) + 1;
   return (round << kBallotVmBits) | position;
 }
 
@@ -725,6 +725,11 @@
 }
 
 void ReclaimAfterLapse(Blackboard& bb, Now now, Actions& actions) {
+  const uint64_t generation = bb.membership.lease_generation;
+  if (generation == bb.reclaimed_generation || !HoldsServingLease(bb, now)) {
+    return;
+  }
+  bb.reclaimed_generation = generation;
   std::vector<std::string> ids;
   for (const auto& [id, job] : bb.jobs) {
     if (job->state == JobState::kActive &&
--- a/goldcrest/claim_owner.h
+++ b/goldcrest/claim_owner.h
@@ -66,7 +66,9 @@
 // next to own.
 void TakeOverOrphans(Blackboard& bb, Now now, Actions& actions);
 
-// Claims again the owned jobs from before a lapse of the serving lease.
+// Claims again the owned jobs from before a lapse of the serving lease, once
+// the lease is back. Called before every placement: no such job may start a
+// task before.
 void ReclaimAfterLapse(Blackboard& bb, Now now, Actions& actions);
 
 // Returns the first ballot of this VM in `round`.
--- a/goldcrest/deployment.cc
+++ b/goldcrest/deployment.cc
@@ -138,6 +138,9 @@
     }
     vms.push_back({parts[0], parts[1], parts[2]});
   }
+  if (vms.empty()) {
+    return tl::make_unexpected(std::string("the list names no VM"));
+  }
   return vms;
 }
 
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -8,6 +8,7 @@
 #include "goldcrest/claim_store.h"
 #include "goldcrest/claim_voter.h"
 #include "goldcrest/forwarding.h"
+#include "goldcrest/membership.h"
 #include "goldcrest/placement.h"
 #include "goldcrest/submission.h"
 
@@ -313,9 +314,11 @@
     }
     return;
   }
+  // After a lapse of the lease the job is claimed again before it goes on.
+  const bool may_start = OwnsUnderLease(bb, job, now);
   for (const wire::TaskIntent& intent : body.intents()) {
     TaskRecord& task = job.tasks[intent.index()];
-    if (job.state != JobState::kActive || task.state != TaskState::kIntent ||
+    if (!may_start || task.state != TaskState::kIntent ||
         task.start.attempt != intent.attempt()) {
       continue;
     }
@@ -368,6 +371,14 @@
   }
 }
 
+bool OwnsUnderLease(const Blackboard& bb, const Job& job, Now now) {
+  if (IsBroken(bb, Break::kNoServingLease)) {
+    return true;
+  }
+  return job.state == JobState::kActive && HoldsServingLease(bb, now) &&
+         job.lease_generation == bb.membership.lease_generation;
+}
+
 Ran RanOfJob(const Job& job) {
   const auto in_state = [&](TaskState state) {
     return std::any_of(
--- a/goldcrest/jobs.h
+++ b/goldcrest/jobs.h
@@ -97,6 +97,9 @@
                      Now now,
                      Actions& actions);
 
+// Says whether this VM has owned `job` under its serving lease without a break.
+bool OwnsUnderLease(const Blackboard& bb, const Job& job, Now now);
+
 // Says how much of an owned job has run.
 Ran RanOfJob(const Job& job);
 
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -148,10 +148,15 @@
   if (bb.membership.memory != MemoryState::kUndetermined) {
     return;
   }
+  const bool any_near =
+      std::any_of(bb.membership.peers.begin(), bb.membership.peers.end(),
+                  [](const auto& entry) { return entry.second.near; });
+  // Near VMs know best; a VM without any asks all the others.
   const bool all_vouched =
       std::all_of(bb.membership.peers.begin(), bb.membership.peers.end(),
-                  [](const auto& entry) {
-                    return !entry.second.near || entry.second.vouched;
+                  [&](const auto& entry) {
+                    const bool asked = entry.second.near || !any_near;
+                    return !asked || entry.second.vouched;
                   });
   if (all_vouched) {
     BecomeWhole(bb, "first_start", actions);
@@ -281,10 +286,7 @@
                 SharesGroup(bb.deployment, vm.name);
     membership.peers.emplace(vm.name, peer);
   }
-  const bool no_near_peer =
-      std::none_of(membership.peers.begin(), membership.peers.end(),
-                   [](const auto& entry) { return entry.second.near; });
-  if (memory_kept || (no_near_peer && !lived_before)) {
+  if (memory_kept || (membership.peers.empty() && !lived_before)) {
     membership.memory = MemoryState::kWhole;
   } else if (lived_before) {
     membership.memory = MemoryState::kAmnesiac;
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -5,6 +5,7 @@
 
 #include "goldcrest/baseline.h"
 #include "goldcrest/claim_owner.h"
+#include "goldcrest/jobs.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/worker_table.h"
 
@@ -364,7 +365,7 @@
   if (!Ensure(bb,
               record.state != TaskState::kDone &&
                   record.state != TaskState::kRunning &&
-                  job.state == JobState::kActive,
+                  OwnsUnderLease(bb, job, now),
               "a task is started once at a time by the job's owner", actions)) {
     ReleaseSlot(bb, StartKey(job.id, index, record.start.attempt));
     return;
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -25,14 +25,9 @@
 constexpr Micros kLongestSleep = kSecond;
 
 void HouseKeep(Blackboard& bb, Now now, Actions& actions) {
-  const uint64_t generation = bb.membership.lease_generation;
   for (const std::string& vm : RefreshMembership(bb, now, actions)) {
     ForgetNeighbour(bb, vm);
   }
-  if (HoldsServingLease(bb, now) && generation > bb.reclaimed_generation) {
-    bb.reclaimed_generation = generation;
-    ReclaimAfterLapse(bb, now, actions);
-  }
   ExpireWorkers(bb, now, actions);
   ExpireLoans(bb, now);
   EndEjections(bb, now);
@@ -216,6 +211,7 @@
     return;
   }
   bb.placement_due = false;
+  ReclaimAfterLapse(bb, now, actions);
   ServeBorrowers(bb, now, actions);
   PlaceTasks(bb, now, actions);
   ReturnIdleSlots(bb, now, actions);
--- a/goldcrest/testing/fake_world.cc
+++ b/goldcrest/testing/fake_world.cc
@@ -601,6 +601,15 @@
 }
 
 void FakeWorld::PerformOne(Vm& vm, const StartTask& action) {
+  const Job* job = FindJob(*vm.board, action.submission_id);
+  uint64_t& highest_ballot = ballots_[action.submission_id];
+  if (job != nullptr && job->ballot < highest_ballot) {
+    faults.push_back(action.submission_id +
+                     " was started by a former owner after a later one");
+  }
+  if (job != nullptr) {
+    highest_ballot = std::max(highest_ballot, job->ballot);
+  }
   Worker* worker = WorkerAt(action.address);
   const std::string name = vm.name;
   const uint64_t incarnation = vm.incarnation;
@@ -616,8 +625,18 @@
     });
     return;
   }
-  // A slow path now and then: the start arrives long after it was sent.
-  const Micros delay = Chance(0.01) ? 300 * kMillisecond : Delay();
+  // Now and then the connection breaks and the start arrives all the same,
+  // long after the VM was told that it is lost.
+  const bool breaks = Chance(0.02);
+  std::uniform_int_distribution<Micros> late(100 * kMillisecond,
+                                             1500 * kMillisecond);
+  const Micros delay = breaks ? late(random_) : Delay();
+  if (breaks) {
+    answer.outcome = TaskOutcome::kLost;
+    At(now_ + Delay(), [this, name, incarnation, answer] {
+      DeliverTo(name, incarnation, answer);
+    });
+  }
   At(now_ + delay, [this, worker, name, incarnation, action] {
     ReceiveStart(*worker, name, incarnation, action);
   });
--- a/goldcrest/testing/fake_world.h
+++ b/goldcrest/testing/fake_world.h
@@ -213,6 +213,8 @@
   ReplyToken next_token_ = 1;
   std::vector<WitnessedStart> starts_;
   std::map<std::string, int> starts_by_task_;
+  // The highest claim ballot under which a start of each submission was sent.
+  std::map<std::string, uint64_t> ballots_;
   std::vector<AcceptedChange> accepted_changes_;
 };
 
--- /dev/null
+++ b/goldcrest/testing/promises_test.cc
@@ -0,0 +1,292 @@
+// One scenario for each way in which a promise could break, over fakes.
+
+#include <catch2/catch.hpp>
+
+#include "goldcrest/membership.h"
+#include "goldcrest/submission.h"
+#include "goldcrest/testing/fake_world.h"
+
+namespace goldcrest {
+namespace {
+
+WorldOptions QuietWorld() {
+  WorldOptions options;
+  options.configuration = DefaultConfiguration();
+  options.configuration.limits.retention_s = 60;
+  return options;
+}
+
+wire::Submission AtHome(const FakeWorld& world,
+                        const std::string& id,
+                        const std::string& kind,
+                        const std::string& home,
+                        int tasks,
+                        uint64_t run_ms) {
+  wire::Submission submission = world.MakeSubmission(id, kind, tasks, run_ms);
+  submission.set_home(home);
+  submission.set_digest(SubmissionDigest(submission));
+  return submission;
+}
+
+// The VM of `home` that owns `id` when all are up.
+std::string OwnerOf(FakeWorld& world,
+                    const std::string& home,
+                    const std::string& id) {
+  return OwnerRanking(world.AnyBoard().deployment, home, id).front();
+}
+
+std::string OtherOf(FakeWorld& world,
+                    const std::string& home,
+                    const std::string& vm) {
+  for (const std::string& other : world.VmsOf(home)) {
+    if (other != vm) {
+      return other;
+    }
+  }
+  return "";
+}
+
+void CheckNoFaults(const FakeWorld& world) {
+  for (const std::string& fault : world.faults) {
+    FAIL_CHECK(fault);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("the same submission through every VM at once starts once") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const auto job = AtHome(world, "job", "knell", "da", 3, 100);
+  for (int i = 0; i < 3; ++i) {
+    for (const std::string& vm : world.Vms()) {
+      world.Submit(vm, job);
+    }
+  }
+  world.RunFor(2 * kSecond);
+  for (uint32_t index = 0; index < 3; ++index) {
+    CHECK(world.StartsOf("job", index) == 1);
+  }
+  const CallerRecord& record = world.callers().at("job");
+  CHECK(record.answers.size() == 12);
+  for (const WitnessedAnswer& answer : record.answers) {
+    CHECK(answer.status == 200);
+  }
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a job whose owner dies is finished by its neighbour") {
+  for (const char* kind : {"knell", "peal"}) {
+    FakeWorld world(QuietWorld());
+    world.RunFor(2 * kSecond);
+    const auto job = AtHome(world, "job", kind, "da", 1, 800);
+    const std::string owner = OwnerOf(world, "da", "job");
+    const std::string other = OtherOf(world, "da", owner);
+    world.Submit(other, job);
+    world.RunFor(200 * kMillisecond);
+    world.CrashVm(owner);
+    world.RunFor(4 * kSecond);
+    REQUIRE(world.LastAnswer("job") != nullptr);
+    CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kComplete);
+    if (std::string(kind) == "knell") {
+      CHECK(world.StartsOf("job", 0) == 1);
+    }
+    CheckNoFaults(world);
+  }
+}
+
+TEST_CASE("an accepted job runs although its owner dies and nobody waits") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const auto job = AtHome(world, "job", "knell", "da", 1, 50);
+  const std::string owner = OwnerOf(world, "da", "job");
+  // All slots of the domain are taken, so that the job is queued.
+  for (int i = 0; i < 4; ++i) {
+    world.Submit(owner, AtHome(world, "fill-" + std::to_string(i), "peal", "da",
+                               1, 600));
+  }
+  world.RunFor(20 * kMillisecond);
+  world.Submit(owner, job);
+  world.RunFor(100 * kMillisecond);
+  CHECK(world.StartsOf("job", 0) == 0);
+  world.CrashVm(owner);
+  world.RunFor(5 * kSecond);
+  CHECK(world.StartsOf("job", 0) == 1);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a cut-off domain serves its own and says unknown for the rest") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  world.CutDomain("da");
+  world.RunFor(3 * kSecond);
+  const std::string inside = world.VmsOf("da").front();
+  world.Submit(inside, AtHome(world, "own", "knell", "da", 1, 50));
+  world.Submit(inside, AtHome(world, "far", "knell", "db", 1, 50));
+  world.RunFor(5 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("own")) == Outcome::kComplete);
+  CHECK(OutcomeOf(*world.LastAnswer("far")) == Outcome::kUnknown);
+  world.HealCuts();
+  world.RunFor(2 * kSecond);
+  world.Submit(inside, AtHome(world, "far", "knell", "db", 1, 50));
+  world.RunFor(2 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("far")) == Outcome::kComplete);
+  CHECK(world.StartsOf("far", 0) == 1);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a restarted voter without memory answers unknown, never refused") {
+  WorldOptions options = QuietWorld();
+  options.vms_per_domain = {1, 1};
+  options.disk_every = 0;
+  FakeWorld world(options);
+  world.RunFor(2 * kSecond);
+  const auto job = AtHome(world, "job", "knell", "da", 1, 50);
+  world.Submit("da1", job);
+  world.RunFor(kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kComplete);
+  world.CrashVm("da1");
+  world.StartVm("da1", false);
+  world.RunFor(2 * kSecond);
+  world.Submit("da1", job);
+  world.RunFor(4 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kUnknown);
+  CHECK(world.StartsOf("job", 0) == 1);
+  // A submission that is provably newer is served.
+  auto fresh = AtHome(world, "fresh", "knell", "da", 1, 50);
+  fresh.set_submitted_at_ms(1'800'000'000'000 + world.now() / kMillisecond +
+                            1000);
+  world.Submit("da1", fresh);
+  world.RunFor(2 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("fresh")) == Outcome::kComplete);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("two restarts one after the other leave the voters able to decide") {
+  WorldOptions options = QuietWorld();
+  options.disk_every = 0;
+  FakeWorld world(options);
+  world.RunFor(2 * kSecond);
+  for (const std::string& vm : world.VmsOf("da")) {
+    world.CrashVm(vm);
+    world.RunFor(300 * kMillisecond);
+    world.StartVm(vm, false);
+    world.RunFor(2 * kSecond);
+  }
+  world.Submit("db1", AtHome(world, "job", "knell", "da", 1, 50));
+  world.RunFor(2 * kSecond);
+  REQUIRE(world.LastAnswer("job") != nullptr);
+  CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kComplete);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a worker that crashes on a knell does not make it ring twice") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  world.Submit("da1", AtHome(world, "job", "knell", "da", 1, 1000));
+  world.RunFor(200 * kMillisecond);
+  REQUIRE(world.starts().size() == 1);
+  world.CrashWorker(world.starts().front().worker);
+  world.RunFor(6 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kFailed);
+  CHECK(RanOf(*world.LastAnswer("job")) == Ran::kUnknown);
+  CHECK(world.StartsOf("job", 0) == 1);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a worker that crashes on a repeatable task has it run elsewhere") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  world.Submit("da1", AtHome(world, "job", "peal", "da", 1, 1000));
+  world.RunFor(200 * kMillisecond);
+  world.CrashWorker(world.starts().front().worker);
+  world.RunFor(6 * kSecond);
+  CHECK(OutcomeOf(*world.LastAnswer("job")) == Outcome::kComplete);
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a drain hands over what has not started and finishes the rest") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const std::string vm = world.VmsOf("da").front();
+  for (int i = 0; i < 12; ++i) {
+    world.Submit(
+        vm, AtHome(world, "job-" + std::to_string(i), "knell", "da", 1, 300));
+  }
+  world.RunFor(100 * kMillisecond);
+  world.Drain(vm);
+  world.RunFor(10 * kSecond);
+  CHECK_FALSE(world.IsUp(vm));
+  for (int i = 0; i < 12; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    REQUIRE(world.LastAnswer(id) != nullptr);
+    CHECK(OutcomeOf(*world.LastAnswer(id)) == Outcome::kComplete);
+    CHECK(world.StartsOf(id, 0) == 1);
+  }
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a minority refuses a change and nothing is changed") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const auto voters = world.AnyBoard().deployment.configuration_voters;
+  world.CutVm(voters.front());
+  world.RunFor(2 * kSecond);
+  Configuration configuration = DefaultConfiguration();
+  configuration.service = "changed";
+  world.PutConfiguration(voters.front(), 1, configuration);
+  world.RunFor(6 * kSecond);
+  CHECK(world.accepted_changes().empty());
+  world.PutConfiguration(voters.back(), 1, configuration);
+  world.RunFor(kSecond);
+  CHECK(world.accepted_changes().size() == 1);
+  world.HealCuts();
+  world.RunFor(5 * kSecond);
+  for (const std::string& vm : world.Vms()) {
+    CHECK(world.Board(vm).configuration.in_force.version() == 2);
+  }
+  CheckNoFaults(world);
+}
+
+TEST_CASE("five hundred changes survive restarts of every VM") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const std::vector<std::string> vms = world.Vms();
+  for (uint64_t version = 1; version <= 500; ++version) {
+    Configuration configuration = DefaultConfiguration();
+    configuration.service = "s" + std::to_string(version);
+    world.PutConfiguration(vms[version % vms.size()], version, configuration);
+    world.RunFor(100 * kMillisecond);
+  }
+  CHECK(world.accepted_changes().size() == 500);
+  for (const std::string& vm : vms) {
+    world.CrashVm(vm);
+    world.RunFor(kSecond);
+    world.StartVm(vm, true);
+    world.RunFor(2 * kSecond);
+  }
+  for (const std::string& vm : vms) {
+    CHECK(world.Board(vm).configuration.in_force.version() == 501);
+  }
+  CheckNoFaults(world);
+}
+
+TEST_CASE("a wave of cancellations drops queued jobs in one pass") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  for (int i = 0; i < 200; ++i) {
+    world.Submit("da1", AtHome(world, "job-" + std::to_string(i), "peal", "da",
+                               1, 2000));
+  }
+  world.RunFor(50 * kMillisecond);
+  const size_t started = world.starts().size();
+  for (int i = 0; i < 200; ++i) {
+    world.Cancel("da2", "job-" + std::to_string(i));
+  }
+  world.RunFor(2 * kSecond);
+  CHECK(world.starts().size() == started);
+  world.CheckSettled();
+  CheckNoFaults(world);
+}
+
+}  // namespace goldcrest
