--- a/edge/worker_calls.cc
+++ b/edge/worker_calls.cc
@@ -32,11 +32,18 @@
   return value.isString() ? value.extract<std::string>() : "";
 }
 
+// Returns 0 for anything but a number that fits: a backend server's answer must
+// never end the daemon.
 uint64_t NumberOf(const Poco::JSON::Object& object, const std::string& name) {
   const Poco::Dynamic::Var value = object.get(name);
-  const bool number =
-      !value.isEmpty() && value.isInteger() && !value.isBoolean();
-  return number && value >= 0 ? value.convert<uint64_t>() : 0;
+  if (value.isEmpty() || !value.isInteger() || value.isBoolean()) {
+    return 0;
+  }
+  try {
+    return value.convert<uint64_t>();
+  } catch (const Poco::Exception&) {
+    return 0;
+  }
 }
 
 // Unlike our own requests, a backend server's answer may carry fields that
--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -241,6 +241,24 @@
   return std::nullopt;
 }
 
+// Of two VMs that forwarded a job to each other, one claims it: the one that
+// this VM's record names, or else the better placed one. When the two records
+// name each other, the second round settles it by place.
+bool IsOwnerOfTwo(const Blackboard& bb,
+                  const Job& job,
+                  const std::string& other) {
+  const auto entry = bb.claims.entries.find(job.id);
+  if (entry != bb.claims.entries.end() && job.crossed_forwards < 2 &&
+      entry->second.record.accepted() != 0) {
+    return entry->second.record.owner() == bb.deployment.self;
+  }
+  const std::vector<std::string> ranking =
+      OwnerRanking(bb.deployment, job.home, job.id);
+  const auto self =
+      std::find(ranking.begin(), ranking.end(), bb.deployment.self);
+  return self < std::find(ranking.begin(), ranking.end(), other);
+}
+
 void Route(Blackboard& bb, Job& job, Now now, Actions& actions) {
   const std::string target = ChooseOwner(bb, job);
   if (target == bb.deployment.self) {
@@ -301,9 +319,12 @@
   Job* known = FindJob(bb, submission.submission_id());
   if (known != nullptr && known->state == JobState::kForwarded &&
       known->forwarded_to == from) {
-    // Each VM took the other for the owner. The better placed one claims it.
+    // Each VM took the other for the owner.
     AddWaiter(bb, *known, waiter, actions);
-    ClaimForwardedJob(bb, *known, now, actions);
+    ++known->crossed_forwards;
+    if (IsOwnerOfTwo(bb, *known, from)) {
+      ClaimForwardedJob(bb, *known, now, actions);
+    }
     return;
   }
   if (Attach(bb, submission, waiter, actions)) {
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -174,6 +174,8 @@
   uint64_t forwarded_incarnation = 0;
   int64_t forward_elapsed_ms = 0;
   Micros forward_timer_due = 0;
+  // How often the VM that this one forwards to has forwarded it here.
+  int crossed_forwards = 0;
   Micros unreachable_since = 0;
 };
 
@@ -280,7 +282,7 @@
   int busy = 0;
   int64_t busy_memory_mb = 0;
   int64_t busy_accelerators = 0;
-  // Tasks of other VMs that the worker last reported.
+  // Tasks of other VMs that the worker last reported, beyond what was lent.
   int foreign = 0;
   // Tasks that the worker itself last reported.
   int reported_running = 0;
@@ -307,11 +309,7 @@
     }
     return total;
   }
-  // Tasks of other VMs run on slots that were lent, or on ones whose loan has
-  // run out or was made by an earlier holder.
-  int free_slots() const {
-    return slots - busy - std::max(foreign, lent_total());
-  }
+  int free_slots() const { return slots - busy - foreign - lent_total(); }
   bool borrowed() const { return !lender.empty(); }
 };
 
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -5,14 +5,16 @@
 
 #include "goldcrest/membership.h"
 #include "goldcrest/placement.h"
+#include "goldcrest/task_results.h"
 #include "goldcrest/worker_table.h"
 
 namespace goldcrest {
 namespace {
 
 constexpr int kMaxSlotsAsked = 64;
-// A borrowed slot is kept at most this long while there is work for it.
-constexpr Micros kBorrowedFor = 250 * kMillisecond;
+// A borrowed slot may be taken for a task this long after its grant. When that
+// task ends the slot goes back, so that the lender's urgent work comes first.
+constexpr Micros kBorrowedFor = 20 * kMillisecond;
 // How long a borrower counts on a lent worker without hearing from the lender.
 constexpr Micros kBorrowedLease = kSecond;
 // A loan that nobody gave back ends after this time: the grant or the return
@@ -180,7 +182,8 @@
     return;
   }
   const BorrowRequest& standing = bb.workers.requests[lender];
-  if (standing.expires_at > now.mono && standing.slots > 0) {
+  const bool stands = standing.expires_at > now.mono && standing.slots > 0;
+  if (stands && standing.priority <= head->job->kind.priority) {
     return;
   }
   BorrowRequest request;
@@ -206,7 +209,10 @@
   }
 }
 
-void ReturnIdleSlots(Blackboard& bb, Now now, Actions& actions) {
+void ReturnIdleSlots(Blackboard& bb,
+                     bool all,
+                     Now now,
+                     Actions& actions) {
   std::vector<std::string> empty;
   for (auto& [key, worker] : bb.workers.workers) {
     if (!worker->borrowed()) {
@@ -214,8 +220,7 @@
     }
     const int free = worker->free_slots();
     const bool held_long = worker->borrowed_until <= now.mono;
-    const bool useless = worker->released || bb.queue.ready.empty();
-    if (free > 0 && (held_long || useless)) {
+    if (free > 0 && (held_long || worker->released || all)) {
       worker->slots -= free;
       ReindexWorker(bb, *worker);
       SendReturn(bb, *worker, free, actions);
@@ -249,7 +254,8 @@
 void OnSlotGrant(Blackboard& bb,
                  const std::string& from,
                  const wire::SlotGrant& grant,
-                 Now now) {
+                 Now now,
+                 Actions& actions) {
   const std::string key = grant.worker() + "@" + from;
   Worker* worker = FindWorker(bb, key);
   if (grant.recall()) {
@@ -258,6 +264,9 @@
       ReindexWorker(bb, *worker);
       bb.placement_due = true;
     }
+    if (grant.lost()) {
+      GiveUpStarts(bb, key, now, actions);
+    }
     return;
   }
   if (worker == nullptr) {
@@ -303,25 +312,27 @@
   bb.placement_due = true;
 }
 
-void RecallSlots(Blackboard& bb, Worker& worker, Actions& actions) {
+void RecallSlots(Blackboard& bb, Worker& worker, bool lost, Actions& actions) {
   for (const auto& [vm, slots] : worker.lent) {
     wire::PeerMessage message;
     message.mutable_slot_grant()->set_worker(worker.name);
     message.mutable_slot_grant()->set_recall(true);
+    message.mutable_slot_grant()->set_lost(lost);
     Send(bb, vm, std::move(message), actions);
   }
   worker.lent.clear();
   ReindexWorker(bb, worker);
 }
 
+// The worker's next report tells which tasks still run on the slots of an
+// ended loan; until then they count as used.
 void ExpireLoans(Blackboard& bb, Now now) {
   for (auto& [key, worker] : bb.workers.workers) {
-    const auto expired = std::erase_if(worker->lent, [&](const auto& entry) {
+    const int before = worker->lent_total();
+    std::erase_if(worker->lent, [&](const auto& entry) {
       return entry.second.expires_at <= now.mono;
     });
-    if (expired > 0) {
-      ReindexWorker(bb, *worker);
-    }
+    worker->foreign += before - worker->lent_total();
   }
 }
 
--- a/goldcrest/borrowing.h
+++ b/goldcrest/borrowing.h
@@ -25,8 +25,9 @@
 // Lends free slots to the neighbours whose requests stand.
 void ServeBorrowers(Blackboard& bb, Now now, Actions& actions);
 
-// Gives back borrowed slots without work. Called after placement.
-void ReturnIdleSlots(Blackboard& bb, Now now, Actions& actions);
+// Gives borrowed slots back: those whose task has ended, and `all` free ones
+// when there is no work for them.
+void ReturnIdleSlots(Blackboard& bb, bool all, Now now, Actions& actions);
 
 void OnBorrowSlots(Blackboard& bb,
                    const std::string& from,
@@ -36,14 +37,16 @@
 void OnSlotGrant(Blackboard& bb,
                  const std::string& from,
                  const wire::SlotGrant& grant,
-                 Now now);
+                 Now now,
+                 Actions& actions);
 
 void OnSlotReturn(Blackboard& bb,
                   const std::string& from,
                   const wire::SlotReturn& giving);
 
-// Tells the borrowers of `worker` to start nothing there any more.
-void RecallSlots(Blackboard& bb, Worker& worker, Actions& actions);
+// Tells the borrowers of `worker` to start nothing there any more, and whether
+// the worker is lost with what it ran.
+void RecallSlots(Blackboard& bb, Worker& worker, bool lost, Actions& actions);
 
 // Ends loans that were not given back in time.
 void ExpireLoans(Blackboard& bb, Now now);
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -140,7 +140,7 @@
     case Body::kBorrowSlots:
       return OnBorrowSlots(bb, from, message.borrow_slots(), now);
     case Body::kSlotGrant:
-      return OnSlotGrant(bb, from, message.slot_grant(), now);
+      return OnSlotGrant(bb, from, message.slot_grant(), now, actions);
     case Body::kSlotReturn:
       return OnSlotReturn(bb, from, message.slot_return());
     case Body::kAnnounceForward:
@@ -212,9 +212,10 @@
   }
   bb.placement_due = false;
   ReclaimAfterLapse(bb, now, actions);
-  ServeBorrowers(bb, now, actions);
+  ReturnIdleSlots(bb, false, now, actions);
   PlaceTasks(bb, now, actions);
-  ReturnIdleSlots(bb, now, actions);
+  ServeBorrowers(bb, now, actions);
+  ReturnIdleSlots(bb, bb.queue.ready.empty(), now, actions);
   RequestSlots(bb, now, actions);
 }
 
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -205,6 +205,25 @@
   CheckNoFaults(world);
 }
 
+TEST_CASE("a long task on a borrowed slot runs once") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const std::string vm = world.VmsOf("da").front();
+  for (int i = 0; i < 4; ++i) {
+    world.Submit(vm, AtHome(world, "job-" + std::to_string(i), "batch", "da",
+                            4, 4000));
+  }
+  world.RunFor(30 * kSecond);
+  for (int i = 0; i < 4; ++i) {
+    const std::string id = "job-" + std::to_string(i);
+    CHECK(OutcomeOf(*world.LastAnswer(id)) == Outcome::kComplete);
+    for (uint32_t index = 0; index < 4; ++index) {
+      CHECK(world.StartsOf(id, index) == 1);
+    }
+  }
+  CheckNoFaults(world);
+}
+
 TEST_CASE("a drain hands over what has not started and finishes the rest") {
   FakeWorld world(QuietWorld());
   world.RunFor(2 * kSecond);
--- a/goldcrest/worker_lease.cc
+++ b/goldcrest/worker_lease.cc
@@ -78,7 +78,8 @@
   return epoch;
 }
 
-// Tasks that the worker reports and that this VM did not start.
+// Tasks that the worker reports, that this VM did not start and that run on no
+// slot it has lent.
 int ForeignTasks(const Blackboard& bb,
                  const Worker& worker,
                  const std::vector<std::string>& running) {
@@ -88,9 +89,10 @@
       own.insert(TaskKey(use.submission_id, use.index));
     }
   }
-  return static_cast<int>(
+  const auto foreign =
       std::count_if(running.begin(), running.end(),
-                    [&](const std::string& id) { return !own.contains(id); }));
+                    [&](const std::string& id) { return !own.contains(id); });
+  return std::max(0, static_cast<int>(foreign) - worker.lent_total());
 }
 
 void CopyAnnouncement(Blackboard& bb,
@@ -195,7 +197,7 @@
   }
   worker->released = true;
   ReindexWorker(bb, *worker);
-  RecallSlots(bb, *worker, actions);
+  RecallSlots(bb, *worker, false, actions);
   Log(actions, LogLevel::kInfo, "worker_released", {{"worker", name}});
 }
 
@@ -340,19 +342,23 @@
 void ExpireWorkers(Blackboard& bb, Now now, Actions& actions) {
   std::vector<std::string> gone;
   for (auto& [key, worker] : bb.workers.workers) {
-    if (worker->lease_until <= now.mono || worker->released) {
+    // A loan only ends the use for new starts: the lender tells when the
+    // worker itself is lost.
+    const bool expired =
+        worker->lease_until <= now.mono && !worker->borrowed();
+    if (expired || worker->released) {
       gone.push_back(key);
     }
   }
   for (const std::string& key : gone) {
     Worker* worker = FindWorker(bb, key);
-    if (worker->lease_until <= now.mono) {
+    if (worker->lease_until <= now.mono && !worker->borrowed()) {
       if (!worker->released) {
         Log(actions, LogLevel::kWarning, "worker_lease_expired",
             {{"worker", key}, {"busy", std::to_string(worker->busy)}});
         worker->released = true;
         ReindexWorker(bb, *worker);
-        RecallSlots(bb, *worker, actions);
+        RecallSlots(bb, *worker, true, actions);
       }
       GiveUpStarts(bb, key, now, actions);
     }
