Let the VM that a voter names claim a job forwarded to and fro

Two VMs forwarded a job to each other; the one that a witness named as the owner had no record of it and left it to the other. A forward now says that a voter named its receiver, and a job is given up at most 4 times.

--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -241,17 +241,9 @@
   return std::nullopt;
 }
 
-// Of two VMs that forwarded a job to each other, one claims it: the one that
-// this VM's record names, or else the better placed one. When the two records
-// name each other, the second round settles it by place.
-bool IsOwnerOfTwo(const Blackboard& bb,
-                  const Job& job,
-                  const std::string& other) {
-  const auto entry = bb.claims.entries.find(job.id);
-  if (entry != bb.claims.entries.end() && job.crossed_forwards < 2 &&
-      entry->second.record.accepted() != 0) {
-    return entry->second.record.owner() == bb.deployment.self;
-  }
+bool IsBetterPlaced(const Blackboard& bb,
+                    const Job& job,
+                    const std::string& other) {
   const std::vector<std::string> ranking =
       OwnerRanking(bb.deployment, job.home, job.id);
   const auto self =
@@ -319,10 +311,10 @@
   Job* known = FindJob(bb, submission.submission_id());
   if (known != nullptr && known->state == JobState::kForwarded &&
       known->forwarded_to == from) {
-    // Each VM took the other for the owner.
+    // Each VM took the other for the owner: the one that a voter named claims
+    // it, or else the better placed one.
     AddWaiter(bb, *known, waiter, actions);
-    ++known->crossed_forwards;
-    if (IsOwnerOfTwo(bb, *known, from)) {
+    if (forward.named_owner() || IsBetterPlaced(bb, *known, from)) {
       ClaimForwardedJob(bb, *known, now, actions);
     }
     return;
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -174,8 +174,10 @@
   uint64_t forwarded_incarnation = 0;
   int64_t forward_elapsed_ms = 0;
   Micros forward_timer_due = 0;
-  // How often the VM that this one forwards to has forwarded it here.
-  int crossed_forwards = 0;
+  // Whether a claim voter named the target as the owner.
+  bool named_owner = false;
+  // How often this VM gave the job up to an owner that a voter named.
+  int yields = 0;
   Micros unreachable_since = 0;
 };
 
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -23,6 +23,8 @@
 // An answer that only a slower voter may still hold is waited for this long.
 constexpr Micros kAnswerPatience = 300 * kMillisecond;
 constexpr int kMaxUpdateSends = 30;
+// A job is given up to owners that voters name at most this often.
+constexpr int kMaxYields = 4;
 // A voter that missed an addition gets it again this often after a majority
 // has recorded it.
 constexpr int kMaxSendsAfterMajority = 5;
@@ -309,7 +311,10 @@
             const std::string& holder,
             Now now,
             Actions& actions) {
-  if (holder != bb.deployment.self && IsReachable(bb, holder)) {
+  // Voters may name two VMs in turn; then the timer, not the messages, sets
+  // the pace.
+  const bool may_yield = job.yields < kMaxYields;
+  if (may_yield && holder != bb.deployment.self && IsReachable(bb, holder)) {
     YieldJob(bb, job, holder, now, actions);
   }
   // Otherwise the timer tries again until the holder's lease has run out.
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -272,6 +272,7 @@
   wire::Forward* forward = message.mutable_forward();
   *forward->mutable_submission() = job.submission;
   forward->set_elapsed_ms(job.forward_elapsed_ms);
+  forward->set_named_owner(job.named_owner);
   const bool told_early =
       std::any_of(job.waiters.begin(), job.waiters.end(),
                   [](const Waiter& waiter) { return waiter.until_accepted; });
@@ -291,6 +292,7 @@
                 Now now,
                 Actions& actions) {
   job.state = JobState::kForwarded;
+  job.named_owner = job.named_owner && job.forwarded_to == target;
   job.forwarded_to = target;
   job.forward_elapsed_ms = (now.mono - job.received_at) / kMillisecond;
   ArmForwardTimer(bb, job, now);
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -290,6 +290,9 @@
   SuspendTasks(bb, job);
   job.tasks.assign(job.tasks.size(), TaskRecord());
   job.done_tasks = 0;
+  ++job.yields;
+  job.named_owner = true;
+  job.forwarded_to = owner;
   ForwardJob(bb, job, owner, now, actions);
 }
 
