Never lose a wake-up of the daemon's loop

Cause: the mark of a pending wake-up was taken back before its byte was read. A wake-up in between lost its byte and kept its mark, so peers' messages waited for the next timer, up to 50 ms. Ruled out: queueing (p50 was as bad at 10% load) and resends (none).

--- a/edge/socket_loop.cc
+++ b/edge/socket_loop.cc
@@ -37,15 +37,19 @@
   }
 }
 
+// The mark is taken back only after the bytes are read: a Wake() in between
+// would otherwise lose its byte and keep its mark, and silence all later ones.
+// What that Wake() announced is seen all the same, since the caller looks at
+// its events after Poll().
 void SocketLoop::DrainWakeUps() {
-  wake_pending_ = false;
   char byte = 0;
   try {
     while (wake_socket_.receiveBytes(&byte, 1) > 0) {
     }
   } catch (const Poco::Exception&) {
-    return;  // nothing left to read
+    // Nothing left to read.
   }
+  wake_pending_ = false;
 }
 
 void SocketLoop::Poll(Micros timeout) {
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -209,10 +209,7 @@
   }
 }
 
-void ReturnIdleSlots(Blackboard& bb,
-                     bool all,
-                     Now now,
-                     Actions& actions) {
+void ReturnIdleSlots(Blackboard& bb, bool all, Now now, Actions& actions) {
   std::vector<std::string> empty;
   for (auto& [key, worker] : bb.workers.workers) {
     if (!worker->borrowed()) {
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -30,8 +30,8 @@
   return job.submission.tasks_size() > kManyTasks ||
          std::any_of(job.submission.tasks().begin(),
                      job.submission.tasks().end(), [&](const wire::Task& task) {
-                       const RunTimeEstimate estimate = bb.run_times.Estimate(
-                           job.kind.name, task.run_ms());
+                       const RunTimeEstimate estimate =
+                           bb.run_times.Estimate(job.kind.name, task.run_ms());
                        return estimate.median > bb.tuning.forward_resend / 2;
                      });
 }
--- a/goldcrest/worker_lease.cc
+++ b/goldcrest/worker_lease.cc
@@ -344,8 +344,7 @@
   for (auto& [key, worker] : bb.workers.workers) {
     // A loan only ends the use for new starts: the lender tells when the
     // worker itself is lost.
-    const bool expired =
-        worker->lease_until <= now.mono && !worker->borrowed();
+    const bool expired = worker->lease_until <= now.mono && !worker->borrowed();
     if (expired || worker->released) {
       gone.push_back(key);
     }
