Keep a fifth of the slots free for urgent kinds

Cause: tasks cannot be interrupted, so a batch that fills every slot makes a knell wait for one of them to end. Kinds of priority 4 and below now leave 20% of a VM's slots free, lent ones included.

--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -142,11 +142,13 @@
       }
     }
   }
+  const int reserved = ReservedSlots(bb, request.priority);
   for (Worker* worker : lendable) {
-    if (request.slots <= 0) {
+    const int spare = bb.workers.free_slots - reserved;
+    if (request.slots <= 0 || spare <= 0) {
       return;
     }
-    const int slots = std::min(request.slots, worker->free_slots());
+    const int slots = std::min({request.slots, worker->free_slots(), spare});
     request.slots -= slots;
     Lend(bb, vm, *worker, slots, now, actions);
   }
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -201,10 +201,14 @@
     const QueuedTask& head = lane.tasks.begin()->second;
     const TaskRecord& record = head.job->tasks[head.index];
     const bool idempotent = head.job->kind.idempotent;
+    const bool slack = bb.tuning.placement == PlacementPolicy::kSlack;
+    if (slack &&
+        bb.workers.free_slots <= ReservedSlots(bb, head.job->kind.priority)) {
+      continue;
+    }
     const std::string worker =
-        bb.tuning.placement == PlacementPolicy::kSlack
-            ? PickWorker(bb, lane.shape, idempotent, record.start.worker, now)
-            : PickBaselineWorker(bb, lane.shape, now);
+        slack ? PickWorker(bb, lane.shape, idempotent, record.start.worker, now)
+              : PickBaselineWorker(bb, lane.shape, now);
     if (!worker.empty()) {
       return {&lane, worker};
     }
@@ -422,6 +426,13 @@
   }
 }
 
+int ReservedSlots(const Blackboard& bb, int64_t priority) {
+  if (priority <= bb.tuning.urgent_priority) {
+    return 0;
+  }
+  return static_cast<int>(bb.workers.leased_slots * bb.tuning.urgent_share);
+}
+
 int CapacitySlots(const Blackboard& bb) {
   if (bb.workers.leased_slots > 0) {
     return bb.workers.leased_slots;
--- a/goldcrest/placement.h
+++ b/goldcrest/placement.h
@@ -65,6 +65,9 @@
                        const std::string& avoid,
                        Now now);
 
+// Returns how many free slots a task of `priority` must leave to others.
+int ReservedSlots(const Blackboard& bb, int64_t priority);
+
 // Returns how long a task of `priority` is expected to wait for a slot.
 Micros ExpectedWait(const Blackboard& bb, int64_t priority);
 
--- a/goldcrest/tuning.h
+++ b/goldcrest/tuning.h
@@ -98,6 +98,10 @@
   int max_jobs = 200'000;
   // Tasks of one job that are started in one pass.
   int max_starts_per_pass = 4096;
+  // Kinds of a greater priority number leave this share of the slots free for
+  // the more urgent ones, which cannot interrupt a running task.
+  int64_t urgent_priority = 3;
+  double urgent_share = 0.2;
   PlacementPolicy placement = PlacementPolicy::kSlack;
   // Whether each claim waits for a synced journal record, for comparison runs
   // and for a daemon that is its own quorum.
