--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -351,6 +351,8 @@
   std::map<std::string, std::unique_ptr<Worker>> workers;
   std::set<FreeKey> free_plain;
   std::set<FreeKey> free_accelerated;
+  // Keys of the workers that others lend.
+  std::set<std::string> borrowed;
   // Starts that hold slots, by start key.
   std::unordered_map<std::string, SlotUse> uses;
   int leased_slots = 0;
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -213,10 +213,8 @@
 
 void ReturnIdleSlots(Blackboard& bb, bool all, Now now, Actions& actions) {
   std::vector<std::string> empty;
-  for (auto& [key, worker] : bb.workers.workers) {
-    if (!worker->borrowed()) {
-      continue;
-    }
+  for (const std::string& key : bb.workers.borrowed) {
+    Worker* worker = FindWorker(bb, key);
     const int free = worker->free_slots();
     const bool held_long = worker->borrowed_until <= now.mono;
     if (free > 0 && (held_long || worker->released || all)) {
--- a/goldcrest/worker_table.cc
+++ b/goldcrest/worker_table.cc
@@ -35,6 +35,9 @@
   worker.rank = bb.workers.next_rank++;
   worker.indexed = false;
   const std::string key = WorkerKey(worker);
+  if (worker.borrowed()) {
+    bb.workers.borrowed.insert(key);
+  }
   std::unique_ptr<Worker>& place = bb.workers.workers[key];
   place = std::make_unique<Worker>(std::move(worker));
   ReindexWorker(bb, *place);
@@ -71,6 +74,7 @@
   if (!worker->borrowed()) {
     bb.workers.leased_slots -= worker->slots;
   }
+  bb.workers.borrowed.erase(key);
   bb.workers.workers.erase(key);
 }
 
