--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -24,7 +24,8 @@
 DEFINE_int32(duration_s, 20, "Made trace: length, in seconds.");
 DEFINE_int32(slots, 64, "Slots of all workers; gives the ideal and the load.");
 DEFINE_double(load, 0.7, "Made trace: share of the slots in use.");
-DEFINE_bool(rough, false,
+DEFINE_bool(rough,
+            false,
             "Made trace: wrong estimates, bursts, cancellations, "
             "resubmissions.");
 DEFINE_string(homes, "", "Made trace: failure domains, as NAME,...");
@@ -182,20 +183,21 @@
     sent_.push_back(sent);
     const size_t index = sent_.size() - 1;
     ++outstanding_;
-    client_.Call(CallFor(sent), [this, index](CallEnd end,
-                                              const HttpResponse& response) {
-      Sent& answered = sent_[index];
-      --outstanding_;
-      answered.answered = end == CallEnd::kResponse;
-      answered.status = response.status;
-      // Counted from when it was due, so that a late sender is no excuse.
-      answered.response_ms =
-          static_cast<double>(MonotonicMicros() - answered.due) /
-          static_cast<double>(kMillisecond);
-      if (response.status != 200) {
-        NoteRefusal(response.body);
-      }
-    });
+    client_.Call(CallFor(sent),
+                 [this, index](CallEnd end, const HttpResponse& response) {
+                   Sent& answered = sent_[index];
+                   --outstanding_;
+                   answered.answered = end == CallEnd::kResponse;
+                   answered.status = response.status;
+                   // Counted from when it was due, so that a late sender is no
+                   // excuse.
+                   answered.response_ms =
+                       static_cast<double>(MonotonicMicros() - answered.due) /
+                       static_cast<double>(kMillisecond);
+                   if (response.status != 200) {
+                     NoteRefusal(response.body);
+                   }
+                 });
   }
 
   HttpCall CallFor(const Sent& sent) {
@@ -247,8 +249,7 @@
         ++results_.lost;
       } else if (sent.status == 200) {
         ++results_.complete;
-        const char* group =
-            sent.line->tasks.size() == 1 ? "single" : "many";
+        const char* group = sent.line->tasks.size() == 1 ? "single" : "many";
         const double ratio = sent.response_ms / IdealMs(*sent.line);
         results_.ratios[group].push_back(ratio);
         results_.ratios[sent.line->kind].push_back(ratio);
@@ -305,8 +306,8 @@
     return 0;
   }
   std::sort(values.begin(), values.end());
-  const auto rank = static_cast<size_t>(
-      std::ceil(q * static_cast<double>(values.size())));
+  const auto rank =
+      static_cast<size_t>(std::ceil(q * static_cast<double>(values.size())));
   return values[std::min(values.size() - 1, rank == 0 ? 0 : rank - 1)];
 }
 
@@ -373,8 +374,7 @@
   std::ostringstream out;
   out << "{\"submitted\":" << results.submitted
       << ",\"complete\":" << results.complete
-      << ",\"failed\":" << results.failed
-      << ",\"refused\":" << results.refused
+      << ",\"failed\":" << results.failed << ",\"refused\":" << results.refused
       << ",\"unknown\":" << results.unknown << ",\"lost\":" << results.lost
       << ",\"ratios\":{";
   bool first = true;
@@ -414,18 +414,15 @@
       << "\" height=\"" << kHeight
       << "\" font-family=\"sans-serif\" font-size=\"12\"><rect width=\"100%\" "
          "height=\"100%\" fill=\"white\"/>";
-  const auto x = [&](double q) {
-    return kMargin + q * (kWidth - 2 * kMargin);
-  };
+  const auto x = [&](double q) { return kMargin + q * (kWidth - 2 * kMargin); };
   const auto y = [&](double ratio) {
     const double share = (std::min(ratio, kMaxRatio) - 1) / (kMaxRatio - 1);
     return kHeight - kMargin - std::max(0.0, share) * (kHeight - 2 * kMargin);
   };
   for (double ratio = 1; ratio <= kMaxRatio; ratio += 0.5) {
-    svg << "<line x1=\"" << x(0) << "\" x2=\"" << x(1) << "\" y1=\""
-        << y(ratio) << "\" y2=\"" << y(ratio)
-        << "\" stroke=\"#d5dde5\"/><text x=\"8\" y=\"" << y(ratio) + 4
-        << "\">" << ratio << "</text>";
+    svg << "<line x1=\"" << x(0) << "\" x2=\"" << x(1) << "\" y1=\"" << y(ratio)
+        << "\" y2=\"" << y(ratio) << "\" stroke=\"#d5dde5\"/><text x=\"8\" y=\""
+        << y(ratio) + 4 << "\">" << ratio << "</text>";
   }
   int series = 0;
   for (const char* group : {"single", "many"}) {
--- a/cmd/goldcrest_load_trace.cc
+++ b/cmd/goldcrest_load_trace.cc
@@ -144,13 +144,19 @@
                    Trace& trace) {
   std::uniform_int_distribution<int64_t> when(0, shape.duration_ms);
   for (int64_t i = 0; i < shape.duration_ms / 5000; ++i) {
-    trace.push_back({when(random), TraceAction::kCancel, 20, "", "", "", "",
-                     0, {}});
+    trace.push_back(
+        {when(random), TraceAction::kCancel, 20, "", "", "", "", 0, {}});
   }
   for (int64_t i = 0; i < shape.duration_ms / 500; ++i) {
-    trace.push_back({when(random), TraceAction::kAgain,
-                     static_cast<int64_t>(random() % 20 + 1), "", "", "", "",
-                     0, {}});
+    trace.push_back({when(random),
+                     TraceAction::kAgain,
+                     static_cast<int64_t>(random() % 20 + 1),
+                     "",
+                     "",
+                     "",
+                     "",
+                     0,
+                     {}});
   }
 }
 
@@ -172,10 +178,9 @@
     }
     trace.push_back(std::move(read));
   }
-  std::stable_sort(trace.begin(), trace.end(),
-                   [](const TraceLine& a, const TraceLine& b) {
-                     return a.at_ms < b.at_ms;
-                   });
+  std::stable_sort(
+      trace.begin(), trace.end(),
+      [](const TraceLine& a, const TraceLine& b) { return a.at_ms < b.at_ms; });
   return trace;
 }
 
@@ -223,10 +228,9 @@
   if (shape.rough) {
     AddRoughLines(shape, random, trace);
   }
-  std::stable_sort(trace.begin(), trace.end(),
-                   [](const TraceLine& a, const TraceLine& b) {
-                     return a.at_ms < b.at_ms;
-                   });
+  std::stable_sort(
+      trace.begin(), trace.end(),
+      [](const TraceLine& a, const TraceLine& b) { return a.at_ms < b.at_ms; });
   return trace;
 }
 
--- a/cmd/goldcrest_load_trace.h
+++ b/cmd/goldcrest_load_trace.h
@@ -47,8 +47,8 @@
   std::string deployment = "nadamani";
   int64_t duration_ms = 30'000;
   int slots = 64;
-  double load = 0.7;           // share of the slots
-  bool rough = false;          // bursts, wrong estimates, cancellations
+  double load = 0.7;   // share of the slots
+  bool rough = false;  // bursts, wrong estimates, cancellations
   uint64_t seed = 1;
   std::vector<std::string> homes;
 };
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -210,8 +210,8 @@
   world.RunFor(2 * kSecond);
   const std::string vm = world.VmsOf("da").front();
   for (int i = 0; i < 4; ++i) {
-    world.Submit(vm, AtHome(world, "job-" + std::to_string(i), "batch", "da",
-                            4, 4000));
+    world.Submit(
+        vm, AtHome(world, "job-" + std::to_string(i), "batch", "da", 4, 4000));
   }
   world.RunFor(30 * kSecond);
   for (int i = 0; i < 4; ++i) {
