--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -419,7 +419,8 @@
     const double share = (std::min(ratio, kMaxRatio) - 1) / (kMaxRatio - 1);
     return kHeight - kMargin - std::max(0.0, share) * (kHeight - 2 * kMargin);
   };
-  for (double ratio = 1; ratio <= kMaxRatio; ratio += 0.5) {
+  for (int half = 2; half <= 2 * kMaxRatio; ++half) {
+    const double ratio = half / 2.0;
     svg << "<line x1=\"" << x(0) << "\" x2=\"" << x(1) << "\" y1=\"" << y(ratio)
         << "\" y2=\"" << y(ratio) << "\" stroke=\"#d5dde5\"/><text x=\"8\" y=\""
         << y(ratio) + 4 << "\">" << ratio << "</text>";
--- a/edge/metrics.cc
+++ b/edge/metrics.cc
@@ -12,11 +12,13 @@
 constexpr int64_t kMinuteMs = 60'000;
 constexpr size_t kMaxRefusedMinutes = 1440;
 constexpr size_t kMaxSeries = 20'000;
+constexpr double kLongestResponseMs = 700'000;
+constexpr double kBucketGrowth = 1.5;
 
 std::vector<double> BucketEdges() {
-  std::vector<double> edges = {0};
-  for (double edge = 1; edge < 700'000; edge *= 1.5) {
-    edges.push_back(edge);
+  std::vector<double> edges = {0, 1};
+  while (edges.back() < kLongestResponseMs) {
+    edges.push_back(edges.back() * kBucketGrowth);
   }
   return edges;
 }
