--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -455,16 +455,6 @@
   return {parts.begin(), parts.end()};
 }
 
-std::string ReadFileOrFail(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    FailUsage(kProgram, "cannot read '" + path + "'");
-  }
-  return text.str();
-}
-
 void WriteFileOrFail(const std::string& path, const std::string& text) {
   if (path.empty()) {
     return;
@@ -478,7 +468,7 @@
 
 Trace LoadTrace() {
   if (!FLAGS_trace.empty()) {
-    const auto trace = ReadTrace(ReadFileOrFail(FLAGS_trace));
+    const auto trace = ReadTrace(ReadFileOrFail(kProgram, FLAGS_trace));
     if (!trace) {
       FailUsage(kProgram, FLAGS_trace + ": " + trace.error());
     }
--- a/cmd/goldcrestctl.cc
+++ b/cmd/goldcrestctl.cc
@@ -1,9 +1,7 @@
 // The operator's command line.
 
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
@@ -41,16 +39,6 @@
   std::string body;
 };
 
-std::string ReadFileOrFail(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    FailUsage(kProgram, "cannot read '" + path + "'");
-  }
-  return text.str();
-}
-
 // Makes one request; nothing when no answer came.
 std::optional<Answer> Ask(const std::string& method,
                           const std::string& path,
@@ -99,7 +87,7 @@
 }
 
 int Check(const std::string& path) {
-  const auto configuration = ParseConfiguration(ReadFileOrFail(path));
+  const auto configuration = ParseConfiguration(ReadFileOrFail(kProgram, path));
   if (!configuration) {
     PrintErrors(path, configuration.error());
     return kExitFailure;
@@ -113,7 +101,7 @@
   if (FLAGS_if_version < 0) {
     FailUsage(kProgram, "apply needs --if_version, the version in force");
   }
-  const auto configuration = ParseConfiguration(ReadFileOrFail(path));
+  const auto configuration = ParseConfiguration(ReadFileOrFail(kProgram, path));
   if (!configuration) {
     PrintErrors(path, configuration.error());
     return kExitFailure;
--- a/cmd/goldcrestd.cc
+++ b/cmd/goldcrestd.cc
@@ -4,9 +4,7 @@
 
 #include <atomic>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 #include <Poco/StringTokenizer.h>
@@ -135,14 +133,8 @@
   if (FLAGS_configuration.empty()) {
     return ConfigurationJson(DefaultConfiguration());
   }
-  std::ifstream file(FLAGS_configuration);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    FailUsage(kProgram,
-              "--configuration: cannot read '" + FLAGS_configuration + "'");
-  }
-  const auto configuration = ParseConfiguration(text.str());
+  const auto configuration =
+      ParseConfiguration(ReadFileOrFail(kProgram, FLAGS_configuration));
   if (!configuration) {
     const FieldError& error = configuration.error().front();
     FailUsage(kProgram,
--- a/edge/settings.cc
+++ b/edge/settings.cc
@@ -1,7 +1,9 @@
 #include "edge/settings.h"
 
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
@@ -126,6 +128,17 @@
   std::exit(kExitUsage);
 }
 
+std::string ReadFileOrFail(const ProgramInfo& program,
+                           const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    FailUsage(program, "cannot read '" + path + "'");
+  }
+  return text.str();
+}
+
 std::vector<std::string> ReadSettings(const ProgramInfo& program,
                                       int argc,
                                       char** argv) {
--- a/edge/settings.h
+++ b/edge/settings.h
@@ -37,6 +37,10 @@
 [[noreturn]] void FailUsage(const ProgramInfo& program,
                             const std::string& message);
 
+// Returns the whole of a file; ends the program with kExitUsage when it cannot
+// be read.
+std::string ReadFileOrFail(const ProgramInfo& program, const std::string& path);
+
 // Says whether `text` is "ip:port" with a numeric IP and a port in 1..65535.
 bool IsAddress(const std::string& text);
 
