Make "unknown" answers and dropped outputs in one place each

Cause: a last reading. Five functions made the answer "unknown" with the same time to come back; seven places tested or set the mark of dropped outputs; the ballot's round was taken apart in two files; three fields had no reader. Now: MakeUnknown(), IsAnswerDropped(), DropOutputs(), RoundOf().

--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -29,12 +29,6 @@
   return result;
 }
 
-wire::JobResult Unknown(ResultCode code) {
-  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
-  result.set_retry_after_ms(kMinRetryAfterMs);
-  return result;
-}
-
 // The limits of a team are shared equally between the VMs.
 double RateShare(const Blackboard& bb, const TeamPolicy& policy) {
   return policy.max_submissions_per_s /
@@ -210,9 +204,7 @@
   if (entry == nullptr || !entry->record.finished() || !entry->recorded) {
     return false;  // the claim voters have to be asked
   }
-  const bool dropped = entry->record.result().code() ==
-                       static_cast<uint32_t>(ResultCode::kAnswerDropped);
-  if (dropped) {
+  if (IsAnswerDropped(entry->record.result())) {
     return false;  // another voter may still have the answer
   }
   ++bb.counters.attached;
@@ -280,8 +272,8 @@
     return;
   }
   if (bb.configuration.in_force.version() == 0) {
-    actions.emplace_back(
-        ReplyResult{request.token, id, Unknown(ResultCode::kNoConfiguration)});
+    actions.emplace_back(ReplyResult{
+        request.token, id, MakeUnknown(ResultCode::kNoConfiguration)});
     return;
   }
   if (const auto error = CheckDeclared(bb, submission)) {
@@ -291,7 +283,7 @@
   }
   if (bb.jobs.size() >= static_cast<size_t>(bb.tuning.max_jobs)) {
     actions.emplace_back(
-        ReplyResult{request.token, id, Unknown(ResultCode::kOverloaded)});
+        ReplyResult{request.token, id, MakeUnknown(ResultCode::kOverloaded)});
     return;
   }
   Job& job = CreateJob(bb, submission, 0, now);
@@ -326,7 +318,7 @@
       HomeOf(bb, submission) != bb.deployment.failure_domain ||
       bb.jobs.size() >= static_cast<size_t>(bb.tuning.max_jobs)) {
     Answer(bb, submission.submission_id(), submission.digest(), waiter,
-           Unknown(ResultCode::kOwnerUnreachable), actions);
+           MakeUnknown(ResultCode::kOwnerUnreachable), actions);
     return;
   }
   Job& job = CreateJob(bb, submission, forward.elapsed_ms(), now);
--- a/goldcrest/admission.h
+++ b/goldcrest/admission.h
@@ -19,9 +19,6 @@
 
 namespace goldcrest {
 
-// The shortest time after which a caller is told to come back.
-inline constexpr int64_t kMinRetryAfterMs = 200;
-
 // Handles a caller's submission.
 void OnSubmit(Blackboard& bb,
               const SubmitRequest& request,
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -298,7 +298,6 @@
   uint64_t confirmed_epoch = 0;
   // A borrowed slot is given back at the first pause after this time.
   Micros borrowed_until = 0;
-  Micros idle_since = 0;
   // Place in the index of free workers.
   uint64_t rank = 0;
   bool indexed = false;
@@ -580,7 +579,6 @@
   uint64_t lease_lapses = 0;
   uint64_t borrow_requests = 0;
   uint64_t borrowed_slots = 0;
-  uint64_t borrow_empty = 0;
   uint64_t ejections = 0;
   uint64_t control_messages = 0;
   uint64_t control_bytes = 0;
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -34,10 +34,6 @@
   return bb.deployment.GroupOf(job.home)->voters;
 }
 
-uint64_t RoundOf(uint64_t ballot) {
-  return ballot >> kBallotVmBits;
-}
-
 // A record's owner counts only above the ballot at which it was released.
 bool IsClaimed(const wire::ClaimRecord& record) {
   return record.accepted() > record.released();
@@ -89,17 +85,10 @@
 }
 
 // A witness keeps neither content nor outputs.
-void StripResult(wire::JobResult& result) {
-  if (result.outputs_size() > 0) {
-    result.clear_outputs();
-    result.set_code(static_cast<uint32_t>(ResultCode::kAnswerDropped));
-  }
-}
-
 void StripForWitness(wire::ClaimRecord& record) {
   record.clear_submission();
   if (record.finished()) {
-    StripResult(*record.mutable_result());
+    DropOutputs(*record.mutable_result());
   }
 }
 
@@ -247,8 +236,7 @@
   const size_t voters = VotersOf(bb, job).size();
   if (claim.merged.finished()) {
     const bool answer_may_follow =
-        claim.merged.result().code() ==
-            static_cast<uint32_t>(ResultCode::kAnswerDropped) &&
+        IsAnswerDropped(claim.merged.result()) &&
         claim.granted.size() + claim.abstained.size() < voters &&
         now.mono - claim.started_at < kAnswerPatience;
     if (answer_may_follow) {
@@ -287,9 +275,7 @@
                 ResultCode code,
                 Now now,
                 Actions& actions) {
-  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
-  result.set_retry_after_ms(kMinRetryAfterMs);
-  AnswerAndRemove(bb, job, result, now, actions);
+  AnswerAndRemove(bb, job, MakeUnknown(code), now, actions);
 }
 
 void OnGranted(Blackboard& bb, Job& job, Now now, Actions& actions) {
@@ -363,7 +349,7 @@
 // What a witness gets of an update: no outputs.
 wire::ClaimUpdate ForWitness(wire::ClaimUpdate update) {
   if (update.finished()) {
-    StripResult(*update.mutable_result());
+    DropOutputs(*update.mutable_result());
   }
   return update;
 }
@@ -481,6 +467,10 @@
 
 }  // namespace
 
+uint64_t RoundOf(uint64_t ballot) {
+  return ballot >> kBallotVmBits;
+}
+
 uint64_t MakeBallot(const Blackboard& bb, uint64_t round) {
   const auto position =
       static_cast<uint64_t>(bb.deployment.IndexOf(bb.deployment.self)) + 1;
--- a/goldcrest/claim_owner.h
+++ b/goldcrest/claim_owner.h
@@ -74,6 +74,9 @@
 // Returns the first ballot of this VM in `round`.
 uint64_t MakeBallot(const Blackboard& bb, uint64_t round);
 
+// Returns the round of a ballot.
+uint64_t RoundOf(uint64_t ballot);
+
 }  // namespace goldcrest
 
 #endif  // GOLDCREST_CLAIM_OWNER_H_
--- a/goldcrest/claim_store.cc
+++ b/goldcrest/claim_store.cc
@@ -19,9 +19,7 @@
 void DropAnswer(ClaimStore& store, ClaimEntry& entry) {
   store.answer_bytes -= entry.answer_bytes;
   entry.answer_bytes = 0;
-  entry.record.mutable_result()->clear_outputs();
-  entry.record.mutable_result()->set_code(
-      static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  DropOutputs(*entry.record.mutable_result());
 }
 
 // Drops the oldest answers until the rest fits the budget.
@@ -210,11 +208,20 @@
   }
 }
 
+bool IsAnswerDropped(const wire::JobResult& result) {
+  return CodeOf(result) == ResultCode::kAnswerDropped;
+}
+
+void DropOutputs(wire::JobResult& result) {
+  if (result.outputs_size() > 0) {
+    result.clear_outputs();
+    result.set_code(static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  }
+}
+
 wire::JobResult ResultOfClaim(const wire::ClaimRecord& record) {
   wire::JobResult result = record.result();
-  const bool dropped =
-      result.code() == static_cast<uint32_t>(ResultCode::kAnswerDropped);
-  if (OutcomeOf(result) == Outcome::kComplete && dropped) {
+  if (OutcomeOf(result) == Outcome::kComplete && IsAnswerDropped(result)) {
     return MakeResult(Outcome::kFailed, Ran::kAll, ResultCode::kAnswerDropped);
   }
   return result;
--- a/goldcrest/claim_store.h
+++ b/goldcrest/claim_store.h
@@ -45,6 +45,12 @@
 // accepted later had seen every result that a majority held.
 void MergeClaim(wire::ClaimRecord& record, const wire::ClaimRecord& other);
 
+// Says whether the outputs of a complete result are not kept here.
+bool IsAnswerDropped(const wire::JobResult& result);
+
+// Takes the outputs out of a result, and marks it so, if it has any.
+void DropOutputs(wire::JobResult& result);
+
 // Returns the result that a caller gets from a finished record.
 wire::JobResult ResultOfClaim(const wire::ClaimRecord& record);
 
--- a/goldcrest/claim_voter.cc
+++ b/goldcrest/claim_voter.cc
@@ -147,10 +147,8 @@
 // those at the voters that never lost them.
 wire::ClaimRecord ForSync(const wire::ClaimRecord& record) {
   wire::ClaimRecord copy = record;
-  if (copy.finished() && copy.result().outputs_size() > 0) {
-    copy.mutable_result()->clear_outputs();
-    copy.mutable_result()->set_code(
-        static_cast<uint32_t>(ResultCode::kAnswerDropped));
+  if (copy.finished()) {
+    DropOutputs(*copy.mutable_result());
   }
   return copy;
 }
--- a/goldcrest/configuration_agreement.cc
+++ b/goldcrest/configuration_agreement.cc
@@ -18,7 +18,6 @@
 constexpr Micros kRecoveryPeriod = 300 * kMillisecond;
 // How long the other VMs leave the first document to the first voter.
 constexpr Micros kBootstrapPatience = 3 * kSecond;
-constexpr int kBallotVmBits = 16;
 constexpr int64_t kMaxBackoffMs = 40;
 
 const std::vector<std::string>& Voters(const Blackboard& bb) {
@@ -201,7 +200,7 @@
   const uint64_t highest =
       std::max(board.highest_ballot, board.vote.promised());
   proposal.phase = wire::CLAIM_PREPARE;
-  proposal.ballot = MakeBallot(bb, (highest >> kBallotVmBits) + 1);
+  proposal.ballot = MakeBallot(bb, RoundOf(highest) + 1);
   board.highest_ballot = proposal.ballot;
   proposal.granted.clear();
   proposal.refused.clear();
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -57,9 +57,7 @@
   const ResultCode code = job.forwarded_to.empty()
                               ? ResultCode::kHomeUnreachable
                               : ResultCode::kOwnerUnreachable;
-  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
-  result.set_retry_after_ms(kMinRetryAfterMs);
-  return result;
+  return MakeUnknown(code);
 }
 
 wire::JobResult Pending() {
@@ -79,9 +77,8 @@
   if (entry == nullptr) {
     return std::nullopt;
   }
-  const bool dropped = entry->record.result().code() ==
-                       static_cast<uint32_t>(ResultCode::kAnswerDropped);
-  if (entry->record.finished() && entry->recorded && !dropped) {
+  if (entry->record.finished() && entry->recorded &&
+      !IsAnswerDropped(entry->record.result())) {
     return ResultOfClaim(entry->record);
   }
   return std::nullopt;
@@ -444,10 +441,8 @@
         ErrorJson({row.code, "submission_id", "no VM knows this submission"})});
     return;
   }
-  wire::JobResult unknown =
-      MakeResult(Outcome::kUnknown, Ran::kUnknown, ResultCode::kNoQuorum);
-  unknown.set_retry_after_ms(kMinRetryAfterMs);
-  actions.emplace_back(ReplyResult{query.token, query.submission_id, unknown});
+  actions.emplace_back(ReplyResult{query.token, query.submission_id,
+                                   MakeUnknown(ResultCode::kNoQuorum)});
 }
 
 void OnCancel(Blackboard& bb,
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -112,12 +112,6 @@
   entry.recorded = true;
 }
 
-wire::JobResult UnknownResult(ResultCode code) {
-  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
-  result.set_retry_after_ms(kMinRetryAfterMs);
-  return result;
-}
-
 }  // namespace
 
 Job& CreateJob(Blackboard& bb,
@@ -353,8 +347,7 @@
   const PendingUpdate& pending = job.updates[update];
   if (pending.update.finished() || pending.update.released()) {
     if (!job.replied) {
-      AnswerWaiters(bb, job, UnknownResult(ResultCode::kNoQuorum), now,
-                    actions);
+      AnswerWaiters(bb, job, MakeUnknown(ResultCode::kNoQuorum), now, actions);
     }
     return;
   }
@@ -410,7 +403,7 @@
 void AnswerAllUnknown(Blackboard& bb, Now now, Actions& actions) {
   for (const auto& [id, job] : bb.jobs) {
     if (!job->waiters.empty()) {
-      AnswerWaiters(bb, *job, UnknownResult(ResultCode::kOwnerUnreachable), now,
+      AnswerWaiters(bb, *job, MakeUnknown(ResultCode::kOwnerUnreachable), now,
                     actions);
     }
   }
@@ -431,13 +424,12 @@
                       id);
         return;
       }
-      AnswerAndRemove(bb, *job, UnknownResult(ResultCode::kOwnerUnreachable),
-                      now, actions);
+      AnswerAndRemove(bb, *job, MakeUnknown(ResultCode::kOwnerUnreachable), now,
+                      actions);
       return;
     case JobState::kClaiming:
       // A take-over goes on: it has to settle what the job's end is.
-      AnswerWaiters(bb, *job, UnknownResult(ResultCode::kNoQuorum), now,
-                    actions);
+      AnswerWaiters(bb, *job, MakeUnknown(ResultCode::kNoQuorum), now, actions);
       return;
     case JobState::kActive:
       FinishJob(bb, *job,
--- a/goldcrest/submission.cc
+++ b/goldcrest/submission.cc
@@ -147,6 +147,12 @@
   return result;
 }
 
+wire::JobResult MakeUnknown(ResultCode code) {
+  wire::JobResult result = MakeResult(Outcome::kUnknown, Ran::kUnknown, code);
+  result.set_retry_after_ms(kMinRetryAfterMs);
+  return result;
+}
+
 std::string ResultJson(const std::string& id, const wire::JobResult& result) {
   const Outcome outcome = OutcomeOf(result);
   std::string json = "{\"submission_id\":" + JsonQuote(id) + ",\"outcome\":\"" +
--- a/goldcrest/submission.h
+++ b/goldcrest/submission.h
@@ -38,6 +38,12 @@
 // Returns an answer with the given outcome, without outputs.
 wire::JobResult MakeResult(Outcome outcome, Ran ran, ResultCode code);
 
+// The shortest time after which a caller is told to come back.
+inline constexpr int64_t kMinRetryAfterMs = 200;
+
+// Returns the answer "unknown", with the time after which to ask again.
+wire::JobResult MakeUnknown(ResultCode code);
+
 // Typed access to the numbers of a JobResult.
 inline Outcome OutcomeOf(const wire::JobResult& result) {
   return static_cast<Outcome>(result.outcome());
--- a/goldcrest/tuning.h
+++ b/goldcrest/tuning.h
@@ -81,8 +81,6 @@
   double max_ejected_share = 0.5;
   // A request for free slots of a neighbour is kept there for this long.
   Micros borrow_patience = 400 * kMillisecond;
-  // A borrowed slot without work is given back after this time.
-  Micros borrow_idle = 20 * kMillisecond;
   // A query for a submission that nobody answers ends after this time.
   Micros lookup_timeout = 500 * kMillisecond;
   // An announcement handed to the lease holder waits this long for its reply.
