Order the fields of a result code's row by size

The line in .clang-tidy that was meant to switch that check off stood before the group that switches it on again, so it had no effect, and the row was never mended.

--- a/goldcrest/result_code.h
+++ b/goldcrest/result_code.h
@@ -61,8 +61,8 @@
 // One row of the table of result codes.
 struct ResultCodeRow {
   ResultCode code;
-  std::string_view name;
   int http_status;
+  std::string_view name;
   std::string_view meaning;
 };
 
