Report service-level burn and refused minutes

Cause: the daemons exported what the report needs, but nothing read it. The metrics now name their VM, clock, start and objectives, so that a saved file stands alone. Console and report share one page frame, the load tool and the report one plot, ctl and burn one HTTP request, daemon and worker one signal watcher, which stood twice before.

--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -9,13 +9,13 @@
 #include <map>
 #include <sstream>
 
-#include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
 #include "cmd/goldcrest_load_trace.h"
 #include "edge/http_client.h"
 #include "edge/settings.h"
 #include "goldcrest/json_reader.h"
+#include "report/svg_plot.h"
 
 DEFINE_string(entry, "127.0.0.1:8080", "Entry VMs, as IP:PORT,...");
 DEFINE_string(trace, "", "Trace to replay. Empty: make one.");
@@ -402,67 +402,48 @@
   return out.str();
 }
 
+// One group of jobs in the plot.
+struct PlotGroup {
+  const char* group;
+  const char* name;
+  const char* color;
+};
+
+constexpr PlotGroup kPlotGroups[] = {
+    {"single", "jobs with one task", "#1f4e79"},
+    {"many", "jobs with many tasks", "#a3541c"},
+};
+
 // Plots the distribution of the ratio: quantile across, ratio up to 3.
 std::string ResultsSvg(const Results& results) {
-  constexpr int kWidth = 640;
-  constexpr int kHeight = 360;
-  constexpr int kMargin = 46;
   constexpr double kMaxRatio = 3;
-  const char* colours[] = {"#1f4e79", "#a3541c"};
-  std::ostringstream svg;
-  svg << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << kWidth
-      << "\" height=\"" << kHeight
-      << "\" font-family=\"sans-serif\" font-size=\"12\"><rect width=\"100%\" "
-         "height=\"100%\" fill=\"white\"/>";
-  const auto x = [&](double q) { return kMargin + q * (kWidth - 2 * kMargin); };
-  const auto y = [&](double ratio) {
-    const double share = (std::min(ratio, kMaxRatio) - 1) / (kMaxRatio - 1);
-    return kHeight - kMargin - std::max(0.0, share) * (kHeight - 2 * kMargin);
-  };
-  for (int half = 2; half <= 2 * kMaxRatio; ++half) {
-    const double ratio = half / 2.0;
-    svg << "<line x1=\"" << x(0) << "\" x2=\"" << x(1) << "\" y1=\"" << y(ratio)
-        << "\" y2=\"" << y(ratio) << "\" stroke=\"#d5dde5\"/><text x=\"8\" y=\""
-        << y(ratio) + 4 << "\">" << ratio << "</text>";
-  }
-  int series = 0;
-  for (const char* group : {"single", "many"}) {
-    const auto found = results.ratios.find(group);
+  constexpr int kSteps = 200;
+  Plot plot;
+  plot.x_title = "share of jobs with a response ratio below";
+  plot.x.ticks = {
+      {0, "0"}, {0.25, "0.25"}, {0.5, "0.5"}, {0.75, "0.75"}, {1, "1"}};
+  plot.y.low = 1;
+  plot.y.high = kMaxRatio;
+  plot.y.ticks = {{1, "1"}, {1.5, "1.5"}, {2, "2"}, {2.5, "2.5"}, {3, "3"}};
+  for (const PlotGroup& group : kPlotGroups) {
+    const auto found = results.ratios.find(group.group);
     if (found == results.ratios.end()) {
       continue;
     }
-    svg << "<polyline fill=\"none\" stroke-width=\"2\" stroke=\""
-        << colours[series] << "\" points=\"";
-    for (int i = 0; i <= 200; ++i) {
-      const double q = i / 200.0;
-      svg << x(q) << "," << y(Quantile(found->second, q)) << " ";
+    PlotLine line = {group.name, group.color, {}};
+    for (int i = 0; i <= kSteps; ++i) {
+      const double share = static_cast<double>(i) / kSteps;
+      line.points.push_back({share, Quantile(found->second, share)});
     }
-    svg << "\"/><text x=\"" << x(0.02) << "\" y=\"" << 30 + 18 * series
-        << "\" fill=\"" << colours[series] << "\">jobs with "
-        << (series == 0 ? "one task" : "many tasks") << "</text>";
-    ++series;
+    plot.lines.push_back(line);
   }
-  svg << "<text x=\"" << x(0.3) << "\" y=\"" << kHeight - 12
-      << "\">share of jobs with a response ratio below</text></svg>\n";
-  return svg.str();
+  return PlotSvg(plot);
 }
 
-std::vector<std::string> SplitList(const std::string& text) {
-  const Poco::StringTokenizer parts(
-      text, ",",
-      Poco::StringTokenizer::TOK_TRIM |
-          Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-  return {parts.begin(), parts.end()};
-}
-
-void WriteFileOrFail(const std::string& path, const std::string& text) {
-  if (path.empty()) {
-    return;
-  }
-  std::ofstream file(path);
-  file << text;
-  if (!file.flush()) {
-    FailUsage(kProgram, "cannot write '" + path + "'");
+// Writes a file that was asked for; does nothing without a path.
+void WriteIfNamed(const std::string& path, const std::string& text) {
+  if (!path.empty()) {
+    WriteFileOrFail(kProgram, path, text);
   }
 }
 
@@ -492,11 +473,6 @@
   if (FLAGS_slots < 1 || FLAGS_duration_s < 1 || FLAGS_load <= 0) {
     FailUsage(kProgram, "--slots, --duration_s and --load must be above 0");
   }
-  for (const std::string& entry : SplitList(FLAGS_entry)) {
-    if (!IsAddress(entry)) {
-      FailUsage(kProgram, "--entry: '" + entry + "' is not IP:PORT");
-    }
-  }
 }
 
 int RunLoad(int argc, char** argv) {
@@ -505,17 +481,18 @@
     FailUsage(kProgram, "unexpected argument '" + rest.front() + "'");
   }
   CheckSettings();
+  const auto entries = AddressesOrFail(kProgram, "entry", FLAGS_entry);
   signal(SIGPIPE, SIG_IGN);
   if (FLAGS_id_prefix.empty()) {
     FLAGS_id_prefix = "load-" + std::to_string(ReadClock().wall_ms);
   }
   const Trace trace = LoadTrace();
-  WriteFileOrFail(FLAGS_save_trace, WriteTrace(trace));
-  Load load(SplitList(FLAGS_entry), trace);
+  WriteIfNamed(FLAGS_save_trace, WriteTrace(trace));
+  Load load(entries, trace);
   load.Run();
   PrintText(std::cout, load.results());
-  WriteFileOrFail(FLAGS_json, ResultsJson(load.results()));
-  WriteFileOrFail(FLAGS_svg, ResultsSvg(load.results()));
+  WriteIfNamed(FLAGS_json, ResultsJson(load.results()));
+  WriteIfNamed(FLAGS_svg, ResultsSvg(load.results()));
   return load.results().lost == 0 ? kExitOk : kExitFailure;
 }
 
--- a/cmd/goldcrest_worker.cc
+++ b/cmd/goldcrest_worker.cc
@@ -2,17 +2,15 @@
 
 #include <algorithm>
 #include <atomic>
-#include <csignal>
 #include <iostream>
-#include <thread>
 
 #include <Poco/Net/NetException.h>
-#include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
 #include "edge/logging.h"
 #include "edge/settings.h"
 #include "edge/stand_in_worker.h"
+#include "edge/stop_signals.h"
 
 DEFINE_string(entry, "127.0.0.1:8080", "Entry VMs, as IP:PORT,...");
 DEFINE_string(listen, "127.0.0.1:9000", "IP:PORT of the first worker.");
@@ -41,7 +39,6 @@
     "goldcrest_worker.cc",
 };
 
-constexpr timespec kSignalPoll = {0, 100'000'000};
 constexpr Micros kLongestWait = 100 * kMillisecond;
 
 void CheckShare(const std::string& flag, double value) {
@@ -50,24 +47,6 @@
   }
 }
 
-std::vector<std::string> ReadEntries() {
-  std::vector<std::string> entries;
-  const Poco::StringTokenizer parts(
-      FLAGS_entry, ",",
-      Poco::StringTokenizer::TOK_TRIM |
-          Poco::StringTokenizer::TOK_IGNORE_EMPTY);
-  for (const std::string& part : parts) {
-    if (!IsAddress(part)) {
-      FailUsage(kProgram, "--entry: '" + part + "' is not IP:PORT");
-    }
-    entries.push_back(part);
-  }
-  if (entries.empty()) {
-    FailUsage(kProgram, "--entry names no entry VM");
-  }
-  return entries;
-}
-
 StandInOptions ReadOptions() {
   if (!IsAddress(FLAGS_listen)) {
     FailUsage(kProgram, "--listen: '" + FLAGS_listen + "' is not IP:PORT");
@@ -80,7 +59,10 @@
   CheckShare("fail_rate", FLAGS_fail_rate);
   CheckShare("straggle_rate", FLAGS_straggle_rate);
   StandInOptions options;
-  options.entries = ReadEntries();
+  options.entries = AddressesOrFail(kProgram, "entry", FLAGS_entry);
+  if (options.entries.empty()) {
+    FailUsage(kProgram, "--entry names no entry VM");
+  }
   options.slots = FLAGS_slots;
   options.memory_mb = FLAGS_memory_mb;
   options.accelerators = FLAGS_accelerators;
@@ -90,30 +72,6 @@
   return options;
 }
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-// The first signal lets the workers leave, the second one ends at once.
-void WatchSignals(std::atomic<bool>& leaving,
-                  const std::atomic<bool>& done,
-                  SocketLoop& loop) {
-  const sigset_t signals = StopSignals();
-  while (!done) {
-    if (sigtimedwait(&signals, nullptr, &kSignalPoll) <= 0) {
-      continue;
-    }
-    if (leaving.exchange(true)) {
-      std::_Exit(kExitFailure);
-    }
-    loop.Wake();
-  }
-}
-
 using Workers = std::vector<std::unique_ptr<StandInWorker>>;
 
 Workers MakeWorkers(SocketLoop& loop, StartLog& log) {
@@ -165,18 +123,18 @@
   if (!StartLogging(FLAGS_log_level, {})) {
     FailUsage(kProgram, "--log_level: unknown level '" + FLAGS_log_level + "'");
   }
-  signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  BlockStopSignals();
   StartLog log;
   if (!FLAGS_start_log.empty() && !log.Open(FLAGS_start_log)) {
     FailUsage(kProgram, "--start_log: cannot write '" + FLAGS_start_log + "'");
   }
   SocketLoop loop;
   std::atomic<bool> leaving{false};
-  std::atomic<bool> done{false};
   int exit_code = kExitOk;
-  std::thread watcher([&] { WatchSignals(leaving, done, loop); });
+  const StopSignalWatcher watcher([&] {
+    leaving = true;
+    loop.Wake();
+  });
   try {
     Workers workers = MakeWorkers(loop, log);
     Serve(loop, workers, leaving);
@@ -185,8 +143,6 @@
               << "\n";
     exit_code = kExitFailure;
   }
-  done = true;
-  watcher.join();
   log.Close();
   return exit_code;
 }
--- a/cmd/goldcrestctl.cc
+++ b/cmd/goldcrestctl.cc
@@ -6,13 +6,9 @@
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
 #include <Poco/JSON/Stringifier.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 #include <gflags/gflags.h>
 
+#include "edge/http_ask.h"
 #include "edge/settings.h"
 #include "goldcrest/configuration.h"
 
@@ -34,39 +30,25 @@
     "goldcrestctl.cc",
 };
 
-struct Answer {
-  int status = 0;
-  std::string body;
-};
-
-// Makes one request; nothing when no answer came.
-std::optional<Answer> Ask(const std::string& method,
-                          const std::string& path,
-                          const std::string& body) {
-  try {
-    const Poco::Net::SocketAddress address(FLAGS_server);
-    Poco::Net::HTTPClientSession session(address);
-    session.setTimeout(
-        Poco::Timespan(static_cast<Poco::Int64>(FLAGS_timeout_ms) * 1000));
-    Poco::Net::HTTPRequest request(method, path,
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setContentType("application/json");
-    request.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    if (method == "PUT") {
-      request.set("If-Match", "\"" + std::to_string(FLAGS_if_version) + "\"");
-    }
-    session.sendRequest(request) << body;
-    Poco::Net::HTTPResponse response;
-    Answer answer;
-    Poco::StreamCopier::copyToString(session.receiveResponse(response),
-                                     answer.body);
-    answer.status = static_cast<int>(response.getStatus());
-    return answer;
-  } catch (const Poco::Exception& error) {
-    std::cerr << "goldcrestctl: no answer from " << FLAGS_server << ": "
-              << error.displayText() << "\n";
+// Makes one request and prints why when no answer came.
+std::optional<AskAnswer> AskServer(const std::string& method,
+                                   const std::string& path,
+                                   const std::string& body) {
+  AskOptions options;
+  options.server = FLAGS_server;
+  options.method = method;
+  options.path = path;
+  options.body = body;
+  options.timeout_ms = static_cast<int64_t>(FLAGS_timeout_ms);
+  if (method == "PUT") {
+    options.if_match = "\"" + std::to_string(FLAGS_if_version) + "\"";
+  }
+  const auto answer = Ask(options);
+  if (!answer) {
+    std::cerr << "goldcrestctl: " << answer.error() << "\n";
     return std::nullopt;
   }
+  return *answer;
 }
 
 void PrintJson(std::ostream& out, const std::string& text) {
@@ -107,7 +89,7 @@
     return kExitFailure;
   }
   const auto answer =
-      Ask("PUT", "/v1/configuration", ConfigurationJson(*configuration));
+      AskServer("PUT", "/v1/configuration", ConfigurationJson(*configuration));
   if (!answer) {
     std::cerr << "goldcrestctl: not known whether the change was accepted; "
                  "send the same again\n";
@@ -118,7 +100,7 @@
 }
 
 int Show(const std::string& method, const std::string& path) {
-  const auto answer = Ask(method, path, "");
+  const auto answer = AskServer(method, path, "");
   if (!answer) {
     return kExitFailure;
   }
--- a/cmd/goldcrestd.cc
+++ b/cmd/goldcrestd.cc
@@ -2,17 +2,14 @@
 
 #include <sys/resource.h>
 
-#include <atomic>
-#include <csignal>
 #include <iostream>
-#include <thread>
 
-#include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
 #include "edge/daemon.h"
 #include "edge/logging.h"
 #include "edge/settings.h"
+#include "edge/stop_signals.h"
 #include "goldcrest/configuration.h"
 #include "goldcrest/digest.h"
 #include "goldcrest/submission.h"
@@ -61,7 +58,6 @@
     "goldcrestd.cc",
 };
 
-constexpr timespec kSignalPoll = {0, 100'000'000};
 constexpr size_t kSpareDescriptors = 256;
 
 // One placement policy and its word on the command line.
@@ -176,30 +172,6 @@
   setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-// The first signal drains, the second one ends at once.
-void WatchSignals(Daemon& daemon, const std::atomic<bool>& done) {
-  const sigset_t signals = StopSignals();
-  bool draining = false;
-  while (!done) {
-    if (sigtimedwait(&signals, nullptr, &kSignalPoll) <= 0) {
-      continue;
-    }
-    if (draining) {
-      std::_Exit(kExitFailure);
-    }
-    draining = true;
-    daemon.RequestDrain();
-  }
-}
-
 int RunDaemon(int argc, char** argv) {
   const auto rest = ReadSettings(kProgram, argc, argv);
   if (!rest.empty()) {
@@ -218,9 +190,7 @@
                             "' is not debug, info, warning or error");
   }
   RaiseDescriptorLimit();
-  signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  BlockStopSignals();
 
   Daemon daemon(options);
   const auto started = daemon.Start();
@@ -234,11 +204,10 @@
              {"failure_domain", FLAGS_failure_domain},
              {"vms", std::to_string(options.deployment.vms.size())},
              {"disk", FLAGS_data_dir.empty() ? "none" : FLAGS_data_dir}}});
-  std::atomic<bool> done{false};
-  std::thread watcher([&] { WatchSignals(daemon, done); });
-  daemon.Run();
-  done = true;
-  watcher.join();
+  {
+    const StopSignalWatcher watcher([&] { daemon.RequestDrain(); });
+    daemon.Run();
+  }
   WriteLog({LogLevel::kInfo, "daemon_stopped", {}});
   return kExitOk;
 }
--- a/edge/console.cc
+++ b/edge/console.cc
@@ -11,6 +11,7 @@
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
 
+#include "edge/html.h"
 #include "goldcrest/configuration.h"
 #include "goldcrest/digest.h"
 #include "goldcrest/json_reader.h"
@@ -19,67 +20,6 @@
 namespace goldcrest {
 namespace {
 
-constexpr char kStyle[] = R"css(
-:root { --ink:#1d2733; --soft:#5b6b7c; --line:#d5dde5; --bad:#a3231c;
-  --good:#1d6b3c; --paper:#f5f7f9; --act:#1f4e79; }
-* { box-sizing:border-box; }
-body { margin:0; font:15px/1.5 "Liberation Sans",Arial,sans-serif;
-  color:var(--ink); background:var(--paper); }
-header { background:#1d2f42; color:#fff; padding:14px 28px; display:flex;
-  gap:28px; align-items:baseline; flex-wrap:wrap; }
-header h1 { font-size:19px; margin:0; font-weight:600; }
-header span { color:#c4d2df; font-size:13px; }
-main { max-width:1240px; margin:0 auto; padding:20px 28px 60px; }
-section { background:#fff; border:1px solid var(--line); border-radius:5px;
-  padding:14px 18px 16px; margin:0 0 16px; }
-h2 { font-size:16px; margin:0 0 4px; }
-p.hint { color:var(--soft); margin:0 0 10px; font-size:13px; }
-table { border-collapse:collapse; width:100%; }
-th { text-align:left; font-size:12px; color:var(--soft); font-weight:600;
-  padding:4px 6px; border-bottom:1px solid var(--line); }
-td { padding:4px 6px; vertical-align:top; border-bottom:1px solid #edf1f4; }
-input[type=text] { width:100%; min-width:64px; padding:4px 6px;
-  border:1px solid #b6c2cd; border-radius:3px; font:inherit; }
-td.number input[type=text] { max-width:116px; text-align:right; }
-input.wrong { border-color:var(--bad); background:#fff4f3; }
-.error { color:var(--bad); font-size:12px; display:block; }
-.banner { border-left:5px solid var(--act); }
-.banner.good { border-color:var(--good); }
-.banner.bad { border-color:var(--bad); }
-button { font:inherit; padding:6px 14px; border:1px solid #8fa1b2;
-  background:#fff; border-radius:4px; cursor:pointer; }
-button.main { background:var(--act); border-color:var(--act); color:#fff; }
-.bar { display:flex; gap:10px; align-items:center; flex-wrap:wrap; }
-pre { background:#f0f3f6; border:1px solid var(--line); padding:10px;
-  overflow:auto; max-height:340px; font-size:12.5px; margin:8px 0 0; }
-label.field { display:inline-block; margin:0 18px 8px 0; font-size:13px;
-  color:var(--soft); }
-label.field input[type=text] { width:160px; display:block; color:var(--ink); }
-)css";
-
-std::string Escape(const std::string& text) {
-  std::string escaped;
-  for (const char c : text) {
-    switch (c) {
-      case '&':
-        escaped += "&amp;";
-        break;
-      case '<':
-        escaped += "&lt;";
-        break;
-      case '>':
-        escaped += "&gt;";
-        break;
-      case '"':
-        escaped += "&quot;";
-        break;
-      default:
-        escaped += c;
-    }
-  }
-  return escaped;
-}
-
 // The values of a form by name, and the errors by the same names.
 struct FormState {
   std::map<std::string, std::string> values;
@@ -338,7 +278,7 @@
   std::string html;
   for (const FieldError& error : state.errors) {
     if (error.field == name) {
-      html += "<span class=error>" + Escape(error.message) + "</span>";
+      html += "<span class=error>" + HtmlEscape(error.message) + "</span>";
     }
   }
   return html;
@@ -346,13 +286,13 @@
 
 std::string TextInput(const FormState& state, const std::string& name) {
   const std::string errors = ErrorsAt(state, name);
-  return "<input type=text name=\"" + Escape(name) + "\" value=\"" +
-         Escape(state.Value(name)) + "\"" +
+  return "<input type=text name=\"" + HtmlEscape(name) + "\" value=\"" +
+         HtmlEscape(state.Value(name)) + "\"" +
          (errors.empty() ? "" : " class=wrong") + ">" + errors;
 }
 
 std::string CheckInput(const FormState& state, const std::string& name) {
-  return "<input type=checkbox name=\"" + Escape(name) + "\"" +
+  return "<input type=checkbox name=\"" + HtmlEscape(name) + "\"" +
          (state.Has(name) ? " checked" : "") + ">" + ErrorsAt(state, name);
 }
 
@@ -418,8 +358,8 @@
 std::string BannerHtml(const std::string& kind,
                        const std::string& title,
                        const std::string& text) {
-  return "<section class=\"banner " + kind + "\"><h2>" + Escape(title) +
-         "</h2><p class=hint>" + Escape(text) + "</p></section>";
+  return "<section class=\"banner " + kind + "\"><h2>" + HtmlEscape(title) +
+         "</h2><p class=hint>" + HtmlEscape(text) + "</p></section>";
 }
 
 std::string PreviewHtml(const FormState& state, const std::string& document) {
@@ -432,9 +372,9 @@
     Poco::JSON::Parser parser;
     std::ostringstream text;
     Poco::JSON::Stringifier::stringify(parser.parse(document), text, 2);
-    html += Escape(text.str());
+    html += HtmlEscape(text.str());
   } catch (const Poco::Exception&) {
-    html += Escape(document);
+    html += HtmlEscape(document);
   }
   return html + "</pre></section>";
 }
@@ -445,25 +385,19 @@
   for (const auto& [vm, peer] : bb.membership.peers) {
     reachable += peer.reachable ? 1 : 0;
   }
-  return "<header><h1>goldcrestplank console</h1><span>VM " +
-         Escape(bb.deployment.self) + ", failure domain " +
-         Escape(bb.deployment.failure_domain) + "</span><span>version " +
+  return "<span>VM " + HtmlEscape(bb.deployment.self) + ", failure domain " +
+         HtmlEscape(bb.deployment.failure_domain) + "</span><span>version " +
          std::to_string(state.version()) + " in force, digest " +
-         Escape(state.digest().substr(0, 12)) + "</span><span>" +
+         HtmlEscape(state.digest().substr(0, 12)) + "</span><span>" +
          std::to_string(reachable) + " of " +
-         std::to_string(bb.deployment.vms.size()) +
-         " VMs reachable</span></header>";
+         std::to_string(bb.deployment.vms.size()) + " VMs reachable</span>";
 }
 
 HttpReply Page(const Blackboard& bb, const std::string& body, int status) {
   HttpReply reply;
   reply.status = status;
   reply.content_type = "text/html; charset=utf-8";
-  reply.body =
-      "<!doctype html><html lang=en><head><meta charset=utf-8>"
-      "<title>goldcrestplank console</title><style>" +
-      std::string(kStyle) + "</style></head><body>" + HeaderHtml(bb) +
-      "<main>" + body + "</main></body></html>";
+  reply.body = HtmlText({"goldcrestplank console", HeaderHtml(bb), body});
   return reply;
 }
 
--- a/edge/metrics.cc
+++ b/edge/metrics.cc
@@ -1,7 +1,9 @@
 #include "edge/metrics.h"
 
+#include <optional>
 #include <vector>
 
+#include <Poco/NumberFormatter.h>
 #include <boost/histogram/indexed.hpp>
 
 #include "goldcrest/json_reader.h"
@@ -9,7 +11,6 @@
 namespace goldcrest {
 namespace {
 
-constexpr int64_t kMinuteMs = 60'000;
 constexpr size_t kMaxRefusedMinutes = 1440;
 constexpr size_t kMaxSeries = 20'000;
 constexpr double kLongestResponseMs = 700'000;
@@ -86,38 +87,65 @@
     {"invariant_failures_total", &Counters::invariant_failures},
 };
 
+// Returns how `observation` counts; nothing for one that does not count.
+std::optional<AnswerResult> ResultOf(const Observation& observation) {
+  switch (observation.outcome) {
+    case Outcome::kComplete:
+      return observation.response_ms <= observation.target_ms
+                 ? AnswerResult::kGood
+                 : AnswerResult::kSlow;
+    case Outcome::kFailed:
+      return AnswerResult::kFailed;
+    case Outcome::kRefused:
+      return AnswerResult::kRefused;
+    case Outcome::kUnknown:
+      return AnswerResult::kUnknown;
+    case Outcome::kCancelled:
+    case Outcome::kPending:
+      break;
+  }
+  return std::nullopt;
+}
+
+// Appends who exports, when, and the objectives that the burn report judges
+// by, so that a saved copy of the text stands on its own.
+void AppendIdentity(std::string& text, const Blackboard& bb, Now now) {
+  const Deployment& deployment = bb.deployment;
+  text += "# TYPE goldcrest_vm_info gauge\n";
+  AppendLine(text, "vm_info",
+             "{vm=" + JsonQuote(deployment.self) + ",failure_domain=" +
+                 JsonQuote(deployment.failure_domain) + "}",
+             "1");
+  AppendGauge(text, "wall_ms", std::to_string(now.wall_ms));
+  AppendGauge(text, "started_wall_ms",
+              std::to_string(bb.membership.started_wall_ms));
+  text += "# TYPE goldcrest_objective gauge\n";
+  text += "# TYPE goldcrest_objective_target_ms gauge\n";
+  for (const KindPolicy& kind : bb.configuration.active.kinds) {
+    const std::string labels = "{kind=" + JsonQuote(kind.name) + "}";
+    AppendLine(text, "objective", labels,
+               Poco::NumberFormatter::format(kind.slo.objective, 9));
+    AppendLine(text, "objective_target_ms", labels,
+               std::to_string(kind.slo.target_ms));
+  }
+}
+
 }  // namespace
 
 Metrics::Series::Series()
     : response_ms(boost::histogram::make_histogram(Axis(BucketEdges()))) {}
 
 void Metrics::Observe(const Observation& observation) {
+  const auto result = ResultOf(observation);
+  if (!result) {
+    return;
+  }
   const SeriesKey key{observation.kind, observation.failure_domain};
   if (series_.size() >= kMaxSeries && !series_.contains(key)) {
     return;
   }
   Series& series = series_[key];
-  switch (observation.outcome) {
-    case Outcome::kComplete:
-      if (observation.response_ms <= observation.target_ms) {
-        ++series.good;
-      } else {
-        ++series.slow;
-      }
-      break;
-    case Outcome::kFailed:
-      ++series.failed;
-      break;
-    case Outcome::kRefused:
-      ++series.refused;
-      break;
-    case Outcome::kUnknown:
-      ++series.unknown;
-      break;
-    case Outcome::kCancelled:
-    case Outcome::kPending:
-      return;
-  }
+  ++series.answers[*result];
   const auto response_ms = static_cast<double>(observation.response_ms);
   series.response_ms(response_ms);
   series.sum_ms += response_ms;
@@ -133,8 +161,9 @@
   }
 }
 
-std::string Metrics::Text(const Blackboard& bb) const {
+std::string Metrics::Text(const Blackboard& bb, Now now) const {
   std::string text;
+  AppendIdentity(text, bb, now);
   for (const CounterRow& row : kCounterRows) {
     AppendCount(text, row.name, bb.counters.*row.value);
   }
@@ -151,16 +180,12 @@
   for (const auto& entry : series_) {
     const SeriesKey& key = entry.first;
     const Series& series = entry.second;
-    const auto line = [&](const char* result, uint64_t count) {
+    for (size_t i = 0; i < kAnswerResultNames.size(); ++i) {
+      const std::string result(kAnswerResultNames[i]);
       AppendLine(text, "answers_total",
-                 Labels(key, ",result=\"" + std::string(result) + "\""),
-                 std::to_string(count));
-    };
-    line("good", series.good);
-    line("slow", series.slow);
-    line("failed", series.failed);
-    line("refused", series.refused);
-    line("unknown", series.unknown);
+                 Labels(key, ",result=" + JsonQuote(result)),
+                 std::to_string(series.answers.by_result[i]));
+    }
     for (const int64_t minute : series.refused_minutes) {
       AppendLine(text, "refused_minute",
                  Labels(key, ",minute=\"" + std::to_string(minute) + "\""),
--- a/edge/metrics.h
+++ b/edge/metrics.h
@@ -18,24 +18,17 @@
 #include <boost/histogram/make_histogram.hpp>
 
 #include "goldcrest/blackboard.h"
+#include "goldcrest/service_level.h"
 
 namespace goldcrest {
 
-// What one series of service levels is about.
-struct SeriesKey {
-  std::string kind;
-  std::string failure_domain;
-
-  friend auto operator<=>(const SeriesKey&, const SeriesKey&) = default;
-};
-
 class Metrics {
  public:
   // Counts one finished submission.
   void Observe(const Observation& observation);
 
   // Returns everything in the text format for scraping.
-  std::string Text(const Blackboard& bb) const;
+  std::string Text(const Blackboard& bb, Now now) const;
 
  private:
   using Axis = boost::histogram::axis::variable<double>;
@@ -45,11 +38,7 @@
   struct Series {
     Series();
     Histogram response_ms;
-    uint64_t good = 0;
-    uint64_t slow = 0;
-    uint64_t failed = 0;
-    uint64_t refused = 0;
-    uint64_t unknown = 0;
+    AnswerCounts answers;
     double sum_ms = 0;
     std::deque<int64_t> refused_minutes;
   };
--- a/edge/routes.cc
+++ b/edge/routes.cc
@@ -162,10 +162,10 @@
   return reply;
 }
 
-HttpReply MetricsReply(const Blackboard& bb, const Metrics& metrics) {
+HttpReply MetricsReply(const Blackboard& bb, const Metrics& metrics, Now now) {
   HttpReply reply;
   reply.content_type = "text/plain; version=0.0.4";
-  reply.body = metrics.Text(bb);
+  reply.body = metrics.Text(bb, now);
   return reply;
 }
 
@@ -189,7 +189,7 @@
     return Health(bb);
   }
   if (request.path == "/metrics") {
-    return MetricsReply(bb, metrics);
+    return MetricsReply(bb, metrics, now);
   }
   if (request.path == "/v1/status") {
     return JsonReply(StatusJson(bb, now));
--- a/edge/settings.cc
+++ b/edge/settings.cc
@@ -8,6 +8,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
+#include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
 extern char** environ;  // NOLINT(readability-redundant-declaration)
@@ -139,6 +140,36 @@
   return text.str();
 }
 
+void WriteFileOrFail(const ProgramInfo& program,
+                     const std::string& path,
+                     const std::string& text) {
+  std::ofstream file(path);
+  file << text;
+  if (!file.flush()) {
+    FailUsage(program, "cannot write '" + path + "'");
+  }
+}
+
+std::vector<std::string> SplitList(const std::string& text) {
+  const Poco::StringTokenizer parts(
+      text, ",",
+      Poco::StringTokenizer::TOK_TRIM |
+          Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  return {parts.begin(), parts.end()};
+}
+
+std::vector<std::string> AddressesOrFail(const ProgramInfo& program,
+                                         const std::string& flag,
+                                         const std::string& text) {
+  std::vector<std::string> addresses = SplitList(text);
+  for (const std::string& address : addresses) {
+    if (!IsAddress(address)) {
+      FailUsage(program, "'" + address + "' in --" + flag + " is not IP:PORT");
+    }
+  }
+  return addresses;
+}
+
 std::vector<std::string> ReadSettings(const ProgramInfo& program,
                                       int argc,
                                       char** argv) {
--- a/edge/settings.h
+++ b/edge/settings.h
@@ -41,6 +41,21 @@
 // be read.
 std::string ReadFileOrFail(const ProgramInfo& program, const std::string& path);
 
+// Writes a whole file; ends the program with kExitUsage when it cannot be
+// written.
+void WriteFileOrFail(const ProgramInfo& program,
+                     const std::string& path,
+                     const std::string& text);
+
+// Returns the entries of a list "a,b,c", without spaces and empty ones.
+std::vector<std::string> SplitList(const std::string& text);
+
+// Returns the addresses in the value of the flag `flag`; ends the program with
+// kExitUsage when one of them is not IP:PORT.
+std::vector<std::string> AddressesOrFail(const ProgramInfo& program,
+                                         const std::string& flag,
+                                         const std::string& text);
+
 // Says whether `text` is "ip:port" with a numeric IP and a port in 1..65535.
 bool IsAddress(const std::string& text);
 
--- /dev/null
+++ b/report/snapshot.cc
@@ -0,0 +1,88 @@
+#include "report/snapshot.h"
+
+#include <charconv>
+
+#include "report/metric_text.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr double kMostCount = 9.0e15;  // below 2^53, exact in a double
+
+// Takes one sample into the snapshot. Returns false for a value that cannot
+// be what its name says.
+bool TakeSample(const MetricSample& sample, Snapshot& snapshot) {
+  const bool countable = sample.value >= 0 && sample.value <= kMostCount;
+  const SeriesKey key{sample.Label("kind"), sample.Label("failure_domain")};
+  if (sample.name == "goldcrest_vm_info") {
+    snapshot.vm = sample.Label("vm");
+    snapshot.failure_domain = sample.Label("failure_domain");
+    return true;
+  }
+  if (sample.name == "goldcrest_wall_ms") {
+    snapshot.wall_ms = static_cast<int64_t>(sample.value);
+    return countable;
+  }
+  if (sample.name == "goldcrest_started_wall_ms") {
+    snapshot.started_wall_ms = static_cast<int64_t>(sample.value);
+    return countable;
+  }
+  if (sample.name == "goldcrest_objective") {
+    snapshot.objectives[key.kind].objective = sample.value;
+    return sample.value > 0 && sample.value < 1;
+  }
+  if (sample.name == "goldcrest_objective_target_ms") {
+    snapshot.objectives[key.kind].target_ms =
+        static_cast<int64_t>(sample.value);
+    return countable;
+  }
+  if (sample.name == "goldcrest_answers_total") {
+    const auto result = AnswerResultFromName(sample.Label("result"));
+    if (!result || !countable) {
+      return false;
+    }
+    snapshot.series[key].answers[*result] = static_cast<uint64_t>(sample.value);
+    return true;
+  }
+  if (sample.name == "goldcrest_refused_minute") {
+    const std::string text = sample.Label("minute");
+    const char* end = text.data() + text.size();
+    int64_t minute = 0;
+    const auto [stop, error] = std::from_chars(text.data(), end, minute);
+    if (error != std::errc() || stop != end || minute < 0) {
+      return false;
+    }
+    snapshot.series[key].refused_minutes.insert(minute);
+  }
+  return true;
+}
+
+}  // namespace
+
+tl::expected<Snapshot, std::string> ReadSnapshot(std::string_view text) {
+  const auto samples = ParseMetricText(text);
+  if (!samples) {
+    return tl::make_unexpected("line " + std::to_string(samples.error().line) +
+                               ": " + samples.error().message);
+  }
+  Snapshot snapshot;
+  for (const MetricSample& sample : *samples) {
+    if (!TakeSample(sample, snapshot)) {
+      return tl::make_unexpected(sample.name + " has an impossible value");
+    }
+  }
+  if (snapshot.vm.empty() || snapshot.wall_ms == 0 ||
+      snapshot.started_wall_ms == 0) {
+    return tl::make_unexpected(
+        std::string("not the metrics of a goldcrestd: goldcrest_vm_info, "
+                    "goldcrest_wall_ms or goldcrest_started_wall_ms is "
+                    "missing"));
+  }
+  if (snapshot.started_wall_ms > snapshot.wall_ms) {
+    return tl::make_unexpected(
+        std::string("the process started after its own time"));
+  }
+  return snapshot;
+}
+
+}  // namespace goldcrest
