--- a/edge/journal.h
+++ b/edge/journal.h
@@ -4,8 +4,8 @@
 // The data folder: one journal file of synced records.
 //
 // A record is a length, a CRC-32 and a serialised JournalRecord. Appends are
-// written by a thread of their own, as many as wait in one write and one sync,
-// and reported when they are durable. When the file has grown past a bound it
+// written by a thread of their own in the order in which they were asked for,
+// as many as wait in one write and one sync, and reported when durable. When the file has grown past a bound it
 // is replaced by a snapshot of what still counts, written beside it, synced and
 // renamed, so that a crash at any moment leaves one whole journal.
 //
--- a/goldcrest/testing/fake_world.cc
+++ b/goldcrest/testing/fake_world.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <utility>
 
+#include "edge/journal.h"
 #include "goldcrest/digest.h"
 #include "goldcrest/json_reader.h"
 #include "goldcrest/membership.h"
@@ -46,6 +47,9 @@
   uint64_t highest_version = 0;
   // The highest version that this VM answered an operator with.
   uint64_t acknowledged = 0;
+  // When the last append that was asked for is synced: appends keep their
+  // order.
+  Micros disk_busy_until = 0;
   Micros tick_at = 0;
 };
 
@@ -210,17 +214,7 @@
   deployment.incarnation = vm.incarnation;
   deployment.has_disk = vm.has_disk;
   deployment.seed = random_();
-  Recovered recovered;
-  for (const wire::JournalRecord& record : vm.disk) {
-    if (record.has_start()) {
-      recovered.lived_before = true;
-    } else if (record.has_configuration_vote()) {
-      recovered.has_vote = true;
-      recovered.vote = record.configuration_vote();
-    } else if (record.has_configuration_in_force()) {
-      recovered.in_force = record.configuration_in_force();
-    }
-  }
+  const Recovered recovered = Replay(vm.disk);
   if (vm.has_disk) {
     wire::JournalRecord start;
     start.mutable_start()->set_incarnation(vm.incarnation);
@@ -400,7 +394,8 @@
   const uint64_t incarnation = vm.incarnation;
   const std::string name = vm.name;
   const bool has_disk = vm.has_disk;
-  At(now_ + 2 * Delay(), [this, name, incarnation, action, has_disk] {
+  vm.disk_busy_until = std::max(vm.disk_busy_until + 1, now_ + 2 * Delay());
+  At(vm.disk_busy_until, [this, name, incarnation, action, has_disk] {
     Vm& writer = *vms_.at(name);
     if (!writer.board || writer.incarnation != incarnation) {
       return;  // the crash came before the sync
