Tell the forwarding VM that a slow submission is in its owner's hands

Cause: a submission that its caller gave to another VM than its owner was sent to the owner again every 300 ms until it was answered, unless its declared run time was long. Ruled out: lost messages (loopback; no forward was lost without load). Change: the owner says so once, when it has not answered after 150 ms, and the other VM does not send again while the owner lives. The guess at the job's length, which the notice makes needless, is gone. A unit test holds it.

--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -300,6 +300,10 @@
   Waiter waiter;
   waiter.vm = from;
   waiter.until_accepted = forward.want_accepted();
+  if (!waiter.until_accepted) {
+    bb.timers.Set(now.mono + bb.tuning.accepted_notice,
+                  TimerKind::kAcceptedNotice, submission.submission_id());
+  }
   Job* known = FindJob(bb, submission.submission_id());
   if (known != nullptr && known->state == JobState::kForwarded &&
       known->forwarded_to == from) {
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -173,6 +173,7 @@
   std::string forwarded_to;
   uint64_t forwarded_incarnation = 0;
   int64_t forward_elapsed_ms = 0;
+  int forward_sends = 0;
   Micros forward_timer_due = 0;
   // Whether a claim voter named the target as the owner.
   bool named_owner = false;
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -14,9 +14,6 @@
 namespace goldcrest {
 namespace {
 
-// A job of more tasks than this is taken for a long one.
-constexpr int kManyTasks = 8;
-
 bool IsDraining(const Blackboard& bb, const std::string& vm) {
   if (vm == bb.deployment.self) {
     return bb.draining;
@@ -24,18 +21,6 @@
   return bb.membership.peers.at(vm).draining;
 }
 
-// Whether the job is likely to outlast the time after which it is sent again:
-// one "pending" is cheaper than that.
-bool IsLong(const Blackboard& bb, const Job& job) {
-  return job.submission.tasks_size() > kManyTasks ||
-         std::any_of(job.submission.tasks().begin(),
-                     job.submission.tasks().end(), [&](const wire::Task& task) {
-                       const RunTimeEstimate estimate =
-                           bb.run_times.Estimate(job.kind.name, task.run_ms());
-                       return estimate.median > bb.tuning.forward_resend / 2;
-                     });
-}
-
 uint64_t IncarnationOf(const Blackboard& bb, const std::string& vm) {
   const auto found = bb.membership.peers.find(vm);
   return found == bb.membership.peers.end() ? 0 : found->second.incarnation;
@@ -273,7 +258,8 @@
   const bool told_early =
       std::any_of(job.waiters.begin(), job.waiters.end(),
                   [](const Waiter& waiter) { return waiter.until_accepted; });
-  forward->set_want_accepted(told_early || IsLong(bb, job));
+  forward->set_want_accepted(told_early || job.forward_sends > 0);
+  ++job.forward_sends;
   ++bb.counters.forwards;
   Send(bb, job.forwarded_to, std::move(message), actions);
   if (job.cancelled) {
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -234,6 +234,21 @@
   }
 }
 
+void OnAcceptedNoticeTimer(Blackboard& bb,
+                           const std::string& id,
+                           Actions& actions) {
+  Job* job = FindJob(bb, id);
+  if (job == nullptr) {
+    return;
+  }
+  for (Waiter& waiter : job->waiters) {
+    waiter.until_accepted = waiter.until_accepted || !waiter.vm.empty();
+  }
+  if (job->accepted) {
+    MarkAccepted(bb, *job, actions);
+  }
+}
+
 void OnWaitTimer(Blackboard& bb, const std::string& key, Actions& actions) {
   const auto found = bb.callers.find(std::stoull(key));
   Job* job = found == bb.callers.end() ? nullptr : FindJob(bb, found->second);
--- a/goldcrest/jobs.h
+++ b/goldcrest/jobs.h
@@ -27,6 +27,12 @@
 // for just that.
 void MarkAccepted(Blackboard& bb, Job& job, Actions& actions);
 
+// Tells the VMs that forwarded a submission, and were not answered so far, as
+// soon as it is accepted.
+void OnAcceptedNoticeTimer(Blackboard& bb,
+                           const std::string& id,
+                           Actions& actions);
+
 // Ends the wait of the request whose token is `key`: it is told "pending" as
 // soon as the submission is accepted.
 void OnWaitTimer(Blackboard& bb, const std::string& key, Actions& actions);
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -63,6 +63,8 @@
       return OnForwardTimer(bb, timer.key, now, actions);
     case TimerKind::kWait:
       return OnWaitTimer(bb, timer.key, actions);
+    case TimerKind::kAcceptedNotice:
+      return OnAcceptedNoticeTimer(bb, timer.key, actions);
     case TimerKind::kQuery:
       return OnQueryTimer(bb, timer.key, actions);
     case TimerKind::kAnnounce:
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -308,4 +308,18 @@
   CheckNoFaults(world);
 }
 
+TEST_CASE("a forwarded submission that waits long is not sent again") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const auto job = AtHome(world, "slow", "peal", "da", 1, 2000);
+  const std::string elsewhere = world.VmsOf("db").front();
+  world.Submit(elsewhere, job);
+  world.RunFor(4 * kSecond);
+  CHECK(world.Board(elsewhere).counters.forwards == 1);
+  CHECK(world.Board(elsewhere).counters.forward_resends == 0);
+  CHECK(world.StartsOf("slow", 0) == 1);
+  CHECK(OutcomeOf(*world.LastAnswer("slow")) == Outcome::kComplete);
+  CheckNoFaults(world);
+}
+
 }  // namespace goldcrest
--- a/goldcrest/timers.h
+++ b/goldcrest/timers.h
@@ -29,6 +29,7 @@
   kClaimUpdate,
   kForward,
   kWait,
+  kAcceptedNotice,
   kQuery,
   kAnnounce,
   kConfiguration,
--- a/goldcrest/tuning.h
+++ b/goldcrest/tuning.h
@@ -64,6 +64,9 @@
   Micros finish_timeout = 200 * kMillisecond;
   // A forwarded submission is sent again to its home after this time.
   Micros forward_resend = 300 * kMillisecond;
+  // The VM that forwarded a submission is told that it is in its owner's hands
+  // when it is not answered by this time, so that it need not send it again.
+  Micros accepted_notice = 150 * kMillisecond;
   // A forwarded submission without any reachable home VM waits this long.
   Micros forward_patience = 2 * kSecond;
   // The delay before the first retry of a task, doubled for each next one.
