Lend slots to other domains for tasks that may be repeated

Ruled out: the neighbour in the domain (its free slots are asked first). Change: a VM with a queue also asks the VM of another domain that last reported the most free slots, if that is more than the quarter which that VM keeps for its own domain. Only tasks that may be repeated go there, so that a cut between domains cannot part a knell from its answer; other tasks only when home has no worker at all, as before. A scenario that filled a domain with repeatable tasks now fills it with others, which stay; its check is the same.

--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -297,6 +297,8 @@
   bool renew_epoch = false;
   // The newest epoch that the worker is known to have received.
   uint64_t confirmed_epoch = 0;
+  // Lent by another domain, for tasks that may be repeated.
+  bool idempotent_only = false;
   // A borrowed slot is given back at the first pause after this time.
   Micros borrowed_until = 0;
   // Place in the index of free workers.
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -21,40 +21,39 @@
 // was lost, or a long task runs, which the worker itself reports.
 constexpr Micros kLentFor = 2 * kSecond;
 
-bool IsLender(const Blackboard& bb, const std::string& vm, bool own_domain) {
-  const Peer& peer = bb.membership.peers.at(vm);
-  const bool in_domain =
-      bb.deployment.Find(vm)->failure_domain == bb.deployment.failure_domain;
-  return peer.reachable && !peer.draining && peer.slots > 0 &&
-         in_domain == own_domain;
+// Ready lanes looked at for a task that may run in another domain.
+constexpr int kLanesTriedForSpill = 8;
+
+// Whose workers a request is about.
+enum class LenderDomain { kOwn, kOther };
+
+LenderDomain DomainOf(const Blackboard& bb, const std::string& vm) {
+  const EntryVm* lender = bb.deployment.Find(vm);
+  return lender->failure_domain == bb.deployment.failure_domain
+             ? LenderDomain::kOwn
+             : LenderDomain::kOther;
 }
 
-// The neighbours to ask: those of the domain, or all others when the domain
-// has no worker in reach.
-std::vector<std::string> Lenders(const Blackboard& bb) {
-  for (const bool own_domain : {true, false}) {
-    std::vector<std::string> lenders;
-    for (const auto& [vm, peer] : bb.membership.peers) {
-      if (IsLender(bb, vm, own_domain)) {
-        lenders.push_back(vm);
-      }
-    }
-    if (!lenders.empty() || bb.workers.leased_slots > 0) {
-      return lenders;
-    }
-  }
-  return {};
+// Slots that a VM keeps for its own domain, of `slots` in all.
+int KeptFromOtherDomains(int slots) {
+  return slots / 4;
 }
 
-// The lender that last reported the most free slots.
-std::string BestLender(const Blackboard& bb) {
+// The VM that last reported the most free slots, and more than it keeps from
+// this VM's domain; empty when there is none.
+std::string BestLender(const Blackboard& bb, LenderDomain domain) {
   std::string best;
-  int best_free = -1;
-  for (const std::string& vm : Lenders(bb)) {
-    const int free = bb.membership.peers.at(vm).free_slots;
-    if (free > best_free) {
+  int best_spare = -1;
+  for (const auto& [vm, peer] : bb.membership.peers) {
+    if (!peer.reachable || peer.draining || peer.slots == 0 ||
+        DomainOf(bb, vm) != domain) {
+      continue;
+    }
+    const bool keeps = domain == LenderDomain::kOther;
+    const int kept = keeps ? KeptFromOtherDomains(peer.slots) + 1 : 0;
+    if (peer.free_slots - kept > best_spare) {
       best = vm;
-      best_free = free;
+      best_spare = peer.free_slots - kept;
     }
   }
   return best;
@@ -81,6 +80,57 @@
   Send(bb, vm, std::move(message), actions);
 }
 
+// Whether a request stands already that serves a task of `priority`.
+bool IsAsked(const Blackboard& bb, LenderDomain domain, int64_t priority) {
+  return std::any_of(bb.workers.requests.begin(), bb.workers.requests.end(),
+                     [&](const auto& entry) {
+                       return DomainOf(bb, entry.first) == domain &&
+                              entry.second.priority <= priority;
+                     });
+}
+
+// Asks the best lender of `domain` for slots that `task` and those behind it
+// can use.
+void RequestFrom(Blackboard& bb,
+                 LenderDomain domain,
+                 const QueuedTask& task,
+                 Now now,
+                 Actions& actions) {
+  const Job& job = *task.job;
+  if (IsAsked(bb, domain, job.kind.priority)) {
+    return;
+  }
+  const std::string lender = BestLender(bb, domain);
+  if (lender.empty()) {
+    return;
+  }
+  BorrowRequest request;
+  request.slots =
+      static_cast<int>(std::min<size_t>(bb.queue.queued_tasks, kMaxSlotsAsked));
+  request.shape = ShapeOf(job.submission.tasks(static_cast<int>(task.index)));
+  request.priority = job.kind.priority;
+  request.expires_at = now.mono + bb.tuning.borrow_patience;
+  bb.workers.requests[lender] = request;
+  SendRequest(bb, lender, request, actions);
+}
+
+// The first queued task that another domain's worker may run. A task that may
+// not be repeated stays at home, where a cut between domains cannot part it
+// from its answer, unless home has no worker.
+const QueuedTask* FirstToSpill(const Blackboard& bb) {
+  int tried = 0;
+  for (const ReadyKey& key : bb.queue.ready) {
+    const QueuedTask& head = key.lane->tasks.begin()->second;
+    if (head.job->kind.idempotent || CapacitySlots(bb) == 0) {
+      return &head;
+    }
+    if (++tried >= kLanesTriedForSpill) {
+      break;
+    }
+  }
+  return nullptr;
+}
+
 void WithdrawRequests(Blackboard& bb, Now now, Actions& actions) {
   for (const auto& [vm, request] : bb.workers.requests) {
     if (request.expires_at > now.mono && request.slots > 0) {
@@ -142,7 +192,10 @@
       }
     }
   }
-  const int reserved = ReservedSlots(bb, request.priority);
+  const int kept = DomainOf(bb, vm) == LenderDomain::kOwn
+                       ? 0
+                       : KeptFromOtherDomains(bb.workers.leased_slots);
+  const int reserved = std::max(kept, ReservedSlots(bb, request.priority));
   for (Worker* worker : lendable) {
     const int spare = bb.workers.free_slots - reserved;
     if (request.slots <= 0 || spare <= 0) {
@@ -179,24 +232,13 @@
   if (!HoldsServingLease(bb, now)) {
     return;
   }
-  const std::string lender = BestLender(bb);
-  if (lender.empty()) {
-    return;
-  }
-  const BorrowRequest& standing = bb.workers.requests[lender];
-  const bool stands = standing.expires_at > now.mono && standing.slots > 0;
-  if (stands && standing.priority <= head->job->kind.priority) {
-    return;
+  std::erase_if(bb.workers.requests, [&](const auto& entry) {
+    return entry.second.expires_at <= now.mono || entry.second.slots <= 0;
+  });
+  RequestFrom(bb, LenderDomain::kOwn, *head, now, actions);
+  if (const QueuedTask* task = FirstToSpill(bb)) {
+    RequestFrom(bb, LenderDomain::kOther, *task, now, actions);
   }
-  BorrowRequest request;
-  request.slots =
-      static_cast<int>(std::min<size_t>(bb.queue.queued_tasks, kMaxSlotsAsked));
-  request.shape =
-      ShapeOf(head->job->submission.tasks(static_cast<int>(head->index)));
-  request.priority = head->job->kind.priority;
-  request.expires_at = now.mono + bb.tuning.borrow_patience;
-  bb.workers.requests[lender] = request;
-  SendRequest(bb, lender, request, actions);
 }
 
 void ServeBorrowers(Blackboard& bb, Now now, Actions& actions) {
@@ -280,6 +322,8 @@
   worker->lease_epoch = grant.lease_epoch();
   worker->incarnation = grant.incarnation();
   worker->memory_mb = grant.memory_mb();
+  worker->idempotent_only =
+      DomainOf(bb, from) == LenderDomain::kOther && CapacitySlots(bb) > 0;
   worker->released = false;
   worker->slots += static_cast<int>(grant.slots());
   worker->lease_until = now.mono + kBorrowedLease;
--- a/goldcrest/borrowing.h
+++ b/goldcrest/borrowing.h
@@ -10,7 +10,10 @@
 // second hop and its intent names the worker. It gives a slot back when it
 // has no work for it, or when it has had it for a while.
 //
-// Other domains are asked only when no worker of the own domain is in reach.
+// A VM of another domain is asked too, for tasks that may be repeated, when it
+// last reported more free slots than the quarter that it keeps for its own
+// domain. Other tasks go there only when no worker of the own domain is in
+// reach.
 
 #include <string>
 
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -125,7 +125,8 @@
 bool MayUse(const Worker& worker, bool idempotent, Now now) {
   const bool probation_ok =
       !worker.outlier.probation || (idempotent && worker.busy == 0);
-  return probation_ok && worker.lease_until > now.mono;
+  const bool domain_ok = !worker.idempotent_only || idempotent;
+  return probation_ok && domain_ok && worker.lease_until > now.mono;
 }
 
 // Looks through one index for a worker; `second` receives a fitting worker
@@ -212,8 +213,9 @@
     if (!worker.empty()) {
       return {&lane, worker};
     }
-    // On probation a worker may refuse a kind that another lane's kind may
-    // use, so only a repeatable head proves that the need is unmet.
+    // A worker on probation or of another domain may refuse a kind where it
+    // takes another lane's, so only a repeatable head proves that the need is
+    // unmet.
     if (idempotent) {
       unmet.push_back(lane.shape);
     }
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -100,10 +100,11 @@
   world.RunFor(2 * kSecond);
   const auto job = AtHome(world, "job", "knell", "da", 1, 50);
   const std::string owner = OwnerOf(world, "da", "job");
-  // All slots of the domain are taken, so that the job is queued.
+  // All slots of the domain are taken, by tasks that may not go to another
+  // domain, so that the job is queued.
   for (int i = 0; i < 4; ++i) {
-    world.Submit(owner, AtHome(world, "fill-" + std::to_string(i), "peal", "da",
-                               1, 600));
+    world.Submit(owner, AtHome(world, "fill-" + std::to_string(i), "warranty",
+                               "da", 1, 600));
   }
   world.RunFor(20 * kMillisecond);
   world.Submit(owner, job);
