Report goodput, refused minutes and each submission from the load tool

Cause: the load tool could not say which submissions were slow, nor what an overload leaves of the capacity; and it measured jobs against the slots of all domains, where the stated ideal is the slots of the job's own domain. Change: results have a file of their own, and give goodput, minutes with refusals, a line for each submission (--submissions), and the ideal over the slots of one domain. Earlier many-task ratios in docs/MEASURES.md count all slots and are harsher by up to the number of domains.

--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -1,28 +1,30 @@
 // Open-loop load and trace replay against running daemons.
 
 #include <algorithm>
-#include <cmath>
 #include <csignal>
-#include <fstream>
-#include <iomanip>
 #include <iostream>
 #include <map>
+#include <set>
 #include <sstream>
 
 #include <gflags/gflags.h>
 
+#include "cmd/goldcrest_load_results.h"
 #include "cmd/goldcrest_load_trace.h"
 #include "edge/http_client.h"
 #include "edge/settings.h"
 #include "goldcrest/json_reader.h"
-#include "report/svg_plot.h"
+#include "goldcrest/service_level.h"
 
 DEFINE_string(entry, "127.0.0.1:8080", "Entry VMs, as IP:PORT,...");
 DEFINE_string(trace, "", "Trace to replay. Empty: make one.");
 DEFINE_string(save_trace, "", "File to write the trace to.");
 DEFINE_string(deployment, "nadamani", "Made trace: nadamani or lonestar.");
 DEFINE_int32(duration_s, 20, "Made trace: length, in seconds.");
-DEFINE_int32(slots, 64, "Slots of all workers; gives the ideal and the load.");
+DEFINE_int32(slots,
+             64,
+             "Slots of all workers, the same in each failure domain of "
+             "--homes; gives the ideal and the load.");
 DEFINE_double(load, 0.7, "Made trace: share of the slots in use.");
 DEFINE_bool(rough,
             false,
@@ -33,6 +35,9 @@
 DEFINE_string(id_prefix, "", "Start of submission ids. Empty: from the clock.");
 DEFINE_string(json, "", "File to write the results to, as JSON.");
 DEFINE_string(svg, "", "File to write a plot of the response ratio to.");
+DEFINE_string(submissions,
+              "",
+              "File to write one line for each submission to.");
 DEFINE_int32(drain_s, 30, "Longest wait for answers after the last arrival.");
 DEFINE_double(round_trip_ms, 1, "Caller round trip in the ideal time.");
 
@@ -51,38 +56,13 @@
 constexpr Micros kCallTimeout = 180 * kSecond;
 constexpr Micros kProgressPeriod = 5 * kSecond;
 
-// One submission and what became of it.
-struct Sent {
-  const TraceLine* line = nullptr;
-  std::string id;
-  std::string body;
-  Micros due = 0;
-  bool answered = false;
-  int status = 0;
-  double response_ms = 0;
-};
-
-struct Results {
-  std::map<std::string, std::vector<double>> ratios;  // by class
-  std::map<std::string, int> refusals;                // by code name
-  std::map<std::string, double> counters;             // summed over daemons
-  int submitted = 0;
-  int complete = 0;
-  int failed = 0;
-  int refused = 0;
-  int unknown = 0;
-  int lost = 0;
-  double tasks = 0;
-};
-
-double IdealMs(const TraceLine& line) {
-  double longest = 0;
-  double total = 0;
-  for (const TraceTask& task : line.tasks) {
-    longest = std::max(longest, static_cast<double>(task.true_ms));
-    total += static_cast<double>(task.true_ms);
-  }
-  return FLAGS_round_trip_ms + std::max(longest, total / FLAGS_slots);
+IdealOptions Ideal() {
+  const auto domains = std::max<size_t>(1, SplitList(FLAGS_homes).size());
+  IdealOptions options;
+  options.round_trip_ms = FLAGS_round_trip_ms;
+  options.all_slots = FLAGS_slots;
+  options.domain_slots = std::max(1, FLAGS_slots / static_cast<int>(domains));
+  return options;
 }
 
 std::string BodyOf(const TraceLine& line, const std::string& id) {
@@ -138,7 +118,10 @@
     while (outstanding_ > 0 && MonotonicMicros() < give_up) {
       Wait(20 * kMillisecond);
     }
-    Collect();
+    const double length_ms =
+        trace_.empty() ? 0 : static_cast<double>(trace_.back().at_ms);
+    results_ = MakeResults(sent_, Ideal(), length_ms);
+    results_.refused_minutes = refused_minutes_;
     for (const auto& [name, value] : Scrape()) {
       const auto earlier = before.find(name);
       results_.counters[name] =
@@ -147,6 +130,7 @@
   }
 
   const Results& results() const { return results_; }
+  const std::vector<Sent>& sent() const { return sent_; }
 
  private:
   void Wait(Micros time) {
@@ -195,7 +179,7 @@
                        static_cast<double>(MonotonicMicros() - answered.due) /
                        static_cast<double>(kMillisecond);
                    if (response.status != 200) {
-                     NoteRefusal(response.body);
+                     NoteRefusal(answered, response);
                    }
                  });
   }
@@ -229,38 +213,16 @@
     client_.Call(call, [](CallEnd, const HttpResponse&) {});
   }
 
-  void NoteRefusal(const std::string& body) {
-    const auto json = ParseJson(body);
+  void NoteRefusal(Sent& sent, const HttpResponse& response) {
+    if (response.status == 429 || response.status == 503) {
+      refused_minutes_.insert(ReadClock().wall_ms / kMinuteMs);
+    }
+    const auto json = ParseJson(response.body);
     if (!json || json->type() != typeid(Poco::JSON::Object::Ptr)) {
       return;
     }
     const auto object = json->extract<Poco::JSON::Object::Ptr>();
-    const Poco::Dynamic::Var name = object->get("name");
-    if (name.isString()) {
-      ++results_.refusals[name.extract<std::string>()];
-    }
-  }
-
-  void Collect() {
-    for (const Sent& sent : sent_) {
-      ++results_.submitted;
-      results_.tasks += static_cast<double>(sent.line->tasks.size());
-      if (!sent.answered) {
-        ++results_.lost;
-      } else if (sent.status == 200) {
-        ++results_.complete;
-        const char* group = sent.line->tasks.size() == 1 ? "single" : "many";
-        const double ratio = sent.response_ms / IdealMs(*sent.line);
-        results_.ratios[group].push_back(ratio);
-        results_.ratios[sent.line->kind].push_back(ratio);
-      } else if (sent.status == 429) {
-        ++results_.refused;
-      } else if (sent.status == 503) {
-        ++results_.unknown;
-      } else {
-        ++results_.failed;
-      }
-    }
+    sent.code_name = object->optValue<std::string>("name", "");
   }
 
   // Sums the counters of all daemons.
@@ -296,150 +258,12 @@
   SocketLoop loop_;
   HttpClient client_;
   std::vector<Sent> sent_;
+  std::set<int64_t> refused_minutes_;
   Results results_;
   size_t next_entry_ = 0;
   int outstanding_ = 0;
 };
 
-double Quantile(std::vector<double> values, double q) {
-  if (values.empty()) {
-    return 0;
-  }
-  std::sort(values.begin(), values.end());
-  const auto rank =
-      static_cast<size_t>(std::ceil(q * static_cast<double>(values.size())));
-  return values[std::min(values.size() - 1, rank == 0 ? 0 : rank - 1)];
-}
-
-double Counter(const Results& results, const std::string& name) {
-  const auto found = results.counters.find("goldcrest_" + name);
-  return found == results.counters.end() ? 0 : found->second;
-}
-
-// One cause of wasted messages and how many it took: a start and its answer
-// are two messages, and so is each request between VMs that had to be repeated.
-struct Waste {
-  std::string cause;
-  double messages = 0;
-};
-
-std::vector<Waste> WasteOf(const Results& results) {
-  return {
-      {"refused_starts", 2 * Counter(results, "refused_starts_total")},
-      {"lost_hedges", 2 * Counter(results, "hedges_lost_total")},
-      {"late_answers", Counter(results, "late_answers_total")},
-      {"lookups", 2 * Counter(results, "lookups_total")},
-      {"claim_resends", Counter(results, "claim_resends_total")},
-      {"forward_resends", Counter(results, "forward_resends_total")},
-  };
-}
-
-double AllMessages(const Results& results) {
-  return 2 * Counter(results, "starts_total") +
-         2 * Counter(results, "stops_total") +
-         2 * Counter(results, "lookups_total") + 2 * results.submitted +
-         Counter(results, "peer_messages_total") -
-         Counter(results, "control_messages_total");
-}
-
-void PrintText(std::ostream& out, const Results& results) {
-  out << std::fixed << std::setprecision(3);
-  out << "submissions " << results.submitted << ": complete "
-      << results.complete << ", failed " << results.failed << ", refused "
-      << results.refused << ", unknown or unavailable " << results.unknown
-      << ", no answer " << results.lost << "\n";
-  for (const auto& [name, count] : results.refusals) {
-    out << "  answered " << name << ": " << count << "\n";
-  }
-  out << "response ratio     count     p50     p99   p99.9\n";
-  for (const auto& [name, ratios] : results.ratios) {
-    out << "  " << std::left << std::setw(14) << name << std::right
-        << std::setw(8) << ratios.size() << std::setw(8)
-        << Quantile(ratios, 0.5) << std::setw(8) << Quantile(ratios, 0.99)
-        << std::setw(8) << Quantile(ratios, 0.999) << "\n";
-  }
-  const double all = AllMessages(results);
-  double wasted = 0;
-  for (const Waste& waste : WasteOf(results)) {
-    wasted += waste.messages;
-    if (waste.messages > 0) {
-      out << "  wasted by " << waste.cause << ": " << waste.messages << "\n";
-    }
-  }
-  out << "messages " << all << ", per task " << all / results.tasks
-      << ", wasted " << 100 * wasted / all << "%\n";
-}
-
-std::string ResultsJson(const Results& results) {
-  std::ostringstream out;
-  out << "{\"submitted\":" << results.submitted
-      << ",\"complete\":" << results.complete
-      << ",\"failed\":" << results.failed << ",\"refused\":" << results.refused
-      << ",\"unknown\":" << results.unknown << ",\"lost\":" << results.lost
-      << ",\"ratios\":{";
-  bool first = true;
-  for (const auto& [name, ratios] : results.ratios) {
-    out << (first ? "" : ",") << JsonQuote(name)
-        << ":{\"count\":" << ratios.size()
-        << ",\"p50\":" << Quantile(ratios, 0.5)
-        << ",\"p99\":" << Quantile(ratios, 0.99)
-        << ",\"p999\":" << Quantile(ratios, 0.999) << "}";
-    first = false;
-  }
-  double wasted = 0;
-  out << "},\"wasted\":{";
-  first = true;
-  for (const Waste& waste : WasteOf(results)) {
-    out << (first ? "" : ",") << JsonQuote(waste.cause) << ":"
-        << waste.messages;
-    wasted += waste.messages;
-    first = false;
-  }
-  const double all = AllMessages(results);
-  out << "},\"messages\":" << all
-      << ",\"messages_per_task\":" << all / results.tasks
-      << ",\"wasted_share\":" << wasted / all << "}\n";
-  return out.str();
-}
-
-// One group of jobs in the plot.
-struct PlotGroup {
-  const char* group;
-  const char* name;
-  const char* color;
-};
-
-constexpr PlotGroup kPlotGroups[] = {
-    {"single", "jobs with one task", "#1f4e79"},
-    {"many", "jobs with many tasks", "#a3541c"},
-};
-
-// Plots the distribution of the ratio: quantile across, ratio up to 3.
-std::string ResultsSvg(const Results& results) {
-  constexpr double kMaxRatio = 3;
-  constexpr int kSteps = 200;
-  Plot plot;
-  plot.x_title = "share of jobs with a response ratio below";
-  plot.x.ticks = {
-      {0, "0"}, {0.25, "0.25"}, {0.5, "0.5"}, {0.75, "0.75"}, {1, "1"}};
-  plot.y.low = 1;
-  plot.y.high = kMaxRatio;
-  plot.y.ticks = {{1, "1"}, {1.5, "1.5"}, {2, "2"}, {2.5, "2.5"}, {3, "3"}};
-  for (const PlotGroup& group : kPlotGroups) {
-    const auto found = results.ratios.find(group.group);
-    if (found == results.ratios.end()) {
-      continue;
-    }
-    PlotLine line = {group.name, group.color, {}};
-    for (int i = 0; i <= kSteps; ++i) {
-      const double share = static_cast<double>(i) / kSteps;
-      line.points.push_back({share, Quantile(found->second, share)});
-    }
-    plot.lines.push_back(line);
-  }
-  return PlotSvg(plot);
-}
-
 // Writes a file that was asked for; does nothing without a path.
 void WriteIfNamed(const std::string& path, const std::string& text) {
   if (!path.empty()) {
@@ -490,9 +314,10 @@
   WriteIfNamed(FLAGS_save_trace, WriteTrace(trace));
   Load load(entries, trace);
   load.Run();
-  PrintText(std::cout, load.results());
+  std::cout << ResultsText(load.results());
   WriteIfNamed(FLAGS_json, ResultsJson(load.results()));
   WriteIfNamed(FLAGS_svg, ResultsSvg(load.results()));
+  WriteIfNamed(FLAGS_submissions, SubmissionsText(load.sent(), Ideal()));
   return load.results().lost == 0 ? kExitOk : kExitFailure;
 }
 
