Split the claim owner, and sync every vote in the synced comparison

Change: claim_message, claim_updates, claim_takeover and claim_vote_delivery are files of their own; every voter's vote goes through the last one.

--- a/edge/testing/loopback_deployment.cc
+++ b/edge/testing/loopback_deployment.cc
@@ -80,8 +80,9 @@
   for (const std::string& other : names_) {
     const Vm& peer = vms_.at(other);
     const std::string address =
-        other == name ? peer.peer_address
-                      : relays_.Add(name, other, peer.peer_address);
+        other == name || !options_.relays
+            ? peer.peer_address
+            : relays_.Add(name, other, peer.peer_address);
     deployment.vms.push_back({other, peer.failure_domain, address});
   }
   std::sort(deployment.vms.begin(), deployment.vms.end(),
--- a/edge/testing/loopback_deployment.h
+++ b/edge/testing/loopback_deployment.h
@@ -29,6 +29,8 @@
   // Names the folder of the start log and of the data folders.
   std::string name = "loopback";
   bool disks = false;
+  // Whether peers talk through relays, which can be cut and add latency.
+  bool relays = true;
   HttpServerOptions http = {};
   Tuning tuning = {};
 };
--- a/edge/testing/relay.cc
+++ b/edge/testing/relay.cc
@@ -70,6 +70,8 @@
   try {
     pair.server.connect(Poco::Net::SocketAddress(relay.target),
                         Poco::Timespan(0, kConnectMs * 1000));
+    pair.client.setNoDelay(true);
+    pair.server.setNoDelay(true);
     relay.pairs.push_back(std::move(pair));
   } catch (const Poco::Exception&) {
     pair.client.close();
--- a/goldcrest/blackboard.h
+++ b/goldcrest/blackboard.h
@@ -465,12 +465,10 @@
   size_t answer_bytes = 0;
 };
 
-// This VM's own vote, which counts when its record is durable. One of the two
-// replies is set.
+// A vote of this VM that goes to its proposer when its record is durable.
 struct UnsyncedVote {
-  std::string submission_id;
-  wire::ClaimReply reply;
-  wire::ClaimUpdateReply update_reply;
+  std::string proposer;
+  wire::PeerMessage message;
 };
 
 struct ClaimExpiry {
@@ -626,7 +624,7 @@
   std::map<uint64_t, ForwardedAnnouncement> announcements;
   std::map<uint64_t, LookupQuery> queries;
   // Votes that wait for a synced journal record, by journal token.
-  std::unordered_map<uint64_t, UnsyncedVote> unsynced_claims;
+  std::unordered_map<uint64_t, UnsyncedVote> unsynced_votes;
   uint64_t next_id = 1;
   bool draining = false;
   bool drained = false;
--- a/goldcrest/claim_owner.h
+++ b/goldcrest/claim_owner.h
@@ -1,8 +1,9 @@
 #ifndef GOLDCREST_CLAIM_OWNER_H_
 #define GOLDCREST_CLAIM_OWNER_H_
 
-// The proposer's side of the claim register: winning a claim, adding to it,
-// taking it over.
+// The proposer's side of the claim register: winning a claim. What an owner
+// then adds to it is in claim_updates.h, taking over what others left in
+// claim_takeover.h.
 //
 // A job is claimed before any of its tasks starts. The preferred owner wins
 // with one round to the voters; anybody else, and anybody after a lapse of the
@@ -34,43 +35,6 @@
                   Now now,
                   Actions& actions);
 
-// Adds to the claim of an owned job at its voters. `job` learns through
-// OnUpdateMajority() when a majority has recorded it. Returns its number.
-uint64_t AddToClaim(Blackboard& bb,
-                    Job& job,
-                    wire::ClaimUpdate update,
-                    Now now,
-                    Actions& actions);
-
-// Handles a voter's answer to an addition.
-void OnClaimUpdateReply(Blackboard& bb,
-                        const std::string& from,
-                        const wire::ClaimUpdateReply& reply,
-                        Now now,
-                        Actions& actions);
-
-// Sends unanswered additions again, or gives up waiting for them.
-void OnClaimUpdateTimer(Blackboard& bb,
-                        const std::string& id,
-                        Now now,
-                        Actions& actions);
-
-// Handles a synced (or failed) journal record of this VM's own vote.
-void OnClaimSynced(Blackboard& bb,
-                   uint64_t token,
-                   bool ok,
-                   Now now,
-                   Actions& actions);
-
-// Claims every unfinished submission whose owner is gone and that this VM is
-// next to own.
-void TakeOverOrphans(Blackboard& bb, Now now, Actions& actions);
-
-// Claims again the owned jobs from before a lapse of the serving lease, once
-// the lease is back. Called before every placement: no such job may start a
-// task before.
-void ReclaimAfterLapse(Blackboard& bb, Now now, Actions& actions);
-
 // Returns the first ballot of this VM in `round`.
 uint64_t MakeBallot(const Blackboard& bb, uint64_t round);
 
--- a/goldcrest/drain.cc
+++ b/goldcrest/drain.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "goldcrest/claim_owner.h"
+#include "goldcrest/claim_updates.h"
 #include "goldcrest/forwarding.h"
 #include "goldcrest/jobs.h"
 #include "goldcrest/membership.h"
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "goldcrest/admission.h"
-#include "goldcrest/claim_owner.h"
 #include "goldcrest/claim_store.h"
+#include "goldcrest/claim_updates.h"
 #include "goldcrest/claim_voter.h"
 #include "goldcrest/forwarding.h"
 #include "goldcrest/membership.h"
--- a/goldcrest/placement.cc
+++ b/goldcrest/placement.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "goldcrest/baseline.h"
-#include "goldcrest/claim_owner.h"
+#include "goldcrest/claim_updates.h"
 #include "goldcrest/jobs.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/worker_table.h"
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -7,6 +7,9 @@
 #include "goldcrest/borrowing.h"
 #include "goldcrest/claim_owner.h"
 #include "goldcrest/claim_store.h"
+#include "goldcrest/claim_takeover.h"
+#include "goldcrest/claim_updates.h"
+#include "goldcrest/claim_vote_delivery.h"
 #include "goldcrest/claim_voter.h"
 #include "goldcrest/configuration_agreement.h"
 #include "goldcrest/drain.h"
@@ -84,22 +87,19 @@
                     const wire::PeerMessage& message,
                     Now now,
                     Actions& actions) {
-  wire::PeerMessage reply;
-  *reply.mutable_claim_reply() = VoteOnClaim(
-      bb, message.from(), message.incarnation(), message.claim_request(), now);
-  ++bb.counters.claim_messages;
-  Send(bb, message.from(), std::move(reply), actions);
+  DeliverVote(bb, message.from(),
+              VoteOnClaim(bb, message.from(), message.incarnation(),
+                          message.claim_request(), now),
+              now, actions);
 }
 
 void OnClaimUpdate(Blackboard& bb,
                    const wire::PeerMessage& message,
                    Now now,
                    Actions& actions) {
-  wire::PeerMessage reply;
-  *reply.mutable_claim_update_reply() =
-      VoteOnUpdate(bb, message.from(), message.claim_update(), now);
-  ++bb.counters.claim_messages;
-  Send(bb, message.from(), std::move(reply), actions);
+  DeliverVote(bb, message.from(),
+              VoteOnUpdate(bb, message.from(), message.claim_update(), now),
+              now, actions);
 }
 
 void OnPeerMessage(Blackboard& bb,
@@ -197,7 +197,7 @@
   }
   void operator()(const JournalSynced& event) {
     OnVoteSynced(bb, event.token, event.ok, now, actions);
-    OnClaimSynced(bb, event.token, event.ok, now, actions);
+    OnClaimVoteSynced(bb, event.token, event.ok, now, actions);
   }
   void operator()(const ConfigurationPut& event) {
     OnConfigurationPut(bb, event, now, actions);
