Answer at once what is known to be out of reach

Cause: at a VM that a partition had isolated, each submission waited out the claim's 2.5 s or the 2 s for its home anew, and with both in a row up to 5.7 s, although the VM had not heard of a quorum, or of any home VM, for longer than that. A caller that waits cannot go to another VM meanwhile. Change: both patiences count from when a majority of the voters, or any home VM, was last heard of.

--- a/edge/journal.h
+++ b/edge/journal.h
@@ -5,9 +5,10 @@
 //
 // A record is a length, a CRC-32 and a serialised JournalRecord. Appends are
 // written by a thread of their own in the order in which they were asked for,
-// as many as wait in one write and one sync, and reported when durable. When the file has grown past a bound it
-// is replaced by a snapshot of what still counts, written beside it, synced and
-// renamed, so that a crash at any moment leaves one whole journal.
+// as many as wait in one write and one sync, and reported when durable. When
+// the file has grown past a bound it is replaced by a snapshot of what still
+// counts, written beside it, synced and renamed, so that a crash at any moment
+// leaves one whole journal.
 //
 // Reading stops at the first record that is torn or damaged. A torn tail is
 // what a crash leaves and is cut off. Damage before the end means that synced
--- a/goldcrest/claim_owner.cc
+++ b/goldcrest/claim_owner.cc
@@ -343,7 +343,9 @@
     return;
   }
   ClaimAttempt& claim = job->claim;
-  if (now.mono - claim.started_at > bb.tuning.claim_timeout) {
+  const Micros quorum_since = MajorityHeardAt(bb, VotersOf(bb, *job), now);
+  const Micros waited_since = std::min(claim.started_at, quorum_since);
+  if (now.mono - waited_since > bb.tuning.claim_timeout) {
     EndUnknown(bb, *job, ResultCode::kNoQuorum, now, actions);
     return;
   }
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -32,9 +32,12 @@
          job.forwarded_incarnation != IncarnationOf(bb, job.forwarded_to);
 }
 
-void ArmForwardTimer(Blackboard& bb, Job& job, Now now) {
+// Sets the one forward timer of `job`, to `due` or the resend if that is
+// sooner.
+void ArmForwardTimer(Blackboard& bb, Job& job, Micros due, Now now) {
   bb.timers.Clear(job.forward_timer_due, TimerKind::kForward, job.id);
-  job.forward_timer_due = now.mono + bb.tuning.forward_resend;
+  const Micros resend = now.mono + bb.tuning.forward_resend;
+  job.forward_timer_due = std::clamp(due, now.mono, resend);
   bb.timers.Set(job.forward_timer_due, TimerKind::kForward, job.id);
 }
 
@@ -278,11 +281,14 @@
   job.named_owner = job.named_owner && job.forwarded_to == target;
   job.forwarded_to = target;
   job.forward_elapsed_ms = (now.mono - job.received_at) / kMillisecond;
-  ArmForwardTimer(bb, job, now);
+  ArmForwardTimer(bb, job, now.mono + bb.tuning.forward_resend, now);
   if (target.empty()) {
-    if (job.unreachable_since == 0) {
-      job.unreachable_since = now.mono;
-    }
+    const Micros heard_at = AnyHeardAt(bb, bb.deployment.VmsOf(job.home), now);
+    const bool noted = job.unreachable_since != 0;
+    job.unreachable_since =
+        std::min(noted ? job.unreachable_since : now.mono, heard_at);
+    ArmForwardTimer(bb, job, job.unreachable_since + bb.tuning.forward_patience,
+                    now);
     return;
   }
   job.unreachable_since = 0;
@@ -324,7 +330,7 @@
   const bool target_gone =
       job->forwarded_to.empty() || !IsReachable(bb, job->forwarded_to);
   if (!target_gone) {
-    ArmForwardTimer(bb, *job, now);
+    ArmForwardTimer(bb, *job, now.mono + bb.tuning.forward_resend, now);
     if (MustSendAgain(bb, *job)) {
       ++bb.counters.forward_resends;
       for (Waiter& waiter : job->waiters) {
@@ -342,7 +348,7 @@
   }
   const bool out_of_patience =
       job->unreachable_since != 0 &&
-      now.mono - job->unreachable_since > bb.tuning.forward_patience;
+      now.mono - job->unreachable_since >= bb.tuning.forward_patience;
   if (target.empty() && out_of_patience) {
     AnswerAndRemove(bb, *job, UnknownHome(*job), now, actions);
     return;
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -206,6 +206,25 @@
          bb.tuning.lease_margin;
 }
 
+// Returns when `count` of `vms` were last heard of, all of them. What was never
+// heard of counts as heard when this VM started.
+Micros HeardAt(const Blackboard& bb,
+               const std::vector<std::string>& vms,
+               size_t count,
+               Now now) {
+  std::vector<Micros> heard;
+  for (const std::string& vm : vms) {
+    const auto found = bb.membership.peers.find(vm);
+    const Micros last =
+        found == bb.membership.peers.end() ? 0 : found->second.last_heard;
+    heard.push_back(vm == bb.deployment.self
+                        ? now.mono
+                        : std::max(last, bb.membership.started_at));
+  }
+  std::sort(heard.rbegin(), heard.rend());
+  return count <= heard.size() ? heard[count - 1] : bb.membership.started_at;
+}
+
 void RefreshLease(Blackboard& bb, Now now, Actions& actions) {
   Membership& membership = bb.membership;
   membership.lease_until = LeaseFromVoters(bb, now);
@@ -400,6 +419,18 @@
   return found != bb.membership.peers.end() && found->second.reachable;
 }
 
+Micros MajorityHeardAt(const Blackboard& bb,
+                       const std::vector<std::string>& vms,
+                       Now now) {
+  return HeardAt(bb, vms, MajorityOf(vms.size()), now);
+}
+
+Micros AnyHeardAt(const Blackboard& bb,
+                  const std::vector<std::string>& vms,
+                  Now now) {
+  return HeardAt(bb, vms, 1, now);
+}
+
 bool HoldsServingLease(const Blackboard& bb, Now now) {
   return IsBroken(bb, Break::kNoServingLease) ||
          (bb.membership.lease_valid && bb.membership.lease_until > now.mono);
--- a/goldcrest/membership.h
+++ b/goldcrest/membership.h
@@ -58,6 +58,16 @@
 // Says whether `vm` is this VM or is reachable.
 bool IsReachable(const Blackboard& bb, const std::string& vm);
 
+// Returns when a majority of `vms` was last heard of.
+Micros MajorityHeardAt(const Blackboard& bb,
+                       const std::vector<std::string>& vms,
+                       Now now);
+
+// Returns when the last of `vms` to be heard of was heard of.
+Micros AnyHeardAt(const Blackboard& bb,
+                  const std::vector<std::string>& vms,
+                  Now now);
+
 // Says whether this VM holds the serving lease at `now`.
 bool HoldsServingLease(const Blackboard& bb, Now now);
 
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -350,4 +350,25 @@
   CheckNoFaults(world);
 }
 
+TEST_CASE("what is known to be out of reach is answered at once") {
+  FakeWorld world(QuietWorld());
+  world.RunFor(2 * kSecond);
+  const std::string alone = world.VmsOf("da").front();
+  world.CutVm(alone);
+  world.RunFor(5 * kSecond);
+  const Micros sent_at = world.now();
+  // One claims without a quorum, the other has no home VM to go to.
+  world.Submit(alone, AtHome(world, "own", "knell", "da", 1, 50));
+  world.Submit(alone, AtHome(world, "far", "knell", "db", 1, 50));
+  world.RunFor(5 * kSecond);
+  for (const char* id : {"own", "far"}) {
+    const CallerRecord& record = world.callers().at(id);
+    REQUIRE(record.answers.size() == 1);
+    CHECK(OutcomeOf(record.answers[0].result) == Outcome::kUnknown);
+    CHECK(record.answers[0].at - sent_at < 500 * kMillisecond);
+    CHECK(world.StartsOf(id, 0) == 0);
+  }
+  CheckNoFaults(world);
+}
+
 }  // namespace goldcrest
