--- a/edge/settings.cc
+++ b/edge/settings.cc
@@ -122,6 +122,10 @@
   FailUsage(program, "unknown setting " + argument + "; see --help");
 }
 
+std::string AddressError(const std::string& flag, const std::string& text) {
+  return "--" + flag + ": '" + text + "' is not IP:PORT";
+}
+
 }  // namespace
 
 void FailUsage(const ProgramInfo& program, const std::string& message) {
@@ -164,7 +168,7 @@
   std::vector<std::string> addresses = SplitList(text);
   for (const std::string& address : addresses) {
     if (!IsAddress(address)) {
-      FailUsage(program, "'" + address + "' in --" + flag + " is not IP:PORT");
+      FailUsage(program, AddressError(flag, address));
     }
   }
   return addresses;
--- a/goldcrest/testing/catch_main.cc
+++ b/goldcrest/testing/catch_main.cc
@@ -23,6 +23,8 @@
       Opt(options.seeds, "N")["--seeds"]("seeds of the randomised tests") |
       Opt(options.first_seed, "N")["--first_seed"]("first of these seeds") |
       Opt(options.trace)["--trace"]("print what happens in each run") |
+      Opt(options.record,
+          "FILE")["--record"]("file to record the last randomised run to") |
       Opt(options.break_name, "NAME")["--remove"](
           "mechanism to remove in the randomised tests; they must then fail");
   session.cli(cli);
--- a/goldcrest/testing/fake_world.cc
+++ b/goldcrest/testing/fake_world.cc
@@ -97,7 +97,7 @@
     }
   }
   for (const std::string& name : names) {
-    StartVm(name, true);
+    BootVm(name, true);
   }
   for (auto& [name, worker] : workers_) {
     Worker* started = worker.get();
@@ -191,7 +191,28 @@
   return {domains.begin(), domains.end()};
 }
 
+void FakeWorld::Record(TraceVerb verb, const std::string& target) {
+  TraceStep step;
+  step.verb = verb;
+  step.target = target;
+  Record(std::move(step));
+}
+
+void FakeWorld::Record(TraceStep step) {
+  step.at = now_;
+  recording.push_back(std::move(step));
+}
+
 void FakeWorld::StartVm(const std::string& name, bool keep_disk) {
+  TraceStep step;
+  step.verb = TraceVerb::kStart;
+  step.target = name;
+  step.keep_disk = keep_disk ? 1 : 0;
+  Record(std::move(step));
+  BootVm(name, keep_disk);
+}
+
+void FakeWorld::BootVm(const std::string& name, bool keep_disk) {
   Vm& vm = *vms_.at(name);
   if (vm.board) {
     return;
@@ -236,6 +257,11 @@
 }
 
 void FakeWorld::CrashVm(const std::string& name) {
+  Record(TraceVerb::kCrash, name);
+  EndVm(name);
+}
+
+void FakeWorld::EndVm(const std::string& name) {
   Vm& vm = *vms_.at(name);
   vm.board.reset();
   vm.tick_at = 0;
@@ -244,6 +270,7 @@
 }
 
 void FakeWorld::Drain(const std::string& name) {
+  Record(TraceVerb::kDrain, name);
   if (IsUp(name)) {
     StepVm(*vms_.at(name), DrainRequest());
   }
@@ -286,7 +313,7 @@
     if (!vm.board->callers.empty()) {
       faults.push_back(vm.name + " drained and left callers without an answer");
     }
-    CrashVm(vm.name);
+    EndVm(vm.name);
     return;
   }
   ScheduleTick(vm);
@@ -433,38 +460,50 @@
 }
 
 void FakeWorld::Cut(const std::string& from, const std::string& to) {
+  TraceStep step;
+  step.verb = TraceVerb::kCut;
+  step.target = from;
+  step.other = to;
+  Record(std::move(step));
+  CutLink(from, to);
+}
+
+void FakeWorld::CutLink(const std::string& from, const std::string& to) {
   cuts_.insert({from, to});
   Trace("cut " + from + " -> " + to);
 }
 
 void FakeWorld::CutVm(const std::string& vm) {
+  Record(TraceVerb::kCutVm, vm);
   for (const auto& [other, state] : vms_) {
-    Cut(vm, other);
-    Cut(other, vm);
+    CutLink(vm, other);
+    CutLink(other, vm);
   }
   for (const auto& [worker, state] : workers_) {
-    Cut(vm, worker);
-    Cut(worker, vm);
+    CutLink(vm, worker);
+    CutLink(worker, vm);
   }
 }
 
 void FakeWorld::CutDomain(const std::string& domain) {
+  Record(TraceVerb::kCutDomain, domain);
   for (const auto& [vm, state] : vms_) {
     for (const auto& [other, other_state] : vms_) {
       if ((state->domain == domain) != (other_state->domain == domain)) {
-        Cut(vm, other);
+        CutLink(vm, other);
       }
     }
     for (const auto& [worker, worker_state] : workers_) {
       if ((state->domain == domain) != (worker_state->domain == domain)) {
-        Cut(vm, worker);
-        Cut(worker, vm);
+        CutLink(vm, worker);
+        CutLink(worker, vm);
       }
     }
   }
 }
 
 void FakeWorld::HealCuts() {
+  Record(TraceVerb::kHeal, "");
   cuts_.clear();
   Trace("cuts healed");
 }
@@ -727,6 +766,11 @@
 }
 
 void FakeWorld::CrashWorker(const std::string& name) {
+  Record(TraceVerb::kCrashWorker, name);
+  EndWorker(name);
+}
+
+void FakeWorld::EndWorker(const std::string& name) {
   Worker& worker = *workers_.at(name);
   if (!worker.up) {
     return;
@@ -741,15 +785,17 @@
 }
 
 void FakeWorld::LeaveWorker(const std::string& name) {
+  Record(TraceVerb::kLeaveWorker, name);
   Worker& worker = *workers_.at(name);
   worker.leaving = true;
   worker.left_at = 0;
 }
 
 void FakeWorld::ReturnWorker(const std::string& name) {
+  Record(TraceVerb::kReturnWorker, name);
   Worker& worker = *workers_.at(name);
   if (worker.leaving) {
-    CrashWorker(name);
+    EndWorker(name);
     worker.leaving = false;
   }
 }
@@ -764,6 +810,14 @@
 
 // ------------------------------------------------------------------ callers
 
+void FakeWorld::SetLoss(double loss) {
+  TraceStep step;
+  step.verb = TraceVerb::kLoss;
+  step.loss = loss;
+  Record(std::move(step));
+  options_.loss = loss;
+}
+
 wire::Submission FakeWorld::MakeSubmission(const std::string& id,
                                            const std::string& kind,
                                            int tasks,
@@ -784,6 +838,16 @@
 
 void FakeWorld::Submit(const std::string& vm,
                        const wire::Submission& submission) {
+  TraceStep step;
+  step.verb = TraceVerb::kSubmit;
+  step.target = vm;
+  step.id = submission.submission_id();
+  step.kind = submission.kind();
+  step.home = submission.home();
+  step.tasks = submission.tasks_size();
+  step.run_ms = static_cast<int64_t>(submission.tasks(0).run_ms());
+  step.submitted_at_ms = submission.submitted_at_ms();
+  Record(std::move(step));
   CallerRecord& record = callers_[submission.submission_id()];
   if (record.sent == 0) {
     record.submission = submission;
@@ -820,6 +884,11 @@
 }
 
 void FakeWorld::Cancel(const std::string& vm, const std::string& id) {
+  TraceStep step;
+  step.verb = TraceVerb::kCancel;
+  step.target = vm;
+  step.id = id;
+  Record(std::move(step));
   if (!IsUp(vm)) {
     return;
   }
@@ -834,6 +903,13 @@
 void FakeWorld::PutConfiguration(const std::string& vm,
                                  uint64_t if_version,
                                  const Configuration& configuration) {
+  TraceStep step;
+  step.verb = TraceVerb::kPut;
+  step.target = vm;
+  step.version = static_cast<int64_t>(if_version);
+  step.service = configuration.service;
+  step.team_limit = configuration.teams.front().max_running_tasks;
+  Record(std::move(step));
   if (!IsUp(vm)) {
     return;
   }
--- a/goldcrest/testing/fake_world.h
+++ b/goldcrest/testing/fake_world.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "goldcrest/step.h"
+#include "goldcrest/testing/fault_trace.h"
 
 namespace goldcrest {
 
@@ -119,7 +120,7 @@
   void ReturnWorker(const std::string& worker);
   // Says whether `vm` is the only one that is up with its memory whole.
   bool IsLastWhole(const std::string& vm) const;
-  void SetLoss(double loss) { options_.loss = loss; }
+  void SetLoss(double loss);
 
   // State.
   bool IsUp(const std::string& vm) const;
@@ -149,6 +150,9 @@
   // Records what is still wrong when everything has healed and settled.
   void CheckSettled();
 
+  // What callers, operators and faults did, in order.
+  std::vector<TraceStep> recording;
+
   std::vector<std::string> faults;
   uint64_t messages_sent = 0;
   uint64_t messages_lost = 0;
@@ -162,6 +166,12 @@
   struct Scheduled;
   struct Later;
 
+  void Record(TraceVerb verb, const std::string& target);
+  void Record(TraceStep step);
+  void BootVm(const std::string& name, bool keep_disk);
+  void EndVm(const std::string& name);
+  void EndWorker(const std::string& name);
+  void CutLink(const std::string& from, const std::string& to);
   void At(Micros time, std::function<void()> action);
   Micros Delay();
   bool Chance(double probability);
--- /dev/null
+++ b/goldcrest/testing/fault_trace.cc
@@ -0,0 +1,302 @@
+#include "goldcrest/testing/fault_trace.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <sstream>
+#include <variant>
+
+#include <Poco/NumberParser.h>
+#include <Poco/StringTokenizer.h>
+
+#include "goldcrest/submission.h"
+#include "goldcrest/testing/fake_world.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr std::array<std::string_view, 16> kVerbNames = {
+    "submit",        "cancel", "put",          "crash",
+    "start",         "drain",  "cut",          "cut_vm",
+    "cut_domain",    "heal",   "crash_worker", "leave_worker",
+    "return_worker", "loss",   "world",        "expect"};
+
+using FieldMember = std::variant<std::string TraceStep::*,
+                                 int64_t TraceStep::*,
+                                 double TraceStep::*>;
+
+// One field and where it is kept.
+struct FieldRow {
+  std::string_view name;
+  FieldMember member;
+};
+
+const FieldRow kFields[] = {
+    {"target", &TraceStep::target},
+    {"other", &TraceStep::other},
+    {"id", &TraceStep::id},
+    {"kind", &TraceStep::kind},
+    {"home", &TraceStep::home},
+    {"tasks", &TraceStep::tasks},
+    {"run_ms", &TraceStep::run_ms},
+    {"submitted_at_ms", &TraceStep::submitted_at_ms},
+    {"version", &TraceStep::version},
+    {"service", &TraceStep::service},
+    {"team_limit", &TraceStep::team_limit},
+    {"keep_disk", &TraceStep::keep_disk},
+    {"loss", &TraceStep::loss},
+    {"seed", &TraceStep::seed},
+    {"shape", &TraceStep::shape},
+    {"disk_every", &TraceStep::disk_every},
+    {"duplication", &TraceStep::duplication},
+    {"retention_s", &TraceStep::retention_s},
+    {"outcome", &TraceStep::outcome},
+    {"most_starts", &TraceStep::most_starts},
+};
+
+// Reads a value into a field. Returns false when it has another type.
+class FieldReader {
+ public:
+  FieldReader(TraceStep& step, const std::string& text)
+      : step_(step), text_(text) {}
+
+  bool operator()(std::string TraceStep::*member) const {
+    step_.*member = text_;
+    return true;
+  }
+  bool operator()(int64_t TraceStep::*member) const {
+    Poco::Int64 value = 0;
+    const bool ok = Poco::NumberParser::tryParse64(text_, value);
+    step_.*member = value;
+    return ok;
+  }
+  bool operator()(double TraceStep::*member) const {
+    return Poco::NumberParser::tryParseFloat(text_, step_.*member);
+  }
+
+ private:
+  TraceStep& step_;
+  const std::string& text_;
+};
+
+bool ReadField(const std::string& part, TraceStep& step) {
+  const size_t equals = part.find('=');
+  if (equals == std::string::npos) {
+    return false;
+  }
+  const std::string name = part.substr(0, equals);
+  const std::string value = part.substr(equals + 1);
+  for (const FieldRow& row : kFields) {
+    if (row.name == name) {
+      return std::visit(FieldReader(step, value), row.member);
+    }
+  }
+  return false;
+}
+
+bool ReadVerb(const std::string& name, TraceVerb& verb) {
+  const auto found = std::find(kVerbNames.begin(), kVerbNames.end(), name);
+  verb = static_cast<TraceVerb>(found - kVerbNames.begin());
+  return found != kVerbNames.end();
+}
+
+bool ReadStep(const std::string& line, TraceStep& step) {
+  const Poco::StringTokenizer parts(line, " ",
+                                    Poco::StringTokenizer::TOK_IGNORE_EMPTY);
+  Poco::Int64 at = 0;
+  if (parts.count() < 2 || !Poco::NumberParser::tryParse64(parts[0], at) ||
+      !ReadVerb(parts[1], step.verb)) {
+    return false;
+  }
+  step.at = at;
+  return std::all_of(parts.begin() + 2, parts.end(),
+                     [&](const auto& part) { return ReadField(part, step); });
+}
+
+template <typename T>
+void WriteField(std::ostream& out,
+                std::string_view name,
+                const T& value,
+                const T& fallback) {
+  if (value != fallback) {
+    out << ' ' << name << '=' << value;
+  }
+}
+
+wire::Submission SubmissionOf(const TraceStep& step, const FakeWorld& world) {
+  wire::Submission submission =
+      world.MakeSubmission(step.id, step.kind, static_cast<int>(step.tasks),
+                           static_cast<uint64_t>(step.run_ms));
+  if (!step.home.empty()) {
+    submission.set_home(step.home);
+    submission.set_digest(SubmissionDigest(submission));
+  }
+  submission.set_submitted_at_ms(step.submitted_at_ms);
+  return submission;
+}
+
+Configuration ConfigurationOf(const TraceStep& step, int64_t retention_s) {
+  Configuration configuration = DefaultConfiguration();
+  configuration.limits.retention_s = retention_s;
+  configuration.service = step.service;
+  configuration.teams.front().max_running_tasks = step.team_limit;
+  return configuration;
+}
+
+void Drive(const TraceStep& step, int64_t retention_s, FakeWorld& world) {
+  switch (step.verb) {
+    case TraceVerb::kSubmit:
+      return world.Submit(step.target, SubmissionOf(step, world));
+    case TraceVerb::kCancel:
+      return world.Cancel(step.target, step.id);
+    case TraceVerb::kPut:
+      return world.PutConfiguration(step.target,
+                                    static_cast<uint64_t>(step.version),
+                                    ConfigurationOf(step, retention_s));
+    case TraceVerb::kCrash:
+      return world.CrashVm(step.target);
+    case TraceVerb::kStart:
+      return world.StartVm(step.target, step.keep_disk != 0);
+    case TraceVerb::kDrain:
+      return world.Drain(step.target);
+    case TraceVerb::kCut:
+      return world.Cut(step.target, step.other);
+    case TraceVerb::kCutVm:
+      return world.CutVm(step.target);
+    case TraceVerb::kCutDomain:
+      return world.CutDomain(step.target);
+    case TraceVerb::kHeal:
+      return world.HealCuts();
+    case TraceVerb::kCrashWorker:
+      return world.CrashWorker(step.target);
+    case TraceVerb::kLeaveWorker:
+      return world.LeaveWorker(step.target);
+    case TraceVerb::kReturnWorker:
+      return world.ReturnWorker(step.target);
+    case TraceVerb::kLoss:
+      return world.SetLoss(step.loss);
+    case TraceVerb::kWorld:
+    case TraceVerb::kExpect:
+      return;
+  }
+}
+
+const TraceStep& WorldStep(const FaultTrace& trace) {
+  static const TraceStep fallback;
+  const auto found = std::find_if(
+      trace.begin(), trace.end(),
+      [](const TraceStep& step) { return step.verb == TraceVerb::kWorld; });
+  return found == trace.end() ? fallback : *found;
+}
+
+// Whether any copy of a submission got a final answer.
+bool HasFinalAnswer(const FakeWorld& world, const std::string& id) {
+  const auto& answers = world.callers().at(id).answers;
+  return std::any_of(
+      answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
+        const Outcome outcome = OutcomeOf(answer.result);
+        return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
+               outcome == Outcome::kCancelled;
+      });
+}
+
+// Returns what is wrong with one expectation; empty when it holds.
+std::string BrokenExpectation(const TraceStep& step, const FakeWorld& world) {
+  const wire::JobResult* last = world.LastAnswer(step.id);
+  const Outcome outcome =
+      last == nullptr ? Outcome::kPending : OutcomeOf(*last);
+  const bool holds = step.outcome == "any" ? HasFinalAnswer(world, step.id)
+                                           : NameOf(outcome) == step.outcome;
+  if (!holds) {
+    return step.id + " is " + std::string(NameOf(outcome)) + ", not " +
+           step.outcome;
+  }
+  const auto& submission = world.callers().at(step.id).submission;
+  for (int index = 0; index < submission.tasks_size(); ++index) {
+    const int starts = world.StartsOf(step.id, static_cast<uint32_t>(index));
+    if (starts > step.most_starts) {
+      return step.id + " had a task started " + std::to_string(starts) +
+             " times";
+    }
+  }
+  return "";
+}
+
+}  // namespace
+
+tl::expected<FaultTrace, std::string> ReadFaultTrace(const std::string& text) {
+  FaultTrace trace;
+  std::istringstream lines(text);
+  int number = 0;
+  for (std::string line; std::getline(lines, line);) {
+    ++number;
+    if (line.empty() || line[0] == '#') {
+      continue;
+    }
+    TraceStep step;
+    if (!ReadStep(line, step)) {
+      return tl::make_unexpected("line " + std::to_string(number) +
+                                 " is not a step: " + line);
+    }
+    trace.push_back(std::move(step));
+  }
+  return trace;
+}
+
+std::string WriteTraceStep(const TraceStep& step) {
+  static const TraceStep kDefaults;
+  std::ostringstream out;
+  out << step.at << ' ' << kVerbNames[static_cast<size_t>(step.verb)];
+  for (const FieldRow& row : kFields) {
+    std::visit(
+        [&](auto member) {
+          WriteField(out, row.name, step.*member, kDefaults.*member);
+        },
+        row.member);
+  }
+  return out.str();
+}
+
+WorldOptions WorldOfTrace(const FaultTrace& trace) {
+  const TraceStep& step = WorldStep(trace);
+  WorldOptions options;
+  options.seed = static_cast<uint64_t>(step.seed);
+  options.vms_per_domain.clear();
+  for (const std::string& vms : Poco::StringTokenizer(step.shape, ",")) {
+    options.vms_per_domain.push_back(Poco::NumberParser::parse(vms));
+  }
+  options.disk_every = static_cast<int>(step.disk_every);
+  options.loss = step.loss;
+  options.duplication = step.duplication;
+  options.configuration = DefaultConfiguration();
+  options.configuration.limits.retention_s = step.retention_s;
+  return options;
+}
+
+void ReplayFaultTrace(const FaultTrace& trace, Micros end, FakeWorld& world) {
+  const int64_t retention_s = WorldStep(trace).retention_s;
+  for (const TraceStep& step : trace) {
+    if (step.verb != TraceVerb::kExpect && step.verb != TraceVerb::kWorld) {
+      world.RunUntil(step.at);
+      Drive(step, retention_s, world);
+    }
+  }
+  world.RunUntil(end);
+}
+
+std::vector<std::string> BrokenExpectations(const FaultTrace& trace,
+                                            const FakeWorld& world) {
+  std::vector<std::string> broken;
+  for (const TraceStep& step : trace) {
+    if (step.verb != TraceVerb::kExpect) {
+      continue;
+    }
+    const std::string what = BrokenExpectation(step, world);
+    if (!what.empty()) {
+      broken.push_back(what);
+    }
+  }
+  return broken;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/goldcrest/testing/fault_trace_test.cc
@@ -0,0 +1,109 @@
+#include "goldcrest/testing/fault_trace.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "goldcrest/testing/fake_world.h"
+
+namespace goldcrest {
+namespace {
+
+std::string ReadText(const std::filesystem::path& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+FaultTrace TraceOrFail(const std::string& text) {
+  const auto trace = ReadFaultTrace(text);
+  INFO((trace ? "" : trace.error()));
+  REQUIRE(trace.has_value());
+  return *trace;
+}
+
+// Returns when the expectations are looked at.
+Micros EndOf(const FaultTrace& trace) {
+  return trace.back().at;
+}
+
+TEST_CASE("every recorded trace has its stated outcomes") {
+  const std::filesystem::path folder =
+      std::filesystem::path(GOLDCREST_SOURCE_DIR) / "goldcrest/testing/traces";
+  int replayed = 0;
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    INFO(entry.path().filename().string());
+    const FaultTrace trace = TraceOrFail(ReadText(entry.path()));
+    FakeWorld world(WorldOfTrace(trace));
+    ReplayFaultTrace(trace, EndOf(trace), world);
+    world.CheckSettled();
+    for (const std::string& broken : BrokenExpectations(trace, world)) {
+      FAIL_CHECK(broken);
+    }
+    for (const std::string& fault : world.faults) {
+      FAIL_CHECK(fault);
+    }
+    ++replayed;
+  }
+  CHECK(replayed >= 5);
+}
+
+TEST_CASE("a line is written as it is read") {
+  const std::string line =
+      "2000000 submit target=da1 id=job kind=knell home=da tasks=3 run_ms=100";
+  const FaultTrace trace = TraceOrFail("# a comment\n\n" + line + "\n");
+  REQUIRE(trace.size() == 1);
+  CHECK(WriteTraceStep(trace[0]) == line);
+}
+
+TEST_CASE("lines that are no steps are named") {
+  for (const char* bad : {"now heal", "1 fly", "1 heal target", "1 heal x=1",
+                          "1 submit tasks=many", "1"}) {
+    const auto trace = ReadFaultTrace("0 heal\n" + std::string(bad));
+    INFO(bad);
+    REQUIRE(!trace.has_value());
+    CHECK(trace.error().rfind("line 2 ", 0) == 0);
+  }
+}
+
+TEST_CASE("an expectation that does not hold is reported") {
+  const FaultTrace trace = TraceOrFail(
+      "0 world shape=2,2\n"
+      "3000000 submit target=da1 id=job kind=knell home=da run_ms=50\n"
+      "9000000 expect id=job outcome=failed\n"
+      "9000000 expect id=job outcome=complete most_starts=0\n"
+      "9000000 expect id=job outcome=complete\n");
+  FakeWorld world(WorldOfTrace(trace));
+  ReplayFaultTrace(trace, EndOf(trace), world);
+  CHECK(BrokenExpectations(trace, world).size() == 2);
+}
+
+TEST_CASE("a replay of a recording repeats the run") {
+  const FaultTrace trace = TraceOrFail(
+      "0 world seed=5 shape=2,2 loss=0.02\n"
+      "2500000 submit target=da1 id=a kind=peal tasks=4 run_ms=200\n"
+      "2600000 crash target=da2\n"
+      "3600000 start target=da2\n"
+      "9000000 submit target=db1 id=b kind=knell home=da run_ms=50\n"
+      "12000000 expect id=a outcome=complete\n");
+  FakeWorld first(WorldOfTrace(trace));
+  ReplayFaultTrace(trace, EndOf(trace), first);
+  std::string recorded = WriteTraceStep(trace[0]) + "\n";
+  for (const TraceStep& step : first.recording) {
+    recorded += WriteTraceStep(step) + "\n";
+  }
+  FakeWorld second(WorldOfTrace(trace));
+  ReplayFaultTrace(TraceOrFail(recorded), EndOf(trace), second);
+  REQUIRE(first.starts().size() == second.starts().size());
+  for (size_t i = 0; i < first.starts().size(); ++i) {
+    CHECK(first.starts()[i].at == second.starts()[i].at);
+    CHECK(first.starts()[i].worker == second.starts()[i].worker);
+  }
+  CHECK(first.messages_sent == second.messages_sent);
+}
+
+}  // namespace
+}  // namespace goldcrest
--- a/goldcrest/testing/random_faults_test.cc
+++ b/goldcrest/testing/random_faults_test.cc
@@ -2,6 +2,7 @@
 // promises checked against what the workers really started.
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 
 #include <catch2/catch.hpp>
@@ -61,15 +62,6 @@
     counts.lost_messages = world_.messages_lost;
   }
 
-  FakeWorld& world() { return world_; }
-  FaultCounts counts;
-
- private:
-  struct Planned {
-    Micros at;
-    std::function<void()> action;
-  };
-
   static WorldOptions MakeOptions(uint64_t seed) {
     std::mt19937_64 random(seed);
     WorldOptions options;
@@ -86,6 +78,25 @@
     return options;
   }
 
+  bool HasFinal(const std::string& id) {
+    const auto& answers = world_.callers().at(id).answers;
+    return std::any_of(
+        answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
+          const Outcome outcome = OutcomeOf(answer.result);
+          return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
+                 outcome == Outcome::kCancelled;
+        });
+  }
+
+  FakeWorld& world() { return world_; }
+  FaultCounts counts;
+
+ private:
+  struct Planned {
+    Micros at;
+    std::function<void()> action;
+  };
+
   template <typename T>
   T Pick(T low, T high) {
     std::uniform_int_distribution<T> pick(low, high);
@@ -155,16 +166,6 @@
     }
   }
 
-  bool HasFinal(const std::string& id) {
-    const auto& answers = world_.callers().at(id).answers;
-    return std::any_of(
-        answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
-          const Outcome outcome = OutcomeOf(answer.result);
-          return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
-                 outcome == Outcome::kCancelled;
-        });
-  }
-
   void Fault() {
     switch (Pick(0, 8)) {
       case 0:
@@ -300,6 +301,42 @@
   std::vector<std::string> asked_again_;
 };
 
+// Writes what a run did, with an expectation for each submission: a complete
+// one has to be complete again, any other has to have a final answer if it had
+// one.
+void WriteRecording(uint64_t seed, Run& run, const std::string& path) {
+  std::ofstream file(path);
+  const WorldOptions options = Run::MakeOptions(seed);
+  TraceStep world;
+  world.verb = TraceVerb::kWorld;
+  world.seed = static_cast<int64_t>(seed);
+  for (const int vms : options.vms_per_domain) {
+    world.shape += (world.shape.empty() ? "" : ",") + std::to_string(vms);
+  }
+  world.disk_every = options.disk_every;
+  world.loss = options.loss;
+  world.duplication = options.duplication;
+  file << "# Recorded from seed " << seed << " of random_faults_test.\n"
+       << WriteTraceStep(world) << "\n";
+  for (const TraceStep& step : run.world().recording) {
+    file << WriteTraceStep(step) << "\n";
+  }
+  for (const auto& [id, record] : run.world().callers()) {
+    TraceStep expect;
+    expect.at = run.world().now();
+    expect.verb = TraceVerb::kExpect;
+    expect.id = id;
+    const wire::JobResult* last = run.world().LastAnswer(id);
+    if (last == nullptr || !run.HasFinal(id)) {
+      continue;
+    }
+    const bool complete = OutcomeOf(*last) == Outcome::kComplete;
+    expect.outcome = complete ? "complete" : "any";
+    expect.most_starts = record.idempotent ? 3 : 1;
+    file << WriteTraceStep(expect) << "\n";
+  }
+}
+
 }  // namespace
 
 TEST_CASE("promises hold through random faults", "[random]") {
@@ -323,6 +360,9 @@
     total.changes += run.counts.changes;
     total.lost_messages += run.counts.lost_messages;
     starts += run.world().starts().size();
+    if (!options.record.empty()) {
+      WriteRecording(seed, run, options.record);
+    }
     for (const std::string& fault : run.world().faults) {
       std::cout << "seed " << seed << ": " << fault << "\n";
     }
--- a/goldcrest/testing/test_options.h
+++ b/goldcrest/testing/test_options.h
@@ -14,6 +14,8 @@
   uint64_t first_seed = 1;
   // Whether to print what happens in each run.
   bool trace = false;
+  // File to record the last run to, as a fault trace; empty records none.
+  std::string record;
   // Name of the mechanism to remove; empty removes none.
   std::string break_name;
 };
