Tell callers a result only when a majority has recorded it

The trace: the owner, cut off from the other voters, told its caller "complete" after 200 ms without a majority; it gave up sending the result after 30 tries, 1.8 s, before the cut healed, and crashed soon after; its neighbour took the job over and could only fail it, since the worker had restarted too. Change: no result is told before a majority of the voters has it. A result that nobody else could record is told as "unknown", and is sent to the voters every 500 ms until they have it or the retention window has passed, so that a healed owner does not leave its job to a take-over. A scenario for both ends, the owner heals or dies, fails without the change. Conclusion: an isolated owner's callers get "unknown" where they got an answer that could be contradicted. Callers elsewhere see no difference.

--- a/goldcrest/claim_updates.cc
+++ b/goldcrest/claim_updates.cc
@@ -64,6 +64,29 @@
   }
 }
 
+// Whether an unrecorded result is still worth sending: an owner that knows how
+// the job ended must not leave it to a take-over to find out.
+bool KeepsTrying(const Blackboard& bb,
+                 const Job& job,
+                 const PendingUpdate& pending,
+                 Now now) {
+  const Micros kept_until =
+      job.deadline_at + bb.configuration.active.limits.retention_s * kSecond;
+  return pending.update.finished() && !pending.majority_reached &&
+         now.mono < kept_until;
+}
+
+bool IsPatienceOver(const PendingUpdate& pending) {
+  const int limit =
+      pending.majority_reached ? kMaxSendsAfterMajority : kMaxUpdateSends;
+  return pending.sends >= limit;
+}
+
+Micros ResendTime(const Blackboard& bb, const PendingUpdate& pending) {
+  return IsPatienceOver(pending) ? bb.tuning.finish_resend
+                                 : bb.tuning.claim_resend;
+}
+
 // Ends an addition that was sent often enough. Returns whether it did.
 bool GiveUpUpdate(Blackboard& bb,
                   Job& job,
@@ -72,22 +95,19 @@
                   Actions& actions) {
   const std::string id = job.id;
   const PendingUpdate& pending = job.updates[number];
-  const bool reached = pending.majority_reached;
-  const int limit = reached ? kMaxSendsAfterMajority : kMaxUpdateSends;
-  if (pending.sends < limit) {
-    if (!reached) {
-      OnUpdateSlow(bb, job, number, now, actions);
-    }
-    return FindJob(bb, id) == nullptr;
+  if (!IsPatienceOver(pending)) {
+    return false;
   }
-  if (!reached) {
+  const bool keeps_trying = KeepsTrying(bb, job, pending, now);
+  if (!pending.majority_reached) {
     OnUpdateTimeout(bb, job, number, now, actions);
   }
   Job* left = FindJob(bb, id);
-  if (left != nullptr) {
-    left->updates.erase(number);
-    RemoveIfRecorded(bb, *left);
+  if (left == nullptr || keeps_trying) {
+    return left == nullptr;
   }
+  left->updates.erase(number);
+  RemoveIfRecorded(bb, *left);
   return true;
 }
 
@@ -189,7 +209,7 @@
   }
   std::vector<uint64_t> numbers;
   for (const auto& [number, pending] : job->updates) {
-    if (now.mono - pending.sent_at >= bb.tuning.claim_resend) {
+    if (now.mono - pending.sent_at >= ResendTime(bb, pending)) {
       numbers.push_back(number);
     }
   }
--- a/goldcrest/jobs.cc
+++ b/goldcrest/jobs.cc
@@ -73,7 +73,7 @@
     Answer(bb, job.id, job.submission.digest(), waiter, result, actions);
   }
   job.waiters.clear();
-  job.replied = true;
+  job.replied = job.replied || OutcomeOf(result) != Outcome::kUnknown;
 }
 
 void RemoveJob(Blackboard& bb, Job& job) {
@@ -338,22 +338,6 @@
   }
 }
 
-void OnUpdateSlow(Blackboard& bb,
-                  Job& job,
-                  uint64_t update,
-                  Now now,
-                  Actions& actions) {
-  const PendingUpdate& pending = job.updates[update];
-  const bool waited =
-      pending.sends * bb.tuning.claim_resend >= bb.tuning.finish_timeout;
-  // A whole answer is true whoever records it; other results could still be
-  // contradicted by an owner that takes the job over.
-  if (pending.update.finished() && waited && !job.replied &&
-      OutcomeOf(job.result) == Outcome::kComplete) {
-    AnswerWaiters(bb, job, job.result, now, actions);
-  }
-}
-
 void OnUpdateTimeout(Blackboard& bb,
                      Job& job,
                      uint64_t update,
--- a/goldcrest/jobs.h
+++ b/goldcrest/jobs.h
@@ -86,13 +86,6 @@
                       Now now,
                       Actions& actions);
 
-// Called while an addition is still without a majority and is sent again.
-void OnUpdateSlow(Blackboard& bb,
-                  Job& job,
-                  uint64_t update,
-                  Now now,
-                  Actions& actions);
-
 // Removes an answered job once nothing is left to record.
 void RemoveIfRecorded(Blackboard& bb, Job& job);
 
--- a/goldcrest/testing/promises_test.cc
+++ b/goldcrest/testing/promises_test.cc
@@ -371,4 +371,47 @@
   CheckNoFaults(world);
 }
 
+// Cuts `vm` off from all other VMs; its workers still reach it.
+void CutFromVms(FakeWorld& world, const std::string& vm) {
+  for (const std::string& other : world.Vms()) {
+    if (other != vm) {
+      world.Cut(vm, other);
+      world.Cut(other, vm);
+    }
+  }
+}
+
+TEST_CASE("a result that nobody else recorded is not told") {
+  for (const bool owner_survives : {true, false}) {
+    FakeWorld world(QuietWorld());
+    world.RunFor(2 * kSecond);
+    const auto job = AtHome(world, "job", "knell", "da", 1, 300);
+    const std::string owner = OwnerOf(world, "da", "job");
+    world.Submit(owner, job);
+    world.RunFor(100 * kMillisecond);
+    REQUIRE(world.StartsOf("job", 0) == 1);
+    CutFromVms(world, owner);
+    world.RunFor(kSecond);
+    CHECK(world.callers().at("job").answers.empty());
+    if (!owner_survives) {
+      world.CrashVm(owner);
+      for (const std::string& worker : world.Workers()) {
+        world.CrashWorker(worker);
+      }
+    }
+    world.RunFor(4 * kSecond);
+    const wire::JobResult* told = world.LastAnswer("job");
+    CHECK((told != nullptr) == owner_survives);
+    CHECK((told == nullptr || OutcomeOf(*told) == Outcome::kUnknown));
+    world.HealCuts();
+    world.RunFor(8 * kSecond);
+    world.Submit(OtherOf(world, "da", owner), job);
+    world.RunFor(3 * kSecond);
+    const Outcome last = OutcomeOf(*world.LastAnswer("job"));
+    CHECK(last == (owner_survives ? Outcome::kComplete : Outcome::kFailed));
+    CHECK(world.StartsOf("job", 0) == 1);
+    CheckNoFaults(world);
+  }
+}
+
 }  // namespace goldcrest
--- a/goldcrest/tuning.h
+++ b/goldcrest/tuning.h
@@ -60,8 +60,10 @@
   Micros claim_resend = 60 * kMillisecond;
   // A claim without a majority for this long is answered "unknown".
   Micros claim_timeout = 2500 * kMillisecond;
-  // The reply to a caller waits at most this long for the record of a result.
-  Micros finish_timeout = 200 * kMillisecond;
+  // A result that no majority of voters has recorded by the time that callers
+  // are told "unknown" is sent to the voters again after this time, until they
+  // have it or the retention window has passed.
+  Micros finish_resend = 500 * kMillisecond;
   // A forwarded submission is sent again to its home after this time.
   Micros forward_resend = 300 * kMillisecond;
   // The VM that forwarded a submission is told that it is in its owner's hands
