Say on /healthz that the serving lease is gone

Cause: /healthz looked at the drain and the configuration only, so a VM that a partition had isolated stayed in the balancer's rotation and told its callers "unknown", where another VM would have served them. Change: 503 with state no_serving_lease while the lease is not held.

--- a/edge/routes.cc
+++ b/edge/routes.cc
@@ -145,14 +145,24 @@
   return Event(std::move(put));
 }
 
-// Whether this VM can serve: not draining, and with a configuration.
+// What keeps this VM from serving; empty when nothing does. Without the serving
+// lease it starts nothing, and callers are better off at another VM.
+std::string_view Hindrance(const Blackboard& bb) {
+  if (bb.draining) {
+    return "draining";
+  }
+  if (bb.configuration.in_force.version() == 0) {
+    return "starting";
+  }
+  return bb.membership.lease_valid ? "" : "no_serving_lease";
+}
+
 HttpReply Health(const Blackboard& bb) {
-  const bool ready = bb.configuration.in_force.version() > 0;
+  const std::string_view hindrance = Hindrance(bb);
+  const std::string state(hindrance.empty() ? "serving" : hindrance);
   HttpReply reply;
-  reply.status = bb.draining || !ready ? 503 : 200;
-  reply.body = bb.draining ? "{\"state\":\"draining\"}"
-               : ready     ? "{\"state\":\"serving\"}"
-                           : "{\"state\":\"starting\"}";
+  reply.status = hindrance.empty() ? 200 : 503;
+  reply.body = "{\"state\":" + JsonQuote(state) + "}";
   return reply;
 }
 
--- a/edge/testing/daemon_faults_test.cc
+++ b/edge/testing/daemon_faults_test.cc
@@ -41,6 +41,21 @@
   }
 }
 
+// Waits until /healthz of `vm` answers with `status`.
+bool WaitForHealth(LoopbackDeployment& deployment,
+                   const std::string& vm,
+                   int status) {
+  AskOptions ask;
+  ask.path = "/healthz";
+  for (int i = 0; i < 400; ++i) {
+    if (deployment.Request(vm, ask).status == status) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(25));
+  }
+  return false;
+}
+
 void WaitForStart(const LoopbackDeployment& deployment) {
   while (deployment.Starts().empty()) {
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -161,7 +176,11 @@
   CHECK(other.status == 200);
   CHECK(Contains(other.body, WholeAnswers(6)));
   CHECK(!Contains(own.body, "\"ran\":\"none\""));
+  // The balancer is told to take the VM out, and to put it back.
+  CHECK(WaitForHealth(deployment, "north1", 503));
+  CHECK(WaitForHealth(deployment, "north2", 200));
   deployment.Heal();
+  CHECK(WaitForHealth(deployment, "north1", 200));
   CheckEachOnce(deployment);
 }
 
