Take the ports of loopback tests from below the outgoing range

Cause: one of two runs of daemon_faults_test ended with "terminate called without an active exception" and a failed assertion: a VM that was started again could not bind its address. Its port came from the range in which the system also numbers outgoing connections, and one of them had taken it while the VM was down. (Seen once; the output was cut, so the bind is the inference from the one step that throws there.) Change: ports come from 12,000 to 32,000, each process from a part of its own, and each port is used once.

--- a/edge/testing/loopback_deployment.cc
+++ b/edge/testing/loopback_deployment.cc
@@ -1,5 +1,7 @@
 #include "edge/testing/loopback_deployment.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
@@ -19,10 +21,31 @@
 constexpr int kReadyTries = 300;
 constexpr std::chrono::milliseconds kReadyPause{50};
 
-// Returns a loopback address that nothing listens on.
+// Ports below the range from which the system takes those of outgoing
+// connections, so that none of them takes the port of a VM that is down.
+constexpr int kFirstPort = 12'000;
+constexpr int kLastPort = 32'000;
+constexpr int kPortsForProcess = 400;
+
+int FirstPort() {
+  const int ranges = (kLastPort - kFirstPort) / kPortsForProcess;
+  return kFirstPort + (::getpid() % ranges) * kPortsForProcess;
+}
+
+// Returns a loopback address that nothing listens on, another one each time.
 std::string FreeAddress() {
-  const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
-  return socket.address().toString();
+  static int next_port = FirstPort();
+  while (next_port < kLastPort) {
+    const std::string address = "127.0.0.1:" + std::to_string(next_port++);
+    try {
+      Poco::Net::ServerSocket socket;
+      socket.bind(Poco::Net::SocketAddress(address), true);
+      return address;
+    } catch (const Poco::Exception&) {
+      continue;
+    }
+  }
+  throw std::runtime_error("no free port for a loopback deployment");
 }
 
 std::string Field(const std::string& line, const std::string& name) {
