Work out a job's ideal time in one place, and three repeats more

Cause: the reading of the whole change found the ideal time of a job worked out in two functions of admission, the check for a final answer in two tests, a forward timer armed twice for a home out of reach, and the search for a lender looking each VM up in the list before the tests that cost nothing. Change: IdealTime() and FakeWorld::HasFinalAnswer() serve both places; one timer is armed; the look-up comes last. Behaviour is the same.

--- a/goldcrest/admission.cc
+++ b/goldcrest/admission.cc
@@ -66,8 +66,8 @@
       [&](const wire::Task& task) { return !CouldEverFit(bb, ShapeOf(task)); });
 }
 
-// The least time that a job needs from now on, if it started at once.
-Micros LeastTime(const Blackboard& bb, const Job& job) {
+// The least time that a job takes on `slots` slots, by learned run times.
+Micros IdealTime(const Blackboard& bb, const Job& job, int slots) {
   Micros longest = 0;
   Micros total = 0;
   for (const wire::Task& task : job.submission.tasks()) {
@@ -76,8 +76,7 @@
     longest = std::max(longest, estimate);
     total += estimate;
   }
-  const int slots = std::max(1, CapacitySlots(bb));
-  return std::max(longest, total / slots);
+  return std::max(longest, total / std::max(1, slots));
 }
 
 std::optional<wire::JobResult> RefuseForWorkers(const Blackboard& bb,
@@ -109,7 +108,8 @@
   }
   // Declared run times are often too long; half of one is held against the
   // deadline, all of the wait is.
-  const Micros finish = now.mono + wait + LeastTime(bb, job) / 2;
+  const Micros finish =
+      now.mono + wait + IdealTime(bb, job, CapacitySlots(bb)) / 2;
   if (finish > job.deadline_at) {
     return Refusal(ResultCode::kDeadlineUnreachable,
                    (finish - job.deadline_at) / kMillisecond);
@@ -143,16 +143,7 @@
 // keep the greatest stretch low (M. Bender, S. Chakrabarti, S. Muthukrishnan,
 // "Flow and stretch metrics for scheduling continuous job streams", 1998).
 void SetDueTime(Blackboard& bb, Job& job) {
-  Micros longest = 0;
-  Micros work = 0;
-  for (const wire::Task& task : job.submission.tasks()) {
-    const Micros run =
-        bb.run_times.Estimate(job.kind.name, task.run_ms()).median;
-    longest = std::max(longest, run);
-    work += run;
-  }
-  const int slots = std::max(1, DomainSlots(bb));
-  const auto ideal = static_cast<double>(std::max(longest, work / slots));
+  const auto ideal = static_cast<double>(IdealTime(bb, job, DomainSlots(bb)));
   const auto stretched = static_cast<Micros>(bb.tuning.target_stretch * ideal);
   job.due_at = std::min(job.due_at, job.received_at + stretched);
 }
--- a/goldcrest/borrowing.cc
+++ b/goldcrest/borrowing.cc
@@ -45,15 +45,14 @@
   std::string best;
   int best_spare = -1;
   for (const auto& [vm, peer] : bb.membership.peers) {
-    if (!peer.reachable || peer.draining || peer.slots == 0 ||
-        DomainOf(bb, vm) != domain) {
-      continue;
-    }
     const bool keeps = domain == LenderDomain::kOther;
     const int kept = keeps ? KeptFromOtherDomains(peer.slots) + 1 : 0;
-    if (peer.free_slots - kept > best_spare) {
+    const int spare = peer.free_slots - kept;
+    // Looked up last: it searches the list of VMs.
+    if (spare > best_spare && peer.reachable && !peer.draining &&
+        peer.slots > 0 && DomainOf(bb, vm) == domain) {
       best = vm;
-      best_spare = peer.free_slots - kept;
+      best_spare = spare;
     }
   }
   return best;
--- a/goldcrest/forwarding.cc
+++ b/goldcrest/forwarding.cc
@@ -281,7 +281,6 @@
   job.named_owner = job.named_owner && job.forwarded_to == target;
   job.forwarded_to = target;
   job.forward_elapsed_ms = (now.mono - job.received_at) / kMillisecond;
-  ArmForwardTimer(bb, job, now.mono + bb.tuning.forward_resend, now);
   if (target.empty()) {
     const Micros heard_at = AnyHeardAt(bb, bb.deployment.VmsOf(job.home), now);
     const bool noted = job.unreachable_since != 0;
@@ -292,6 +291,7 @@
     return;
   }
   job.unreachable_since = 0;
+  ArmForwardTimer(bb, job, now.mono + bb.tuning.forward_resend, now);
   SendForward(bb, job, actions);
 }
 
--- a/goldcrest/testing/fake_world.cc
+++ b/goldcrest/testing/fake_world.cc
@@ -818,6 +818,16 @@
   options_.loss = loss;
 }
 
+bool FakeWorld::HasFinalAnswer(const std::string& id) const {
+  const auto& answers = callers_.at(id).answers;
+  return std::any_of(
+      answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
+        const Outcome outcome = OutcomeOf(answer.result);
+        return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
+               outcome == Outcome::kCancelled;
+      });
+}
+
 wire::Submission FakeWorld::MakeSubmission(const std::string& id,
                                            const std::string& kind,
                                            int tasks,
--- a/goldcrest/testing/fake_world.h
+++ b/goldcrest/testing/fake_world.h
@@ -140,6 +140,8 @@
   }
   int StartsOf(const std::string& id, uint32_t index) const;
   const wire::JobResult* LastAnswer(const std::string& id) const;
+  // Says whether any copy of a submission got a final answer.
+  bool HasFinalAnswer(const std::string& id) const;
   std::mt19937_64& random() { return random_; }
 
   // Says whether a majority of the claim voters of `domain` remember all that
--- a/goldcrest/testing/fault_trace.cc
+++ b/goldcrest/testing/fault_trace.cc
@@ -189,23 +189,12 @@
   return found == trace.end() ? fallback : *found;
 }
 
-// Whether any copy of a submission got a final answer.
-bool HasFinalAnswer(const FakeWorld& world, const std::string& id) {
-  const auto& answers = world.callers().at(id).answers;
-  return std::any_of(
-      answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
-        const Outcome outcome = OutcomeOf(answer.result);
-        return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
-               outcome == Outcome::kCancelled;
-      });
-}
-
 // Returns what is wrong with one expectation; empty when it holds.
 std::string BrokenExpectation(const TraceStep& step, const FakeWorld& world) {
   const wire::JobResult* last = world.LastAnswer(step.id);
   const Outcome outcome =
       last == nullptr ? Outcome::kPending : OutcomeOf(*last);
-  const bool holds = step.outcome == "any" ? HasFinalAnswer(world, step.id)
+  const bool holds = step.outcome == "any" ? world.HasFinalAnswer(step.id)
                                            : NameOf(outcome) == step.outcome;
   if (!holds) {
     return step.id + " is " + std::string(NameOf(outcome)) + ", not " +
--- a/goldcrest/testing/random_faults_test.cc
+++ b/goldcrest/testing/random_faults_test.cc
@@ -78,16 +78,6 @@
     return options;
   }
 
-  bool HasFinal(const std::string& id) {
-    const auto& answers = world_.callers().at(id).answers;
-    return std::any_of(
-        answers.begin(), answers.end(), [](const WitnessedAnswer& answer) {
-          const Outcome outcome = OutcomeOf(answer.result);
-          return outcome == Outcome::kComplete || outcome == Outcome::kFailed ||
-                 outcome == Outcome::kCancelled;
-        });
-  }
-
   FakeWorld& world() { return world_; }
   FaultCounts counts;
 
@@ -159,7 +149,7 @@
     if (left > 0) {
       Later(Pick<Micros>(500 * kMillisecond, 4 * kSecond),
             [this, submission, left] {
-              if (!HasFinal(submission.submission_id())) {
+              if (!world_.HasFinalAnswer(submission.submission_id())) {
                 Send(submission, left - 1);
               }
             });
@@ -271,7 +261,7 @@
   // Every caller without a final answer asks once more, in a whole world.
   void AskAgain() {
     for (const auto& [id, record] : world_.callers()) {
-      if (!HasFinal(id)) {
+      if (!world_.HasFinalAnswer(id)) {
         asked_again_.push_back(id);
         Send(record.submission, 4);
       }
@@ -285,7 +275,7 @@
       const std::string home = submission.home().empty()
                                    ? DerivedHome(any.deployment, id)
                                    : submission.home();
-      if (!HasFinal(id) && world_.CanDecide(home)) {
+      if (!world_.HasFinalAnswer(id) && world_.CanDecide(home)) {
         const wire::JobResult* last = world_.LastAnswer(id);
         world_.faults.push_back(
             id + " has no final answer in a whole world; last: " +
@@ -320,7 +310,7 @@
        << WriteTraceStep(world) << "\n";
   std::vector<std::string> final_ids;
   for (const auto& [id, record] : run.world().callers()) {
-    if (run.HasFinal(id)) {
+    if (run.world().HasFinalAnswer(id)) {
       final_ids.push_back(id);
     }
     run.world().Submit(run.world().Vms().front(), record.submission);
