--- /dev/null
+++ b/edge/control_daemon.cc
@@ -0,0 +1,229 @@
+#include "edge/control_daemon.h"
+
+#include <utility>
+
+#include <Poco/Exception.h>
+
+#include "edge/logging.h"
+#include "edge/pool_metrics.h"
+#include "pool/worker_roster.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kCloseStalePeriod = 50 * kMillisecond;
+constexpr Micros kConnectTimeout = 300 * kMillisecond;
+// Connections to workers are kept while the worker lives.
+constexpr Micros kWorkerIdleTimeout = 120 * kSecond;
+// Replies that are on their way when the daemon ends get this long to leave.
+constexpr Micros kLastReplies = 100 * kMillisecond;
+
+HttpServerOptions ServerOptions(const ControlDaemonOptions& options) {
+  HttpServerOptions server;
+  server.limits.max_body_bytes = options.max_body_bytes;
+  server.max_connections = 1024;
+  return server;
+}
+
+}  // namespace
+
+ControlDaemon::ControlDaemon(ControlDaemonOptions options,
+                             const ControlProtocol& control,
+                             const WorkerProtocol& workers)
+    : options_(std::move(options)),
+      control_(control),
+      worker_protocol_(workers),
+      inbox_(loop_) {}
+
+ControlDaemon::~ControlDaemon() = default;
+
+tl::expected<void, std::string> ControlDaemon::Start() {
+  const auto contents = ReadRegisterFiles(options_.data_dir);
+  if (!contents) {
+    return tl::make_unexpected(contents.error());
+  }
+  options_.start.stored = contents->stored;
+  file_ = std::make_unique<RegisterFile>(
+      options_.data_dir, *contents, [this](uint64_t sequence, bool ok) {
+        inbox_.Put(RegisterStored{sequence, ok}, false);
+      });
+  try {
+    server_ = std::make_unique<HttpServer>(
+        loop_, Poco::Net::SocketAddress(options_.control_address),
+        ServerOptions(options_),
+        [this](RequestToken token, const HttpRequest& request) {
+          OnHttpRequest(token, request);
+        },
+        [this](RequestToken token) { operators_.erase(token); });
+    if (!options_.metrics_address.empty()) {
+      metrics_server_ = std::make_unique<HttpServer>(
+          loop_, Poco::Net::SocketAddress(options_.metrics_address),
+          ServerOptions(options_),
+          [this](RequestToken token, const HttpRequest&) {
+            metrics_server_->Respond(
+                token, MetricsReply(ControlMetricsText(board_, *link_)));
+          },
+          [](RequestToken) {});
+    }
+    HttpClientOptions client;
+    client.limits.max_body_bytes = options_.max_body_bytes;
+    client.connect_timeout = kConnectTimeout;
+    client.idle_timeout = kWorkerIdleTimeout;
+    client_ = std::make_unique<HttpClient>(loop_, client);
+    link_ = std::make_unique<MeshLink>(
+        loop_, options_.start.mesh.self, options_.start.mesh.incarnation,
+        [this](wire::PoolMessage message) {
+          local_events_.emplace_back(PoolReceived{std::move(message)});
+        });
+  } catch (const Poco::Exception& error) {
+    return tl::make_unexpected("cannot listen: " + error.displayText());
+  } catch (const zmq::error_t& error) {
+    return tl::make_unexpected("cannot bind " + options_.start.mesh.self +
+                               ": " + error.what());
+  }
+  PoolActions actions;
+  board_ = MakePoolBoard(options_.start, ReadBootClock(), actions);
+  Perform(actions);
+  return {};
+}
+
+void ControlDaemon::RequestDrain() {
+  inbox_.Put(PoolDrain(), false);
+}
+
+HttpReply ControlDaemon::ElsewhereOrLater(const HttpRequest& request) const {
+  const std::string& leader = board_.agreement.leader;
+  const auto member = board_.mesh.members.find(leader);
+  if (leader == board_.mesh.options.self ||
+      member == board_.mesh.members.end() ||
+      !IsHeard(board_.mesh, leader, ReadBootClock().mono)) {
+    return control_.TryLater();
+  }
+  return control_.Redirect(member->second.presence.control_address(), request);
+}
+
+void ControlDaemon::AnswerRead(RequestToken token, const HttpRequest& request) {
+  const Agreement& agreement = board_.agreement;
+  const bool has_any = agreement.committed.routing().version() > 0;
+  if (has_any && MayServeReads(agreement, ReadBootClock().mono)) {
+    server_->Respond(token,
+                     control_.Configuration(agreement.committed.routing()));
+    return;
+  }
+  server_->Respond(token, ElsewhereOrLater(request));
+}
+
+void ControlDaemon::OnHttpRequest(RequestToken token,
+                                  const HttpRequest& request) {
+  ControlRequest decoded = control_.Decode(request);
+  if (const auto* reply = std::get_if<HttpReply>(&decoded)) {
+    server_->Respond(token, *reply);
+  } else if (const auto* report = std::get_if<WorkerReported>(&decoded)) {
+    const std::string id = report->report.id();
+    StepWith(*report);
+    server_->Respond(token, control_.ReportTaken(ReportAddress(
+                                board_, id, ReadBootClock().mono)));
+  } else if (const auto* left = std::get_if<WorkerLeft>(&decoded)) {
+    StepWith(*left);
+    server_->Respond(token, control_.LeaveTaken());
+  } else if (auto* change = std::get_if<RoutingChanged>(&decoded)) {
+    change->token = token;
+    operators_[token] = {request};
+    StepWith(*change);
+  } else {
+    AnswerRead(token, request);
+  }
+}
+
+void ControlDaemon::StepWith(const PoolEvent& event) {
+  PoolActions actions;
+  PoolStep(board_, event, ReadBootClock(), actions);
+  Perform(actions);
+}
+
+void ControlDaemon::Perform(PoolActions& actions) {
+  for (PoolAction& action : actions) {
+    std::visit([this](auto& one) { PerformOne(one); }, action);
+  }
+}
+
+void ControlDaemon::PerformOne(SendPool& action) {
+  if (action.to == board_.mesh.options.self ||
+      action.to == options_.start.mesh.self) {
+    local_events_.emplace_back(PoolReceived{std::move(action.message)});
+    return;
+  }
+  link_->Send(action.to, std::move(action.message));
+}
+
+void ControlDaemon::PerformOne(SendOrder& action) {
+  const HttpCall call = worker_protocol_.Encode(action.order);
+  client_->Call(call, [this, order = std::move(action.order)](
+                          CallEnd end, const HttpResponse& response) {
+    local_events_.emplace_back(worker_protocol_.Decode(order, end, response));
+  });
+}
+
+void ControlDaemon::PerformOne(ReplyJob& /*action*/) {}
+
+void ControlDaemon::PerformOne(ReplyChange& action) {
+  const auto waiting = operators_.extract(action.token);
+  if (waiting.empty()) {
+    return;
+  }
+  switch (action.result) {
+    case ChangeResult::kDurable:
+      server_->Respond(action.token, control_.ChangeDurable());
+      break;
+    case ChangeResult::kNotLeader:
+      server_->Respond(action.token,
+                       ElsewhereOrLater(waiting.mapped().request));
+      break;
+    case ChangeResult::kUnknown:
+      server_->Respond(action.token, control_.TryLater());
+      break;
+  }
+}
+
+void ControlDaemon::PerformOne(PersistRegister& action) {
+  file_->Write(action.stored, action.sequence);
+}
+
+void ControlDaemon::PerformOne(LogEvent& action) {
+  WriteLog(action);
+}
+
+void ControlDaemon::Run() {
+  Micros tick_due = 0;
+  Micros close_due = 0;
+  while (!board_.drained) {
+    const Micros now = MonotonicMicros();
+    loop_.Poll(local_events_.empty() ? tick_due - now : 0);
+    for (const PoolEvent& event : inbox_.TakeAll()) {
+      StepWith(event);
+    }
+    const std::vector<PoolEvent> events = std::exchange(local_events_, {});
+    for (const PoolEvent& event : events) {
+      StepWith(event);
+    }
+    const Micros after = MonotonicMicros();
+    if (after >= tick_due) {
+      tick_due = after + options_.tick;
+      if (on_tick_) {
+        on_tick_(board_.mesh, ReadBootClock().mono);
+      }
+      StepWith(PoolTick());
+    }
+    if (after >= close_due) {
+      close_due = after + kCloseStalePeriod;
+      server_->CloseStale(after);
+      client_->CloseStale(after);
+    }
+  }
+  const Micros until = MonotonicMicros() + kLastReplies;
+  while (MonotonicMicros() < until) {
+    loop_.Poll(until - MonotonicMicros());
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/control_daemon.h
@@ -0,0 +1,98 @@
+#ifndef EDGE_CONTROL_DAEMON_H_
+#define EDGE_CONTROL_DAEMON_H_
+
+// The edges of a control daemon around its decisions.
+//
+// One thread owns the board, all HTTP sockets and the mesh; the register file
+// has a thread that waits for the disk. Events are taken one by one, and what
+// is due runs with a tick.
+
+#include <atomic>
+#include <map>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "edge/http_client.h"
+#include "edge/http_server.h"
+#include "edge/inbox.h"
+#include "edge/mesh_link.h"
+#include "edge/pool_protocol.h"
+#include "edge/register_file.h"
+#include "edge/socket_loop.h"
+#include "pool/pool_step.h"
+
+namespace goldcrest {
+
+struct ControlDaemonOptions {
+  std::string control_address;  // workers and operators
+  std::string metrics_address;  // empty: none
+  std::string data_dir;
+  PoolStart start;
+  Micros tick = 20 * kMillisecond;
+  size_t max_body_bytes = 8 * 1024 * 1024;
+};
+
+class ControlDaemon {
+ public:
+  ControlDaemon(ControlDaemonOptions options,
+                const ControlProtocol& control,
+                const WorkerProtocol& workers);
+  ~ControlDaemon();
+  ControlDaemon(const ControlDaemon&) = delete;
+  ControlDaemon& operator=(const ControlDaemon&) = delete;
+
+  // Reads the disk and binds all sockets. The error is one sentence.
+  tl::expected<void, std::string> Start();
+
+  // Serves until drained or stopped.
+  void Run();
+
+  // Begins a graceful shutdown. Callable from any thread.
+  void RequestDrain();
+
+  // Calls `handler` with each tick, before the decisions. Set it before Run().
+  using TickHandler = std::function<void(Mesh& mesh, Micros now)>;
+  void OnTick(TickHandler handler) { on_tick_ = std::move(handler); }
+
+ private:
+  // A change or a read of an operator that waits.
+  struct WaitingOperator {
+    HttpRequest request;
+  };
+
+  void OnHttpRequest(RequestToken token, const HttpRequest& request);
+  void AnswerRead(RequestToken token, const HttpRequest& request);
+  HttpReply ElsewhereOrLater(const HttpRequest& request) const;
+  void StepWith(const PoolEvent& event);
+  void Perform(PoolActions& actions);
+  void PerformOne(SendPool& action);
+  void PerformOne(SendOrder& action);
+  void PerformOne(ReplyJob& action);
+  void PerformOne(ReplyChange& action);
+  void PerformOne(PersistRegister& action);
+  void PerformOne(LogEvent& action);
+
+  ControlDaemonOptions options_;
+  const ControlProtocol& control_;
+  const WorkerProtocol& worker_protocol_;
+  PoolBoard board_;
+  TickHandler on_tick_;
+  SocketLoop loop_;
+  Inbox<PoolEvent> inbox_;
+  std::vector<PoolEvent> local_events_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<MeshLink> link_;
+  std::unique_ptr<RegisterFile> file_;
+  std::map<RequestToken, WaitingOperator> operators_;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_CONTROL_DAEMON_H_
--- a/edge/daemon.cc
+++ b/edge/daemon.cc
@@ -1,6 +1,5 @@
 #include "edge/daemon.h"
 
-#include <mutex>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -16,7 +15,6 @@
 namespace goldcrest {
 namespace {
 
-constexpr size_t kMaxInbox = 200'000;
 constexpr Micros kCloseStalePeriod = 250 * kMillisecond;
 // Replies that are on their way when the daemon ends get this long to leave.
 constexpr Micros kLastReplies = 200 * kMillisecond;
@@ -33,37 +31,10 @@
 
 }  // namespace
 
-class Daemon::Inbox {
- public:
-  explicit Inbox(SocketLoop& loop) : loop_(loop) {}
-
-  // Puts an event in. One that may be lost is dropped when the inbox is full.
-  void Put(Event event, bool may_be_lost) {
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      if (may_be_lost && events_.size() >= kMaxInbox) {
-        return;
-      }
-      events_.push_back(std::move(event));
-    }
-    loop_.Wake();
-  }
-
-  std::vector<Event> TakeAll() {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return std::exchange(events_, {});
-  }
-
- private:
-  SocketLoop& loop_;
-  std::mutex mutex_;
-  std::vector<Event> events_;
-};
-
 Daemon::Daemon(DaemonOptions options)
     : options_(std::move(options)),
       bb_(MakeBlackboard(options_.deployment, options_.tuning)),
-      inbox_(std::make_unique<Inbox>(loop_)) {}
+      inbox_(std::make_unique<Inbox<Event>>(loop_)) {}
 
 Daemon::~Daemon() {
   link_.reset();
--- a/edge/daemon.h
+++ b/edge/daemon.h
@@ -15,6 +15,7 @@
 
 #include "edge/http_client.h"
 #include "edge/http_server.h"
+#include "edge/inbox.h"
 #include "edge/journal.h"
 #include "edge/metrics.h"
 #include "edge/peer_link.h"
@@ -54,9 +55,6 @@
   void RequestDrain();
 
  private:
-  // Events from other threads, bounded.
-  class Inbox;
-
   void OnHttpRequest(RequestToken token, const HttpRequest& request);
   void StepWith(const Event& event);
   void Perform(const Actions& actions);
@@ -76,7 +74,7 @@
   Blackboard bb_;
   Metrics metrics_;
   SocketLoop loop_;
-  std::unique_ptr<Inbox> inbox_;
+  std::unique_ptr<Inbox<Event>> inbox_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<PeerLink> link_;
--- /dev/null
+++ b/edge/entry_daemon.h
@@ -0,0 +1,83 @@
+#ifndef EDGE_ENTRY_DAEMON_H_
+#define EDGE_ENTRY_DAEMON_H_
+
+// The edges of an entry daemon around its decisions: callers' connections, the
+// balancer's readiness probe, metrics and the mesh, all on one thread.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <tl/expected.hpp>
+
+#include "edge/http_server.h"
+#include "edge/inbox.h"
+#include "edge/mesh_link.h"
+#include "edge/pool_metrics.h"
+#include "edge/pool_protocol.h"
+#include "edge/socket_loop.h"
+#include "pool/entry.h"
+
+namespace goldcrest {
+
+struct EntryDaemonOptions {
+  std::string callers_address;
+  std::string readiness_address;
+  std::string metrics_address;  // empty: none
+  EntryOptions entry;
+  MeshOptions mesh;
+  Micros tick = 25 * kMillisecond;
+  size_t max_connections = 3000;
+  size_t max_body_bytes = 1024 * 1024;
+};
+
+class EntryDaemon {
+ public:
+  EntryDaemon(EntryDaemonOptions options, const CallerProtocol& callers);
+  ~EntryDaemon();
+  EntryDaemon(const EntryDaemon&) = delete;
+  EntryDaemon& operator=(const EntryDaemon&) = delete;
+
+  // Binds all sockets. The error is one sentence.
+  tl::expected<void, std::string> Start();
+
+  // Serves until drained.
+  void Run();
+
+  // Begins a graceful shutdown. Callable from any thread.
+  void RequestDrain();
+
+  // Calls `handler` with each tick, before the decisions. Set it before Run().
+  using TickHandler = std::function<void(Mesh& mesh, Micros now)>;
+  void OnTick(TickHandler handler) { on_tick_ = std::move(handler); }
+
+ private:
+  void OnCallerRequest(RequestToken token, const HttpRequest& request);
+  void OnReadinessRequest(RequestToken token, const HttpRequest& request);
+  void StepWith(const EntryEvent& event);
+  void PerformOne(SendPool& action);
+  void PerformOne(SendOrder& action);
+  void PerformOne(ReplyJob& action);
+  void PerformOne(ReplyChange& action);
+  void PerformOne(PersistRegister& action);
+  void PerformOne(LogEvent& action);
+
+  EntryDaemonOptions options_;
+  const CallerProtocol& callers_;
+  EntryBoard board_;
+  EntryMetrics metrics_;
+  TickHandler on_tick_;
+  SocketLoop loop_;
+  Inbox<EntryEvent> inbox_;
+  std::vector<EntryEvent> local_events_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<HttpServer> readiness_server_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<MeshLink> link_;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_ENTRY_DAEMON_H_
--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -49,7 +49,8 @@
     sent_bytes_ = 0;
     handler_ = std::move(handler);
     deadline_ = MonotonicMicros() + call.timeout;
-    output_ = FormatRequest(call.method, call.path, call.address, call.body);
+    output_ = FormatRequest(call.method, call.path, call.address, call.body,
+                            call.headers);
     if (connected_) {
       Flush();
     }
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -42,6 +42,7 @@
   std::string path;
   std::string body;
   Micros timeout = 10 * kSecond;
+  std::vector<HttpHeader> headers;
 };
 
 class HttpClient {
--- a/edge/http_message.cc
+++ b/edge/http_message.cc
@@ -59,6 +59,9 @@
   request.if_match = header.get("If-Match", "");
   request.content_type = header.getContentType();
   request.keep_alive = header.getKeepAlive();
+  for (const auto& [name, value] : header) {
+    request.headers.push_back({name, value});
+  }
   return SplitTarget(header.getURI(), request);
 }
 
@@ -137,6 +140,15 @@
 
 }  // namespace
 
+std::string HttpRequest::Header(const std::string& name) const {
+  for (const HttpHeader& header : headers) {
+    if (Poco::icompare(header.name, name) == 0) {
+      return header.value;
+    }
+  }
+  return "";
+}
+
 RequestParse ParseRequest(const std::string& buffer, const HttpLimits& limits) {
   RequestParse parse;
   const size_t header_end = buffer.find(kHeaderEnd);
@@ -213,6 +225,9 @@
     const int64_t seconds = (reply.retry_after_ms + 999) / 1000;
     response.set("Retry-After", std::to_string(seconds));
   }
+  for (const HttpHeader& header : reply.headers) {
+    response.set(header.name, header.value);
+  }
   std::ostringstream stream;
   response.write(stream);
   stream << reply.body;
@@ -222,7 +237,8 @@
 std::string FormatRequest(const std::string& method,
                           const std::string& path,
                           const std::string& host,
-                          const std::string& body) {
+                          const std::string& body,
+                          const std::vector<HttpHeader>& headers) {
   Poco::Net::HTTPRequest request(method, path,
                                  Poco::Net::HTTPMessage::HTTP_1_1);
   request.set("Host", host);
@@ -231,6 +247,9 @@
     request.setContentType("application/json");
     request.setContentLength64(static_cast<Poco::Int64>(body.size()));
   }
+  for (const HttpHeader& header : headers) {
+    request.set(header.name, header.value);
+  }
   std::ostringstream stream;
   request.write(stream);
   stream << body;
--- a/edge/http_message.h
+++ b/edge/http_message.h
@@ -15,6 +15,11 @@
 
 namespace goldcrest {
 
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
 // A request as its handler sees it.
 struct HttpRequest {
   std::string method;
@@ -22,8 +27,12 @@
   std::string query;
   std::string if_match;
   std::string content_type;
+  std::vector<HttpHeader> headers;
   std::string body;
   bool keep_alive = true;
+
+  // Returns the value of a header by its name in any case; empty without it.
+  std::string Header(const std::string& name) const;
 };
 
 // A reply as its handler makes it.
@@ -32,6 +41,9 @@
   std::string content_type = "application/json";
   std::string body;
   int64_t retry_after_ms = 0;
+  std::vector<HttpHeader> headers;
+  // Ends the connection with this reply.
+  bool close_after = false;
 };
 
 // A response of another server.
@@ -80,11 +92,12 @@
 // Writes a reply with its headers.
 std::string FormatReply(const HttpReply& reply, bool keep_alive);
 
-// Writes a request to `host` ("ip:port") with a JSON body.
+// Writes a request to `host` ("ip:port") with a JSON body and further headers.
 std::string FormatRequest(const std::string& method,
                           const std::string& path,
                           const std::string& host,
-                          const std::string& body);
+                          const std::string& body,
+                          const std::vector<HttpHeader>& headers = {});
 
 // Returns the value of `name` in a query string or form body, decoded; an
 // empty string when it is absent.
--- a/edge/http_server.cc
+++ b/edge/http_server.cc
@@ -198,9 +198,9 @@
 
 void HttpServer::Connection::Respond(const HttpReply& reply) {
   token_ = 0;
-  close_after_output_ = !keep_alive_;
+  close_after_output_ = !keep_alive_ || reply.close_after;
   last_active_ = MonotonicMicros();
-  Queue(FormatReply(reply, keep_alive_));
+  Queue(FormatReply(reply, !close_after_output_));
 }
 
 void HttpServer::Connection::Queue(const std::string& bytes) {
--- /dev/null
+++ b/edge/mesh_link.cc
@@ -0,0 +1,116 @@
+#include "edge/mesh_link.h"
+
+#include <unistd.h>
+
+#include <utility>
+
+#include <Poco/Net/StreamSocketImpl.h>
+
+namespace goldcrest {
+namespace {
+
+constexpr int kQueuedMessages = 2000;
+constexpr int64_t kMaxMessageBytes = 16 * 1024 * 1024;
+constexpr int kReconnectMs = 50;
+constexpr int kMaxReconnectMs = 400;
+constexpr int kConnectTimeoutMs = 500;
+constexpr int kKeepAliveMs = 300;
+constexpr int kDeadAfterMs = 700;
+constexpr int kMessagesPerTurn = 500;
+
+}  // namespace
+
+// Wakes the loop when the ROUTER has something to do.
+class MeshLink::Waker : public SocketHandler {
+ public:
+  explicit Waker(MeshLink& link) : link_(link) {}
+  void OnReadable() override { link_.Receive(); }
+  void OnWritable() override {}
+
+ private:
+  MeshLink& link_;
+};
+
+MeshLink::MeshLink(SocketLoop& loop,
+                   const std::string& self,
+                   uint64_t incarnation,
+                   ReceiveHandler on_receive)
+    : loop_(loop),
+      self_(self),
+      incarnation_(incarnation),
+      on_receive_(std::move(on_receive)),
+      router_(context_, zmq::socket_type::router),
+      waker_(std::make_unique<Waker>(*this)) {
+  router_.set(zmq::sockopt::linger, 0);
+  router_.set(zmq::sockopt::rcvhwm, kQueuedMessages);
+  router_.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+  router_.set(zmq::sockopt::heartbeat_ivl, kKeepAliveMs);
+  router_.set(zmq::sockopt::heartbeat_timeout, kDeadAfterMs);
+  router_.bind("tcp://" + self);
+  // ZeroMQ owns its descriptor; the loop watches a duplicate.
+  router_signal_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(
+      dup(router_.get(zmq::sockopt::fd))));
+  loop_.Add(router_signal_, waker_.get(), false);
+}
+
+MeshLink::~MeshLink() {
+  loop_.Remove(router_signal_);
+}
+
+zmq::socket_t& MeshLink::DealerTo(const std::string& to) {
+  const auto found = dealers_.find(to);
+  if (found != dealers_.end()) {
+    return found->second;
+  }
+  zmq::socket_t dealer(context_, zmq::socket_type::dealer);
+  dealer.set(zmq::sockopt::linger, 0);
+  dealer.set(zmq::sockopt::sndhwm, kQueuedMessages);
+  dealer.set(zmq::sockopt::immediate, true);
+  dealer.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+  dealer.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
+  dealer.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  dealer.set(zmq::sockopt::heartbeat_ivl, kKeepAliveMs);
+  dealer.set(zmq::sockopt::heartbeat_timeout, kDeadAfterMs);
+  dealer.connect("tcp://" + to);
+  return dealers_.emplace(to, std::move(dealer)).first->second;
+}
+
+void MeshLink::Send(const std::string& to, wire::PoolMessage message) {
+  message.set_from(self_);
+  message.set_incarnation(incarnation_);
+  zmq::message_t body(message.ByteSizeLong());
+  message.SerializeToArray(body.data(), static_cast<int>(body.size()));
+  const size_t bytes = body.size();
+  try {
+    if (DealerTo(to).send(body, zmq::send_flags::dontwait)) {
+      bytes_sent_ += bytes;
+    } else {
+      ++messages_dropped_;
+    }
+  } catch (const zmq::error_t&) {
+    ++messages_dropped_;  // an address that nothing can connect to
+  }
+}
+
+void MeshLink::Receive() {
+  for (int i = 0; i < kMessagesPerTurn; ++i) {
+    zmq::message_t identity;
+    if (!router_.recv(identity, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    zmq::message_t body;
+    while (router_.get(zmq::sockopt::rcvmore)) {
+      (void)router_.recv(body, zmq::recv_flags::none);
+    }
+    bytes_received_ += body.size();
+    wire::PoolMessage message;
+    if (message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      on_receive_(std::move(message));
+    } else {
+      ++messages_dropped_;
+    }
+  }
+  loop_.Wake();  // there may be more
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/mesh_link.h
@@ -0,0 +1,69 @@
+#ifndef EDGE_MESH_LINK_H_
+#define EDGE_MESH_LINK_H_
+
+// Messages between entry and control daemons, over ZeroMQ with protobuf.
+//
+// Each daemon binds one ROUTER, on which it receives, and connects one DEALER
+// to each daemon that it sends to, when it first does. The sockets live on the
+// loop's thread; only ZeroMQ's own I/O thread is added. ZeroMQ's heartbeats
+// end connections that went silent. Messages to a daemon that is not connected
+// are dropped: every protocol above sends again or gives up by itself.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/StreamSocket.h>
+#include <zmq.hpp>
+
+#include "edge/socket_loop.h"
+#include "proto/pool.pb.h"
+
+namespace goldcrest {
+
+class MeshLink {
+ public:
+  using ReceiveHandler = std::function<void(wire::PoolMessage)>;
+
+  // Binds to `self` ("ip:port"); throws zmq::error_t when that fails.
+  MeshLink(SocketLoop& loop,
+           const std::string& self,
+           uint64_t incarnation,
+           ReceiveHandler on_receive);
+  ~MeshLink();
+  MeshLink(const MeshLink&) = delete;
+  MeshLink& operator=(const MeshLink&) = delete;
+
+  // Sends a message, stamped with this daemon's address and incarnation.
+  void Send(const std::string& to, wire::PoolMessage message);
+
+  // Hands on everything that has arrived.
+  void Receive();
+
+  uint64_t bytes_sent() const { return bytes_sent_; }
+  uint64_t bytes_received() const { return bytes_received_; }
+  uint64_t messages_dropped() const { return messages_dropped_; }
+
+ private:
+  class Waker;
+
+  zmq::socket_t& DealerTo(const std::string& to);
+
+  SocketLoop& loop_;
+  std::string self_;
+  uint64_t incarnation_;
+  ReceiveHandler on_receive_;
+  zmq::context_t context_;
+  zmq::socket_t router_;
+  std::map<std::string, zmq::socket_t> dealers_;
+  std::unique_ptr<Waker> waker_;
+  Poco::Net::StreamSocket router_signal_;
+  uint64_t bytes_sent_ = 0;
+  uint64_t bytes_received_ = 0;
+  uint64_t messages_dropped_ = 0;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_MESH_LINK_H_
--- /dev/null
+++ b/edge/pool_metrics.cc
@@ -0,0 +1,189 @@
+#include "edge/pool_metrics.h"
+
+#include <vector>
+
+#include <boost/histogram/indexed.hpp>
+
+#include "edge/socket_loop.h"
+#include "goldcrest/json_reader.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr size_t kMaxSeries = 2000;
+constexpr double kShortestSeconds = 0.005;
+constexpr double kLongestSeconds = 30;
+constexpr double kBucketGrowth = 1.5;
+
+std::vector<double> BucketEdges() {
+  std::vector<double> edges = {0, kShortestSeconds};
+  while (edges.back() < kLongestSeconds) {
+    edges.push_back(edges.back() * kBucketGrowth);
+  }
+  return edges;
+}
+
+void AppendType(std::string& text, const std::string& name, const char* type) {
+  text += "# TYPE goldcrest_" + name + " " + type + "\n";
+}
+
+void AppendValue(std::string& text,
+                 const std::string& name,
+                 const std::string& labels,
+                 const std::string& value) {
+  text += "goldcrest_" + name + labels + " " + value + "\n";
+}
+
+void AppendOne(std::string& text,
+               const std::string& name,
+               const char* type,
+               const std::string& value) {
+  AppendType(text, name, type);
+  AppendValue(text, name, "", value);
+}
+
+void AppendByLabel(std::string& text,
+                   const std::string& name,
+                   const std::string& label,
+                   const std::map<std::string, uint64_t>& counts) {
+  AppendType(text, name, "counter");
+  for (const auto& [key, count] : counts) {
+    AppendValue(text, name, "{" + label + "=" + JsonQuote(key) + "}",
+                std::to_string(count));
+  }
+}
+
+std::string Seconds(Micros duration) {
+  return std::to_string(static_cast<double>(duration) /
+                        static_cast<double>(kSecond));
+}
+
+void AppendMesh(std::string& text, const Mesh& mesh, const MeshLink& link) {
+  const Micros now = ReadBootClock().mono;
+  AppendOne(text, "mesh_sent_bytes_total", "counter",
+            std::to_string(link.bytes_sent()));
+  AppendOne(text, "mesh_received_bytes_total", "counter",
+            std::to_string(link.bytes_received()));
+  AppendOne(text, "mesh_dropped_messages_total", "counter",
+            std::to_string(link.messages_dropped()));
+  AppendType(text, "mesh_member_heard_age_seconds", "gauge");
+  for (const auto& [address, member] : mesh.members) {
+    if (member.last_heard != 0) {
+      AppendValue(text, "mesh_member_heard_age_seconds",
+                  "{address=" + JsonQuote(address) + "}",
+                  Seconds(now - member.last_heard));
+    }
+  }
+}
+
+std::string OutcomeName(wire::JobFate fate) {
+  std::string name = wire::JobFate_Name(fate);
+  return name.substr(name.find('_') + 1);
+}
+
+}  // namespace
+
+EntryMetrics::Series::Series()
+    : seconds(boost::histogram::make_histogram(Axis(BucketEdges()))) {}
+
+void EntryMetrics::Observe(const EntryObservation& observation) {
+  const std::pair key(observation.queue, OutcomeName(observation.fate));
+  if (series_.size() >= kMaxSeries && !series_.contains(key)) {
+    return;
+  }
+  Series& series = series_[key];
+  const double seconds = static_cast<double>(observation.took) /
+                         static_cast<double>(kSecond);
+  series.seconds(seconds);
+  series.sum += seconds;
+}
+
+std::string EntryMetrics::Text(const EntryBoard& board,
+                               const MeshLink& link) const {
+  std::string text;
+  AppendOne(text, "jobs_received_total", "counter",
+            std::to_string(board.counters.received));
+  AppendByLabel(text, "jobs_answered_total", "outcome",
+                board.counters.answered);
+  AppendOne(text, "jobs_pending", "gauge",
+            std::to_string(board.pending.size()));
+  AppendOne(text, "configuration_version", "gauge",
+            std::to_string(board.routing.version()));
+  AppendMesh(text, board.mesh, link);
+  AppendType(text, "job_response_seconds", "histogram");
+  for (const auto& [key, series] : series_) {
+    const std::string labels = "{queue=" + JsonQuote(key.first) +
+                               ",outcome=" + JsonQuote(key.second);
+    uint64_t below = 0;
+    for (auto&& bin : boost::histogram::indexed(series.seconds)) {
+      below += static_cast<uint64_t>(*bin);
+      if (*bin > 0) {
+        AppendValue(
+            text, "job_response_seconds_bucket",
+            labels + ",le=\"" + std::to_string(bin.bin().upper()) + "\"}",
+            std::to_string(below));
+      }
+    }
+    AppendValue(text, "job_response_seconds_bucket", labels + ",le=\"+Inf\"}",
+                std::to_string(below));
+    AppendValue(text, "job_response_seconds_sum", labels + "}",
+                std::to_string(series.sum));
+    AppendValue(text, "job_response_seconds_count", labels + "}",
+                std::to_string(below));
+  }
+  return text;
+}
+
+std::string ControlMetricsText(const PoolBoard& board, const MeshLink& link) {
+  const Micros now = ReadBootClock().mono;
+  std::string text;
+  AppendOne(text, "jobs_received_total", "counter",
+            std::to_string(board.counters.jobs_received));
+  AppendOne(text, "jobs_forwarded_total", "counter",
+            std::to_string(board.counters.jobs_forwarded));
+  AppendByLabel(text, "jobs_ended_total", "fate", board.counters.jobs_ended);
+  AppendByLabel(text, "worker_orders_total", "outcome",
+                board.counters.order_outcomes);
+  AppendByLabel(text, "runs_ended_total", "end", board.counters.run_ends);
+  AppendOne(text, "starts_total", "counter",
+            std::to_string(board.counters.starts));
+  AppendOne(text, "settles_total", "counter",
+            std::to_string(board.counters.settles));
+  AppendOne(text, "ejections_total", "counter",
+            std::to_string(board.counters.ejections));
+  AppendOne(text, "jobs", "gauge", std::to_string(board.jobs.size()));
+  AppendOne(text, "waiting_tasks", "gauge",
+            std::to_string(board.waiting.size()));
+  AppendOne(text, "ready_workers", "gauge",
+            std::to_string(board.mesh.load.workers()));
+  AppendOne(text, "free_cpu_millis", "gauge",
+            std::to_string(board.mesh.load.free_cpu_millis()));
+  AppendOne(text, "configuration_version", "gauge",
+            std::to_string(board.agreement.committed.routing().version()));
+  AppendOne(text, "agreement_term", "gauge",
+            std::to_string(board.agreement.stored.term()));
+  AppendOne(text, "agreement_leads", "gauge",
+            board.agreement.role == AgreementRole::kLeader ? "1" : "0");
+  AppendOne(text, "agreement_unstored_writes", "gauge",
+            std::to_string(board.agreement.write_sequence -
+                           board.agreement.durable_sequence));
+  AppendType(text, "worker_heard_age_seconds", "gauge");
+  for (const auto& [id, worker] : board.workers) {
+    if (worker.session != SessionState::kNone) {
+      AppendValue(text, "worker_heard_age_seconds",
+                  "{worker=" + JsonQuote(id) + "}",
+                  Seconds(now - worker.last_heard));
+    }
+  }
+  AppendMesh(text, board.mesh, link);
+  return text;
+}
+
+HttpReply MetricsReply(std::string text) {
+  HttpReply reply;
+  reply.content_type = "text/plain; version=0.0.4";
+  reply.body = std::move(text);
+  return reply;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/pool_program.cc
@@ -0,0 +1,317 @@
+#include "edge/pool_program.h"
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "edge/control_daemon.h"
+#include "edge/entry_daemon.h"
+#include "edge/logging.h"
+#include "edge/settings.h"
+#include "edge/stop_signals.h"
+#include "goldcrest/digest.h"
+
+DEFINE_string(name, "vm1", "Name of this VM.");
+DEFINE_string(domain, "local", "Failure domain of this VM.");
+DEFINE_string(ip, "127.0.0.1", "Address of this VM for other daemons.");
+DEFINE_uint64(mesh_port,
+              7720,
+              "Port for other daemons, the same on all VMs.");
+DEFINE_string(seeds,
+              "",
+              "Addresses (IP:PORT) of control daemons to start from, with "
+              "their ports for operators and workers.");
+DEFINE_string(callers_address, "", "IP:PORT for callers (entry daemon).");
+DEFINE_string(readiness_address,
+              "",
+              "IP:PORT for the balancer's probe (entry daemon).");
+DEFINE_string(control_address,
+              "",
+              "IP:PORT for operators and workers (control daemon).");
+DEFINE_string(disk, "", "Data folder (control daemon).");
+DEFINE_bool(first_start,
+            false,
+            "The whole deployment starts for the first time: the seeds are "
+            "the first voters.");
+DEFINE_int32(tolerated_losses,
+             1,
+             "VMs with a disk that may be lost at the same time.");
+DEFINE_uint64(metrics_port, 0, "Port of the metrics page; 0: none.");
+DEFINE_string(log, "info", "Lowest level logged: debug, info, warning, error.");
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kReloadPeriod = 1 * kSecond;
+constexpr int32_t kMaxToleratedLosses = 10;
+constexpr uint64_t kMaxPort = 65535;
+
+ProgramInfo Program(const std::string& name, const std::string& summary) {
+  return {name, summary, name + " [--name=value ...]", "pool_program.cc"};
+}
+
+// Returns the arguments in the lines of a settings file.
+std::vector<std::string> ArgumentsOf(const std::string& text) {
+  std::vector<std::string> arguments;
+  std::istringstream stream(text);
+  std::string line;
+  while (std::getline(stream, line)) {
+    const size_t first = line.find_first_not_of(" \t\r");
+    if (first == std::string::npos || line[first] == '#') {
+      continue;
+    }
+    const size_t last = line.find_last_not_of(" \t\r");
+    arguments.push_back(line.substr(first, last - first + 1));
+  }
+  return arguments;
+}
+
+// Reads flags from the file and then from the command line.
+void ReadAllSettings(const ProgramInfo& program,
+                     int argc,
+                     char** argv,
+                     const std::string& settings_file) {
+  std::vector<std::string> arguments = {argv[0]};
+  if (!settings_file.empty()) {
+    for (std::string& argument :
+         ArgumentsOf(ReadFileOrFail(program, settings_file))) {
+      arguments.push_back(std::move(argument));
+    }
+  }
+  arguments.insert(arguments.end(), argv + 1, argv + argc);
+  std::vector<char*> pointers;
+  for (std::string& argument : arguments) {
+    pointers.push_back(argument.data());
+  }
+  const auto rest = ReadSettings(program, static_cast<int>(pointers.size()),
+                                 pointers.data());
+  if (!rest.empty()) {
+    FailUsage(program, "unexpected argument '" + rest.front() + "'");
+  }
+  if (!StartLogging(FLAGS_log, {{"vm", FLAGS_name}})) {
+    FailUsage(program, "--log: '" + FLAGS_log +
+                           "' is not debug, info, warning or error");
+  }
+}
+
+std::string AddressOrFail(const ProgramInfo& program,
+                          const std::string& flag,
+                          const std::string& value) {
+  if (!IsAddress(value)) {
+    FailUsage(program, "--" + flag + ": '" + value + "' is not IP:PORT");
+  }
+  return value;
+}
+
+// Returns the mesh address of the VM with the address "ip:port".
+std::string MeshAddressOf(const std::string& address) {
+  return address.substr(0, address.find(':')) + ':' +
+         std::to_string(FLAGS_mesh_port);
+}
+
+std::vector<std::string> MeshSeeds(const std::vector<std::string>& seeds) {
+  std::vector<std::string> mesh;
+  for (const std::string& seed : seeds) {
+    mesh.push_back(MeshAddressOf(seed));
+  }
+  return mesh;
+}
+
+MeshOptions ReadMeshOptions(const ProgramInfo& program) {
+  if (FLAGS_mesh_port == 0 || FLAGS_mesh_port > kMaxPort ||
+      FLAGS_metrics_port > kMaxPort) {
+    FailUsage(program, "--mesh_port, --metrics_port: not a port");
+  }
+  MeshOptions mesh;
+  mesh.self = AddressOrFail(program, "ip", MeshAddressOf(FLAGS_ip));
+  mesh.incarnation = static_cast<uint64_t>(ReadClock().wall_ms);
+  mesh.failure_domain = FLAGS_domain;
+  mesh.seeds = MeshSeeds(AddressesOrFail(program, "seeds", FLAGS_seeds));
+  return mesh;
+}
+
+std::string MetricsAddress() {
+  return FLAGS_metrics_port == 0
+             ? ""
+             : FLAGS_ip + ':' + std::to_string(FLAGS_metrics_port);
+}
+
+void LogStart(const ProgramInfo& program, const MeshOptions& mesh) {
+  WriteLog({LogLevel::kInfo,
+            "daemon_started",
+            {{"program", program.name},
+             {"mesh", mesh.self},
+             {"incarnation", std::to_string(mesh.incarnation)},
+             {"domain", mesh.failure_domain},
+             {"seeds", FLAGS_seeds},
+             {"first_start", FLAGS_first_start ? "1" : "0"},
+             {"disk", FLAGS_disk.empty() ? "none" : FLAGS_disk}}});
+}
+
+// Returns the seeds in the lines of a settings file; nothing when it has none
+// that can be read.
+std::vector<std::string> SeedsInFile(const std::string& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  constexpr std::string_view kPrefix = "--seeds=";
+  for (const std::string& argument : ArgumentsOf(text.str())) {
+    if (!argument.starts_with(kPrefix)) {
+      continue;
+    }
+    std::vector<std::string> seeds =
+        SplitList(argument.substr(kPrefix.size()));
+    std::erase_if(seeds, [](const auto& seed) { return !IsAddress(seed); });
+    return MeshSeeds(seeds);
+  }
+  return {};
+}
+
+// Watches the settings file for changes, whether or not a signal tells them.
+class SettingsWatch {
+ public:
+  explicit SettingsWatch(std::string path) : path_(std::move(path)) {
+    seen_ = Stamp();
+  }
+
+  // Returns the seeds when the file has changed.
+  std::optional<std::vector<std::string>> Changed(Micros now) {
+    if (path_.empty() || now < due_) {
+      return std::nullopt;
+    }
+    due_ = now + kReloadPeriod;
+    const auto stamp = Stamp();
+    if (stamp == seen_) {
+      return std::nullopt;
+    }
+    seen_ = stamp;
+    std::vector<std::string> seeds = SeedsInFile(path_);
+    std::string names;
+    for (const std::string& seed : seeds) {
+      names += names.empty() ? "" : ",";
+      names += seed;
+    }
+    WriteLog({LogLevel::kInfo, "settings_reloaded", {{"seeds", names}}});
+    return seeds;
+  }
+
+ private:
+  struct FileStamp {
+    int64_t seconds = 0;
+    int64_t nanoseconds = 0;
+    int64_t size = 0;
+    friend bool operator==(const FileStamp&, const FileStamp&) = default;
+  };
+
+  FileStamp Stamp() const {
+    struct stat info = {};
+    if (path_.empty() || stat(path_.c_str(), &info) != 0) {
+      return {};
+    }
+    return {info.st_mtim.tv_sec, info.st_mtim.tv_nsec, info.st_size};
+  }
+
+  std::string path_;
+  FileStamp seen_;
+  Micros due_ = 0;
+};
+
+// Starts a daemon, runs it and logs its end.
+template <typename DaemonType>
+int Serve(const ProgramInfo& program,
+          DaemonType& daemon,
+          const std::string& settings_file) {
+  const auto started = daemon.Start();
+  if (!started) {
+    WriteLog({LogLevel::kError, "start_failed", {{"error", started.error()}}});
+    std::cerr << program.name << ": " << started.error() << "\n";
+    return kExitFailure;
+  }
+  SettingsWatch watch(settings_file);
+  daemon.OnTick([&](Mesh& mesh, Micros now) {
+    const auto seeds = watch.Changed(now);
+    if (seeds) {
+      AddSeeds(mesh, *seeds);
+    }
+  });
+  {
+    const StopSignalWatcher signals([&] { daemon.RequestDrain(); });
+    daemon.Run();
+  }
+  WriteLog({LogLevel::kInfo, "daemon_stopped", {{"program", program.name}}});
+  return kExitOk;
+}
+
+}  // namespace
+
+int RunEntryProgram(int argc,
+                    char** argv,
+                    const std::string& settings_file,
+                    const CallerProtocol& callers) {
+  const ProgramInfo program =
+      Program("goldcrest_entry",
+              "Takes callers' jobs and hands them to control daemons.");
+  ReadAllSettings(program, argc, argv, settings_file);
+  EntryDaemonOptions options;
+  options.callers_address =
+      AddressOrFail(program, "callers_address", FLAGS_callers_address);
+  options.readiness_address =
+      AddressOrFail(program, "readiness_address", FLAGS_readiness_address);
+  options.metrics_address = MetricsAddress();
+  options.mesh = ReadMeshOptions(program);
+  BlockStopSignals();
+  std::signal(SIGHUP, SIG_IGN);
+  LogStart(program, options.mesh);
+  EntryDaemon daemon(options, callers);
+  return Serve(program, daemon, settings_file);
+}
+
+int RunControlProgram(int argc,
+                      char** argv,
+                      const std::string& settings_file,
+                      const ControlProtocol& control,
+                      const WorkerProtocol& workers) {
+  const ProgramInfo program =
+      Program("goldcrest_control",
+              "Orders workers, runs jobs on them and keeps the configuration.");
+  ReadAllSettings(program, argc, argv, settings_file);
+  if (FLAGS_tolerated_losses < 0 ||
+      FLAGS_tolerated_losses > kMaxToleratedLosses) {
+    FailUsage(program, "--tolerated_losses: not in 0 to 10");
+  }
+  if (FLAGS_disk.empty()) {
+    FailUsage(program, "--disk: a control daemon needs a data folder");
+  }
+  ControlDaemonOptions options;
+  options.control_address =
+      AddressOrFail(program, "control_address", FLAGS_control_address);
+  options.metrics_address = MetricsAddress();
+  options.data_dir = FLAGS_disk;
+  PoolStart& start = options.start;
+  start.mesh = ReadMeshOptions(program);
+  start.mesh.control = true;
+  start.mesh.control_address = options.control_address;
+  start.agreement.self = start.mesh.self;
+  start.agreement.failure_domain = start.mesh.failure_domain;
+  start.agreement.tolerated_losses = FLAGS_tolerated_losses;
+  start.first_start = FLAGS_first_start;
+  start.random_seed =
+      StableHash(start.mesh.self + std::to_string(start.mesh.incarnation));
+  BlockStopSignals();
+  std::signal(SIGHUP, SIG_IGN);
+  LogStart(program, start.mesh);
+  ControlDaemon daemon(options, control, workers);
+  return Serve(program, daemon, settings_file);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/edge/pool_protocol.h
@@ -0,0 +1,89 @@
+#ifndef EDGE_POOL_PROTOCOL_H_
+#define EDGE_POOL_PROTOCOL_H_
+
+// What entry and control daemons need of the wire towards callers, operators
+// and workers.
+//
+// The daemons speak in the product's types; an implementation only encodes
+// and decodes. It holds no state, decides nothing and never waits.
+
+#include <string>
+#include <variant>
+
+#include "edge/http_client.h"
+#include "edge/http_message.h"
+#include "pool/entry.h"
+#include "pool/pool_step.h"
+#include "pool/worker_order.h"
+
+namespace goldcrest {
+
+// A caller asks how many jobs of a queue have not started.
+struct QueueCountQuery {
+  std::string queue;
+};
+
+// A caller asks for the state of a job that is answered where it was sent.
+struct JobStateQuery {
+  std::string job_id;
+};
+
+using CallerRequest = std::variant<CallerJob,
+                                   CallerCancels,
+                                   JobStateQuery,
+                                   QueueCountQuery,
+                                   HttpReply>;
+
+// Towards callers and the balancer, at an entry daemon.
+class CallerProtocol {
+ public:
+  virtual ~CallerProtocol() = default;
+  // Decodes a request by the queues in force; an HttpReply is its answer.
+  virtual CallerRequest Decode(const HttpRequest& request,
+                               const wire::Routing& routing) const = 0;
+  virtual HttpReply JobAnswer(const ReplyJob& answer) const = 0;
+  virtual HttpReply JobState(bool known) const = 0;
+  virtual HttpReply QueueCount(size_t count) const = 0;
+  // Says whether the request asks for the daemon's readiness.
+  virtual bool IsReadinessQuery(const HttpRequest& request) const = 0;
+};
+
+// An operator asks for the configuration in force.
+struct ConfigurationQuery {};
+
+// A request that another daemon has to answer, or nobody can now.
+using ControlRequest = std::variant<WorkerReported,
+                                    WorkerLeft,
+                                    RoutingChanged,
+                                    ConfigurationQuery,
+                                    HttpReply>;
+
+// Towards workers' reports and operators, at a control daemon.
+class ControlProtocol {
+ public:
+  virtual ~ControlProtocol() = default;
+  virtual ControlRequest Decode(const HttpRequest& request) const = 0;
+  // `report_to` is the address for later reports; empty: any.
+  virtual HttpReply ReportTaken(const std::string& report_to) const = 0;
+  virtual HttpReply LeaveTaken() const = 0;
+  virtual HttpReply ChangeDurable() const = 0;
+  virtual HttpReply Configuration(const wire::Routing& routing) const = 0;
+  // Sends the operator to the daemon at `address`.
+  virtual HttpReply Redirect(const std::string& address,
+                             const HttpRequest& request) const = 0;
+  virtual HttpReply TryLater() const = 0;
+};
+
+// Orders to workers.
+class WorkerProtocol {
+ public:
+  virtual ~WorkerProtocol() = default;
+  virtual HttpCall Encode(const WorkerOrder& order) const = 0;
+  virtual WorkerAnswer Decode(const WorkerOrder& order,
+                              CallEnd end,
+                              const HttpResponse& response) const = 0;
+};
+
+}  // namespace goldcrest
+
+#endif  // EDGE_POOL_PROTOCOL_H_
--- a/edge/socket_loop.cc
+++ b/edge/socket_loop.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
@@ -97,4 +98,12 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(wall).count()};
 }
 
+Now ReadBootClock() {
+  timespec boot = {};
+  clock_gettime(CLOCK_BOOTTIME, &boot);
+  Now now = ReadClock();
+  now.mono = boot.tv_sec * kSecond + boot.tv_nsec / 1000;
+  return now;
+}
+
 }  // namespace goldcrest
--- a/edge/socket_loop.h
+++ b/edge/socket_loop.h
@@ -65,6 +65,10 @@
 // Returns both clocks.
 Now ReadClock();
 
+// Returns both clocks, with one that also counts while the VM is suspended in
+// place of the monotonic one, which does not: leases must run out meanwhile.
+Now ReadBootClock();
+
 }  // namespace goldcrest
 
 #endif  // EDGE_SOCKET_LOOP_H_
--- a/edge/stand_in_worker.cc
+++ b/edge/stand_in_worker.cc
@@ -299,7 +299,8 @@
   announce_at_ = now + kDefaultRenew;
   std::string running;
   for (const auto& [task_id, run] : running_) {
-    running += (running.empty() ? "" : ",") + JsonQuote(task_id);
+    running += running.empty() ? "" : ",";
+    running += JsonQuote(task_id);
   }
   HttpCall call;
   call.address = entry_.empty()
--- a/edge/status_json.cc
+++ b/edge/status_json.cc
@@ -76,11 +76,13 @@
   const Membership& membership = bb.membership;
   std::string peers;
   for (const auto& [vm, peer] : membership.peers) {
-    peers += (peers.empty() ? "" : ",") + PeerJson(vm, peer);
+    peers += peers.empty() ? "" : ",";
+    peers += PeerJson(vm, peer);
   }
   std::string workers;
   for (const auto& [key, worker] : bb.workers.workers) {
-    workers += (workers.empty() ? "" : ",") + WorkerJson(*worker, now);
+    workers += workers.empty() ? "" : ",";
+    workers += WorkerJson(*worker, now);
   }
   const bool leased = HoldsServingLease(bb, now);
   return "{\"vm\":" + JsonQuote(bb.deployment.self) +
--- /dev/null
+++ b/pool/entry.cc
@@ -0,0 +1,386 @@
+#include "pool/entry.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace goldcrest {
+namespace {
+
+const char* NameOf(wire::JobFate fate) {
+  switch (fate) {
+    case wire::JOB_COMPLETED:
+      return "completed";
+    case wire::JOB_FAILED:
+      return "failed";
+    case wire::JOB_REFUSED:
+      return "refused";
+    case wire::JOB_CANCELLED:
+      return "cancelled";
+    case wire::JOB_TIMED_OUT:
+      return "timed_out";
+    default:
+      return "unknown";
+  }
+}
+
+const wire::Queue* QueueByName(const wire::Routing& routing,
+                               const std::string& name) {
+  for (const wire::Queue& queue : routing.queues()) {
+    if (queue.name() == name) {
+      return &queue;
+    }
+  }
+  return nullptr;
+}
+
+void Reply(EntryBoard& board,
+           ReplyToken token,
+           wire::JobFate fate,
+           int64_t retry_after_ms,
+           PoolActions& actions) {
+  ++board.counters.answered[NameOf(fate)];
+  actions.emplace_back(ReplyJob{token, fate, retry_after_ms});
+}
+
+void RefuseCaller(EntryBoard& board,
+                  const CallerJob& job,
+                  const std::string& reason,
+                  PoolActions& actions) {
+  LogPool(actions, LogLevel::kWarning, "job_refused",
+          {{"job", job.job_id},
+           {"queue", job.queue},
+           {"reason", reason},
+           {"configuration", std::to_string(board.routing.version())}});
+  Reply(board, job.token, wire::JOB_REFUSED, board.options.retry_after_ms,
+        actions);
+}
+
+void SendCancel(const EntryBoard& board,
+                const PendingJob& job,
+                PoolActions& actions) {
+  wire::PoolMessage message;
+  wire::JobCancel& cancel = *message.mutable_job_cancel();
+  cancel.set_order(job.order);
+  cancel.set_job_id(job.job_id);
+  cancel.set_entry(board.mesh.options.self);
+  SendTo(actions, job.control, std::move(message));
+}
+
+// Answers a pending job and forgets it.
+void Finish(EntryBoard& board,
+            uint64_t order,
+            wire::JobFate fate,
+            const std::string& reason,
+            int64_t retry_after_ms,
+            Micros now,
+            PoolActions& actions) {
+  const auto found = board.pending.find(order);
+  if (found == board.pending.end()) {
+    return;
+  }
+  const PendingJob job = std::move(found->second);
+  board.pending.erase(found);
+  board.orders.erase(job.token);
+  const auto by_id = board.order_of_job.find(job.job_id);
+  if (by_id != board.order_of_job.end() && by_id->second == order) {
+    board.order_of_job.erase(by_id);
+  }
+  LogPool(actions,
+          fate == wire::JOB_COMPLETED ? LogLevel::kInfo : LogLevel::kWarning,
+          "job_answered",
+          {{"job", job.job_id},
+           {"queue", job.queue},
+           {"control", job.control},
+           {"outcome", NameOf(fate)},
+           {"reason", reason},
+           {"took_ms", std::to_string((now - job.received) / kMillisecond)}});
+  board.observations.push_back({job.queue, fate, now - job.received});
+  Reply(board, job.token, fate, retry_after_ms, actions);
+}
+
+wire::JobOrder MakeOrder(const EntryBoard& board,
+                         const CallerJob& job,
+                         const wire::Queue& queue,
+                         uint64_t number,
+                         int64_t budget_ms) {
+  wire::JobOrder order;
+  order.set_order(number);
+  order.set_job_id(job.job_id);
+  order.set_queue(queue.name());
+  order.set_service(queue.service());
+  order.set_spec(job.spec);
+  for (const wire::JobStep& step : job.steps) {
+    *order.add_steps() = step;
+  }
+  order.set_priority(queue.priority());
+  order.set_max_attempts(queue.max_attempts());
+  order.set_stretch(queue.stretch());
+  order.set_target_ms(queue.target_ms());
+  order.set_budget_ms(static_cast<uint32_t>(budget_ms));
+  order.set_entry(board.mesh.options.self);
+  order.set_entry_incarnation(board.mesh.options.incarnation);
+  return order;
+}
+
+void Take(EntryBoard& board,
+          const CallerJob& job,
+          Micros now,
+          PoolActions& actions) {
+  ++board.counters.received;
+  const wire::Queue* queue = QueueByName(board.routing, job.queue);
+  if (queue == nullptr) {
+    RefuseCaller(board, job, "no_such_queue_now", actions);
+    return;
+  }
+  if (!job.unsupported.empty()) {
+    RefuseCaller(board, job, "unsupported_" + job.unsupported, actions);
+    return;
+  }
+  const std::optional<std::string> control = ChooseControl(board.mesh, now);
+  if (!control) {
+    RefuseCaller(board, job, "no_control_daemon", actions);
+    return;
+  }
+  int64_t budget_ms = queue->timeout_ms();
+  if (job.caller_timeout_ms > 0) {
+    budget_ms = std::min(budget_ms, job.caller_timeout_ms);
+  }
+  const uint64_t number = board.next_order++;
+  PendingJob pending;
+  pending.order = number;
+  pending.token = job.token;
+  pending.job_id = job.job_id;
+  pending.queue = job.queue;
+  pending.control = *control;
+  pending.control_incarnation = board.mesh.members.at(*control).incarnation;
+  pending.received = now;
+  pending.deadline = now + budget_ms * kMillisecond;
+  wire::PoolMessage message;
+  *message.mutable_job_order() =
+      MakeOrder(board, job, *queue, number, budget_ms);
+  message.mutable_job_order()->set_seen_sequence(
+      NewestSequence(board.mesh, *control));
+  SendTo(actions, *control, std::move(message));
+  LogPool(actions, LogLevel::kInfo, "job_sent",
+          {{"job", job.job_id},
+           {"queue", job.queue},
+           {"control", *control},
+           {"heard_ms_ago",
+            std::to_string((now - board.mesh.members.at(*control).last_heard) /
+                           kMillisecond)},
+           {"configuration", std::to_string(board.routing.version())},
+           {"budget_ms", std::to_string(budget_ms)}});
+  board.orders[job.token] = number;
+  board.order_of_job[job.job_id] = number;
+  board.pending[number] = std::move(pending);
+}
+
+void Take(EntryBoard& board,
+          const CallerLeft& left,
+          Micros now,
+          PoolActions& actions) {
+  const auto found = board.orders.find(left.token);
+  if (found == board.orders.end()) {
+    return;
+  }
+  const uint64_t order = found->second;
+  SendCancel(board, board.pending.at(order), actions);
+  Finish(board, order, wire::JOB_CANCELLED, "caller_left", 0, now, actions);
+}
+
+void Take(EntryBoard& board,
+          const CallerCancels& cancels,
+          Micros now,
+          PoolActions& actions) {
+  const auto found = board.order_of_job.find(cancels.job_id);
+  if (found == board.order_of_job.end()) {
+    // The job may be another entry daemon's: its control daemon knows it.
+    PendingJob job;
+    job.job_id = cancels.job_id;
+    for (const auto& [address, member] : board.mesh.members) {
+      if (member.presence.control() && IsHeard(board.mesh, address, now)) {
+        job.control = address;
+        SendCancel(board, job, actions);
+      }
+    }
+    Reply(board, cancels.token, wire::JOB_FATE_UNSPECIFIED, 0, actions);
+    return;
+  }
+  const uint64_t order = found->second;
+  SendCancel(board, board.pending.at(order), actions);
+  Finish(board, order, wire::JOB_CANCELLED, "asked_by_caller", 0, now, actions);
+  Reply(board, cancels.token, wire::JOB_CANCELLED, 0, actions);
+}
+
+void TakeRouting(EntryBoard& board,
+                 const wire::Routing& routing,
+                 PoolActions& actions) {
+  if (routing.version() <= board.routing.version()) {
+    return;
+  }
+  LogPool(actions, LogLevel::kInfo, "configuration_in_force",
+          {{"version", std::to_string(routing.version())},
+           {"before", std::to_string(board.routing.version())},
+           {"queues", std::to_string(routing.queues_size())}});
+  board.routing = routing;
+  board.mesh.routing_version = routing.version();
+}
+
+void TakeMoved(EntryBoard& board, const wire::JobMoved& moved) {
+  const auto found = board.pending.find(moved.order());
+  const auto member = board.mesh.members.find(moved.to());
+  if (found != board.pending.end() && member != board.mesh.members.end()) {
+    found->second.control = moved.to();
+    found->second.control_incarnation = member->second.incarnation;
+  }
+}
+
+void Take(EntryBoard& board,
+          const EntryReceived& event,
+          Micros now,
+          PoolActions& actions) {
+  const wire::PoolMessage& message = event.message;
+  if (message.has_presence()) {
+    const MemberChange change =
+        OnPresence(board.mesh, message.from(), message.incarnation(),
+                   message.presence(), now, actions);
+    if (change != MemberChange::kNone) {
+      LogPool(actions, LogLevel::kInfo, "control_daemon_seen",
+              {{"address", message.from()},
+               {"incarnation", std::to_string(message.incarnation())}});
+    }
+  } else if (message.has_routing()) {
+    TakeRouting(board, message.routing(), actions);
+  } else if (message.has_job_moved()) {
+    TakeMoved(board, message.job_moved());
+  } else if (message.has_job_end()) {
+    const wire::JobEnd& end = message.job_end();
+    Finish(board, end.order(), end.fate(), end.reason(), end.retry_after_ms(),
+           now, actions);
+  }
+}
+
+void Take(EntryBoard& board,
+          const EntryDrain& /*event*/,
+          Micros now,
+          PoolActions& actions) {
+  if (board.draining) {
+    return;
+  }
+  board.draining = true;
+  board.mesh.draining = true;
+  board.drain_started = now;
+  LogPool(actions, LogLevel::kInfo, "drain_started",
+          {{"jobs", std::to_string(board.pending.size())}});
+}
+
+void Take(EntryBoard&, const EntryTick&, Micros, PoolActions&) {}
+
+// Gives up jobs whose control daemon is lost or does not answer in time.
+void GiveUpLost(EntryBoard& board, Micros now, PoolActions& actions) {
+  std::vector<std::pair<uint64_t, std::string>> lost;
+  for (const auto& [order, job] : board.pending) {
+    const auto member = board.mesh.members.find(job.control);
+    if (member == board.mesh.members.end() ||
+        member->second.incarnation != job.control_incarnation) {
+      lost.emplace_back(order, "control_restarted");
+    } else if (!IsHeard(board.mesh, job.control, now)) {
+      lost.emplace_back(order, "control_not_heard");
+    } else if (now > job.deadline + board.options.answer_slack) {
+      lost.emplace_back(order, "time_is_up");
+    }
+  }
+  for (const auto& [order, reason] : lost) {
+    SendCancel(board, board.pending.at(order), actions);
+    Finish(board, order, wire::JOB_UNKNOWN, reason, 0, now, actions);
+  }
+}
+
+void DrainTick(EntryBoard& board, Micros now, PoolActions& actions) {
+  if (!board.draining || board.drained) {
+    return;
+  }
+  const Micros since = now - board.drain_started;
+  const bool done =
+      board.pending.empty() && since > board.options.shortest_drain;
+  if (done || since > board.options.longest_drain) {
+    board.drained = true;
+    LogPool(actions, LogLevel::kInfo, "drain_ended",
+            {{"jobs", std::to_string(board.pending.size())}});
+  }
+}
+
+}  // namespace
+
+EntryBoard MakeEntryBoard(const EntryOptions& options,
+                          const MeshOptions& mesh) {
+  EntryBoard board;
+  board.options = options;
+  board.mesh = MakeMesh(mesh);
+  return board;
+}
+
+void EntryStep(EntryBoard& board,
+               const EntryEvent& event,
+               Now now,
+               PoolActions& actions) {
+  std::visit(
+      [&](const auto& one) { Take(board, one, now.mono, actions); }, event);
+  if (std::holds_alternative<EntryTick>(event)) {
+    GiveUpLost(board, now.mono, actions);
+    DrainTick(board, now.mono, actions);
+    MeshTick(board.mesh, now.mono, actions);
+  }
+}
+
+const wire::Queue* FindQueue(const wire::Routing& routing,
+                             const std::string& host,
+                             const std::string& path) {
+  const wire::Queue* best = nullptr;
+  for (const wire::Queue& queue : routing.queues()) {
+    const bool matches =
+        queue.host() == host && path.starts_with(queue.path_prefix());
+    if (matches && (best == nullptr || queue.path_prefix().size() >
+                                           best->path_prefix().size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+std::optional<std::string> ChooseControl(const Mesh& mesh, Micros now) {
+  std::optional<std::string> best;
+  std::tuple<bool, bool, int64_t> best_rank;
+  for (const auto& [address, member] : mesh.members) {
+    const wire::Presence& presence = member.presence;
+    if (!presence.control() || presence.draining() ||
+        !IsHeard(mesh, address, now)) {
+      continue;
+    }
+    const bool has_workers = presence.load().workers() > 0;
+    const bool near =
+        presence.failure_domain() == mesh.options.failure_domain;
+    const std::tuple rank(has_workers, near, presence.load().free_cpu_millis());
+    if (!best || rank > best_rank) {
+      best = address;
+      best_rank = rank;
+    }
+  }
+  return best && std::get<0>(best_rank) ? best : std::nullopt;
+}
+
+bool IsReady(const EntryBoard& board, Micros now) {
+  return !board.draining && board.routing.version() > 0 &&
+         ChooseControl(board.mesh, now).has_value();
+}
+
+size_t PendingOf(const EntryBoard& board, const std::string& queue) {
+  return static_cast<size_t>(
+      std::count_if(board.pending.begin(), board.pending.end(),
+                    [&](const auto& entry) {
+                      return entry.second.queue == queue;
+                    }));
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/entry.h
@@ -0,0 +1,146 @@
+#ifndef POOL_ENTRY_H_
+#define POOL_ENTRY_H_
+
+// The decisions of an entry daemon: callers' jobs on their way to a control
+// daemon and back.
+//
+// An entry daemon holds the caller's connection and nothing else that matters.
+// It sends each job to one control daemon, of its own failure domain where
+// that is alive, and answers the caller with what that daemon says. When the
+// daemon falls silent the caller is told at once that the outcome is unknown;
+// nothing is sent to a second daemon, since the first one may still run it.
+// What nobody could take is refused at once with the time to come back.
+//
+// Callers' requests are refused while no configuration is known, so a daemon
+// never acts on an older one than it acted on before in the same life.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "goldcrest/time_units.h"
+#include "pool/mesh.h"
+#include "pool/pool_action.h"
+#include "proto/pool.pb.h"
+
+namespace goldcrest {
+
+struct EntryOptions {
+  // Longest graceful shutdown, and how long connections are still taken: the
+  // balancer needs this long to notice.
+  Micros longest_drain = 5 * kSecond;
+  Micros shortest_drain = 2500 * kMillisecond;
+  // A job whose control daemon does not answer by the caller's timeout and
+  // this is given up.
+  Micros answer_slack = 50 * kMillisecond;
+  int64_t retry_after_ms = 1000;
+};
+
+// A caller's job, as decoded at the edge.
+struct CallerJob {
+  ReplyToken token = kNoToken;
+  std::string queue;  // name in the routing
+  std::string job_id;
+  std::string spec;
+  std::vector<wire::JobStep> steps;
+  // How long the caller waits; 0: the queue's timeout.
+  int64_t caller_timeout_ms = 0;
+  // What the job asks for that this version cannot do; empty: nothing.
+  std::string unsupported;
+};
+
+// The caller closed its connection.
+struct CallerLeft {
+  ReplyToken token = kNoToken;
+};
+
+// A caller asks to cancel a job by its id.
+struct CallerCancels {
+  ReplyToken token = kNoToken;
+  std::string job_id;
+};
+
+struct EntryReceived {
+  wire::PoolMessage message;
+};
+
+struct EntryDrain {};
+struct EntryTick {};
+
+using EntryEvent = std::variant<CallerJob,
+                                CallerLeft,
+                                CallerCancels,
+                                EntryReceived,
+                                EntryDrain,
+                                EntryTick>;
+
+// A job that waits for its control daemon.
+struct PendingJob {
+  uint64_t order = 0;
+  ReplyToken token = kNoToken;
+  std::string job_id;
+  std::string queue;
+  std::string control;  // mesh address
+  uint64_t control_incarnation = 0;
+  Micros received = 0;
+  Micros deadline = 0;
+};
+
+struct EntryCounters {
+  uint64_t received = 0;
+  std::map<std::string, uint64_t> answered;  // by outcome
+};
+
+// One finished job, for histograms.
+struct EntryObservation {
+  std::string queue;
+  wire::JobFate fate = wire::JOB_FATE_UNSPECIFIED;
+  Micros took = 0;
+};
+
+struct EntryBoard {
+  EntryOptions options;
+  Mesh mesh;
+  wire::Routing routing;  // version 0: none yet
+  std::unordered_map<uint64_t, PendingJob> pending;  // by order number
+  std::unordered_map<ReplyToken, uint64_t> orders;
+  std::unordered_map<std::string, uint64_t> order_of_job;
+  uint64_t next_order = 1;
+  EntryCounters counters;
+  std::vector<EntryObservation> observations;  // drained by the edge
+  bool draining = false;
+  Micros drain_started = 0;
+  bool drained = false;
+};
+
+EntryBoard MakeEntryBoard(const EntryOptions& options,
+                          const MeshOptions& mesh);
+
+void EntryStep(EntryBoard& board,
+               const EntryEvent& event,
+               Now now,
+               PoolActions& actions);
+
+// Returns the queue whose host matches and whose prefix is the longest that
+// `path` begins with; null when there is none.
+const wire::Queue* FindQueue(const wire::Routing& routing,
+                             const std::string& host,
+                             const std::string& path);
+
+// Returns the control daemon for a new job: of the own failure domain, then
+// the one with the most room; nothing when none can take jobs.
+std::optional<std::string> ChooseControl(const Mesh& mesh, Micros now);
+
+// Says whether the balancer should send callers here.
+bool IsReady(const EntryBoard& board, Micros now);
+
+// Returns how many jobs of the queue wait for their control daemon.
+size_t PendingOf(const EntryBoard& board, const std::string& queue);
+
+}  // namespace goldcrest
+
+#endif  // POOL_ENTRY_H_
--- /dev/null
+++ b/pool/mesh.h
@@ -0,0 +1,101 @@
+#ifndef POOL_MESH_H_
+#define POOL_MESH_H_
+
+// Which daemons there are, and which of them can be reached.
+//
+// Every daemon sends a presence to all control daemons that it knows, a few
+// times a second; control daemons answer those of entry daemons. A presence
+// names the control daemons that its sender knows and those it hears, so that
+// a list of seeds is enough to find all of them, and so that a daemon that is
+// cut off from one control daemon can still learn from others that it lives.
+//
+// A presence carries a sequence number and the newest number received from the
+// other side. An order that repeats a number says how fresh its sender's view
+// was, measured on the receiver's own clock: a daemon that wakes up after a
+// pause can tell orders that waited for it from fresh ones.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "goldcrest/time_units.h"
+#include "pool/pool_action.h"
+#include "proto/pool.pb.h"
+
+namespace goldcrest {
+
+struct MeshOptions {
+  std::string self;  // mesh address
+  uint64_t incarnation = 0;
+  bool control = false;
+  std::string failure_domain;
+  std::string control_address;
+  std::vector<std::string> seeds;  // mesh addresses of control daemons
+  Micros presence_period = 100 * kMillisecond;
+  // A daemon that was not heard for this long counts as lost.
+  Micros silence = 450 * kMillisecond;
+  // What others say of a control daemon counts for this long.
+  Micros hearsay = 700 * kMillisecond;
+  // Control daemons that nobody has heard for this long are forgotten.
+  Micros forget_after = 30 * kSecond;
+};
+
+struct MeshMember {
+  std::string address;
+  uint64_t incarnation = 0;
+  Micros last_heard = 0;        // 0: never
+  Micros first_heard = 0;       // of this incarnation
+  Micros heard_by_others = 0;   // newest time another daemon said it hears it
+  wire::Presence presence;      // the newest one
+};
+
+struct Mesh {
+  MeshOptions options;
+  uint64_t sequence = 0;
+  std::deque<std::pair<uint64_t, Micros>> sent;  // sequence, when
+  std::map<std::string, MeshMember> members;     // by address
+  Micros presence_due = 0;
+  bool draining = false;
+  uint64_t routing_version = 0;
+  uint64_t store_id = 0;
+  wire::PoolLoad load;
+};
+
+Mesh MakeMesh(const MeshOptions& options);
+
+// Adds control daemons to start from.
+void AddSeeds(Mesh& mesh, const std::vector<std::string>& seeds);
+
+// What a received presence changed.
+enum class MemberChange : uint8_t { kNone, kAppeared, kRestarted };
+
+// Takes in a presence, and answers it where the sender expects that.
+MemberChange OnPresence(Mesh& mesh,
+                        const std::string& from,
+                        uint64_t incarnation,
+                        const wire::Presence& presence,
+                        Micros now,
+                        PoolActions& actions);
+
+// Sends presences when they are due.
+void MeshTick(Mesh& mesh, Micros now, PoolActions& actions);
+
+// Says whether the daemon at `address` was heard of late.
+bool IsHeard(const Mesh& mesh, const std::string& address, Micros now);
+
+// Says whether this daemon, or one that it hears, has heard the control daemon
+// at `address` of late.
+bool IsAlive(const Mesh& mesh, const std::string& address, Micros now);
+
+// Returns when the presence with `sequence` was sent; 0 when that is long ago.
+Micros SentAt(const Mesh& mesh, uint64_t sequence);
+
+// Returns the newest presence number received from `address`, 0 for none.
+uint64_t NewestSequence(const Mesh& mesh, const std::string& address);
+
+}  // namespace goldcrest
+
+#endif  // POOL_MESH_H_
--- /dev/null
+++ b/pool/pool_board.h
@@ -0,0 +1,238 @@
+#ifndef POOL_POOL_BOARD_H_
+#define POOL_POOL_BOARD_H_
+
+// Everything that one control daemon knows about its pool of workers.
+//
+// The board is plain data. Controllers are free functions that read and write
+// it: worker_roster (which workers there are and who orders them),
+// worker_session (the orders to one worker and what its answers mean),
+// pool_jobs (jobs from order to end) and pool_placement (which task goes where
+// next). Nothing here holds a clock, thread, socket or file.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "goldcrest/time_units.h"
+#include "pool/agreement.h"
+#include "pool/mesh.h"
+#include "pool/pool_action.h"
+#include "pool/worker_order.h"
+#include "proto/pool.pb.h"
+
+namespace goldcrest {
+
+struct PoolOptions {
+  // Length of the lease that orders give to everything on a worker. A job that
+  // its entry daemon lost must have ended on all workers before its caller
+  // sends it again: entry_silence + lease + clock drift stay below that.
+  int64_t lease_ms = 850;
+  // Longest lease that a worker accepts, and how slow its clock may be: what
+  // was started is over after this without an order.
+  Micros lease_over = 880 * kMillisecond;
+  // An entry daemon that was not heard for this long has lost its callers.
+  Micros entry_silence = 400 * kMillisecond;
+  // An order whose sender last heard this daemon longer ago is not taken.
+  Micros stale_order = 500 * kMillisecond;
+  // How long an answer to a hold may wait for the end of a run.
+  int64_t hold_wait_ms = 250;
+  // An end is acknowledged with the next hold, or after this long.
+  Micros acknowledge_after = 150 * kMillisecond;
+  Micros order_timeout = 350 * kMillisecond;
+  // Pause between two tries to reach a worker that does not answer.
+  Micros settle_retry = 150 * kMillisecond;
+  // A worker that has not settled for this long is no longer given leases.
+  Micros settle_with_lease = 300 * kMillisecond;
+  Micros settle_retry_max = 1000 * kMillisecond;
+  // Workers that were not heard for this long are forgotten.
+  Micros worker_silence = 6 * kSecond;
+  // After its start, a daemon leaves the workers of other failure domains
+  // alone for this long: their own daemons may only be starting too.
+  Micros foreign_claims_after = 2500 * kMillisecond;
+  Micros ownership_period = 200 * kMillisecond;
+  // A pause of the process longer than this makes all sessions settle anew.
+  Micros frozen_after = 400 * kMillisecond;
+};
+
+struct Need {
+  int64_t cpu_millis = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+
+  friend bool operator==(const Need&, const Need&) = default;
+};
+
+// ------------------------------------------------------------ workers
+
+enum class SessionState : uint8_t {
+  kNone,       // this daemon does not order the worker
+  kSettling,   // asks, under a new token, what runs there
+  kReady,      // takes starts
+  kReleasing,  // takes no starts; is handed over when nothing runs
+};
+
+enum class RunState : uint8_t {
+  kSent,      // the start has no answer yet
+  kRunning,
+  kStopping,  // its end is not known yet
+};
+
+// One run that may hold room on a worker.
+struct WorkerRun {
+  std::string job_key;  // empty: nobody's here any more
+  uint32_t run = 0;
+  RunState state = RunState::kSent;
+  Need need;
+  Micros sent_at = 0;
+  Micros answered_at = 0;
+  Micros expected = 0;  // run time
+  int progress_percent = 0;
+};
+
+// A worker's record of failures.
+struct WorkerHealth {
+  int failures_in_row = 0;
+  int ejections = 0;
+  Micros ejected_until = 0;
+  // After an ejection: one task at a time until one is done.
+  bool probation = false;
+};
+
+struct PoolWorker {
+  wire::WorkerNews facts;
+  Micros last_heard = 0;  // of a report of the worker or of its owner
+  // This daemon's session with it.
+  SessionState session = SessionState::kNone;
+  uint64_t session_number = 0;
+  uint64_t token = 0;
+  Micros settling_since = 0;
+  Micros settle_due = 0;
+  Micros settle_pause = 0;
+  bool settle_in_flight = false;
+  uint64_t acknowledged_end = 0;
+  uint64_t newest_end = 0;
+  Micros newest_end_at = 0;
+  bool hold_in_flight = false;
+  int64_t clock_ms = 0;  // the worker's clock at clock_at; 0: not known
+  Micros clock_at = 0;
+  Micros lease_sent_at = 0;  // when the newest lease was sent
+  std::map<TaskName, WorkerRun> runs;
+  Need used;
+  WorkerHealth health;
+  Micros asked_at = 0;     // for a hand-over
+  Micros claim_after = 0;  // not claimed before
+};
+
+// ------------------------------------------------------------ jobs
+
+enum class TaskPhase : uint8_t { kBlocked, kWaiting, kRunning, kDone };
+
+struct PoolTask {
+  TaskPhase phase = TaskPhase::kBlocked;
+  uint32_t runs = 0;
+  uint32_t failures = 0;
+  std::string worker;       // where it runs
+  std::string last_worker;  // where its last run ended badly
+};
+
+struct PoolJob;
+
+// Orders the tasks that wait for room.
+struct WaitingKey {
+  int rank = 0;
+  Micros due = 0;
+  uint64_t sequence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  friend auto operator<=>(const WaitingKey&, const WaitingKey&) = default;
+};
+
+struct PoolStep {
+  std::vector<PoolTask> tasks;
+  size_t open = 0;  // tasks that are not done
+  Micros expected = 0;  // run time of one task on an ordinary worker
+};
+
+struct PoolJob {
+  std::string key;
+  wire::JobOrder order;
+  uint64_t sequence = 0;
+  Micros received = 0;
+  Micros deadline = 0;  // of the caller
+  Micros due = 0;       // when callers want it done
+  std::vector<PoolStep> steps;
+  size_t open = 0;
+  // 1 when it can no longer be in time and yields to others.
+  int rank = 0;
+  // Whether a start was sent for any of its tasks.
+  bool started = false;
+  Micros first_start = 0;
+  std::set<std::string> failed_on;  // workers
+};
+
+struct WaitingTask {
+  PoolJob* job = nullptr;
+};
+
+// How long tasks really run, against the callers' estimates.
+struct RunTimes {
+  // By queue: actual run time over the estimate, on an ordinary worker.
+  std::map<std::string, double> queue_ratio;
+  // By kind of worker: run time over that of an ordinary worker.
+  std::map<std::string, double> kind_factor;
+};
+
+struct PoolCounters {
+  std::map<std::string, uint64_t> jobs_ended;  // by fate
+  std::map<std::string, uint64_t> order_outcomes;
+  std::map<std::string, uint64_t> run_ends;
+  uint64_t jobs_received = 0;
+  uint64_t jobs_forwarded = 0;
+  uint64_t starts = 0;
+  uint64_t settles = 0;
+  uint64_t ejections = 0;
+};
+
+struct PoolBoard {
+  PoolOptions options;
+  Mesh mesh;
+  Agreement agreement;
+  std::map<std::string, PoolWorker> workers;
+  std::unordered_map<std::string, std::unique_ptr<PoolJob>> jobs;  // by key
+  std::unordered_map<std::string, std::string> job_keys;  // by job id
+  std::map<WaitingKey, WaitingTask> waiting;
+  RunTimes run_times;
+  PoolCounters counters;
+  int64_t wall_ms = 0;  // at the present step
+  Micros started_at = 0;
+  Micros last_step = 0;
+  Micros ownership_due = 0;
+  uint64_t next_sequence = 1;
+  uint64_t next_session = 1;
+  bool placement_due = false;
+  bool draining = false;
+  Micros drain_started = 0;
+  bool drained = false;
+};
+
+// Says whether the worker takes part at all.
+inline bool IsPresent(const PoolWorker& worker) {
+  return !worker.facts.gone();
+}
+
+// Returns the room of a worker that nothing holds.
+inline Need FreeRoom(const PoolWorker& worker) {
+  return {worker.facts.cpu_millis() - worker.used.cpu_millis,
+          worker.facts.memory_mb() - worker.used.memory_mb,
+          worker.facts.accelerators() - worker.used.accelerators};
+}
+
+}  // namespace goldcrest
+
+#endif  // POOL_POOL_BOARD_H_
--- /dev/null
+++ b/pool/pool_jobs.cc
@@ -0,0 +1,520 @@
+#include "pool/pool_jobs.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "pool/pool_placement.h"
+#include "pool/worker_health.h"
+#include "pool/worker_session.h"
+
+namespace goldcrest {
+namespace {
+
+// A job is late after this many times its objective; then it yields to those
+// that can still be in time.
+constexpr int kLateFactor = 3;
+// A daemon that has just started may not know all workers yet.
+constexpr Micros kKnowsWorkersAfter = 5 * kSecond;
+constexpr int64_t kShortestRetryAfterMs = 1000;
+constexpr int64_t kLongestRetryAfterMs = 10'000;
+
+constexpr std::array<std::string_view, 7> kFateNames = {
+    "unspecified", "completed", "failed",   "refused",
+    "unknown",     "cancelled", "timed_out"};
+
+int64_t RetryAfterMs(Micros end, Micros budget) {
+  return std::clamp((end - budget) / kMillisecond, kShortestRetryAfterMs,
+                    kLongestRetryAfterMs);
+}
+
+std::string KeyOf(const wire::JobOrder& order) {
+  return order.entry() + '/' + std::to_string(order.entry_incarnation()) +
+         '/' + std::to_string(order.order());
+}
+
+void SendEnd(const wire::JobOrder& order,
+             wire::JobFate fate,
+             const std::string& reason,
+             int64_t retry_after_ms,
+             PoolActions& actions) {
+  wire::PoolMessage message;
+  wire::JobEnd& end = *message.mutable_job_end();
+  end.set_order(order.order());
+  end.set_job_id(order.job_id());
+  end.set_fate(fate);
+  end.set_reason(reason);
+  end.set_retry_after_ms(static_cast<uint32_t>(retry_after_ms));
+  SendTo(actions, order.entry(), std::move(message));
+}
+
+void Refuse(PoolBoard& board,
+            const wire::JobOrder& order,
+            wire::JobFate fate,
+            const std::string& reason,
+            int64_t retry_after_ms,
+            PoolActions& actions) {
+  ++board.counters.jobs_ended[std::string(kFateNames[fate])];
+  LogPool(actions, LogLevel::kWarning, "job_not_taken",
+          {{"job", order.job_id()},
+           {"queue", order.queue()},
+           {"fate", std::string(kFateNames[fate])},
+           {"reason", reason},
+           {"entry", order.entry()},
+           {"budget_ms", std::to_string(order.budget_ms())},
+           {"waiting", std::to_string(board.waiting.size())},
+           {"retry_after_ms", std::to_string(retry_after_ms)}});
+  SendEnd(order, fate, reason, retry_after_ms, actions);
+}
+
+bool IsEntryHeard(const PoolBoard& board,
+                  const wire::JobOrder& order,
+                  Micros now) {
+  const auto found = board.mesh.members.find(order.entry());
+  return found != board.mesh.members.end() &&
+         found->second.incarnation == order.entry_incarnation() &&
+         now - found->second.last_heard < board.options.entry_silence;
+}
+
+WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
+  return {job.rank, job.due, job.sequence, step, index};
+}
+
+std::unique_ptr<PoolJob> MakeJob(PoolBoard& board,
+                                 const wire::JobOrder& order,
+                                 Micros now) {
+  auto job = std::make_unique<PoolJob>();
+  job->key = KeyOf(order);
+  job->order = order;
+  job->sequence = board.next_sequence++;
+  job->received = now;
+  job->deadline = now + order.budget_ms() * kMillisecond;
+  Micros chain = 0;
+  for (const wire::JobStep& step : order.steps()) {
+    PoolStep& made = job->steps.emplace_back();
+    made.tasks.resize(step.tasks());
+    made.open = step.tasks();
+    made.expected = ExpectedRunTime(board, order, step);
+    job->open += step.tasks();
+    chain += made.expected;
+  }
+  job->due = now +
+             static_cast<Micros>(order.stretch() * static_cast<double>(chain)) +
+             order.target_ms() * kMillisecond;
+  return job;
+}
+
+bool IsUnblocked(const PoolJob& job, uint32_t step) {
+  const auto& after = job.order.steps(static_cast<int>(step)).after();
+  return std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
+    return job.steps[earlier].open == 0;
+  });
+}
+
+void QueueUnblocked(PoolBoard& board, PoolJob& job) {
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    if (!IsUnblocked(job, step)) {
+      continue;
+    }
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      if (job.steps[step].tasks[i].phase == TaskPhase::kBlocked) {
+        QueueTask(board, job, step, i);
+      }
+    }
+  }
+}
+
+void LeaveQueue(PoolBoard& board, PoolJob& job) {
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      if (job.steps[step].tasks[i].phase == TaskPhase::kWaiting) {
+        board.waiting.erase(WaitingKeyOf(job, step, i));
+      }
+    }
+  }
+}
+
+void YieldToTimelyJobs(PoolBoard& board, PoolJob& job) {
+  LeaveQueue(board, job);
+  job.rank = 1;
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      if (job.steps[step].tasks[i].phase == TaskPhase::kWaiting) {
+        QueueTask(board, job, step, i);
+      }
+    }
+  }
+}
+
+int64_t FirstWaveCpu(const wire::JobOrder& order) {
+  int64_t cpu = 0;
+  for (const wire::JobStep& step : order.steps()) {
+    if (step.after_size() == 0) {
+      cpu += static_cast<int64_t>(step.tasks()) * step.cpu_millis();
+    }
+  }
+  return cpu;
+}
+
+// Returns the neighbour with the most free room of those that can start all of
+// the job at once; null when there is none.
+MeshMember* RoomierNeighbour(PoolBoard& board,
+                             const wire::JobOrder& order,
+                             Micros now) {
+  MeshMember* best = nullptr;
+  const int64_t cpu = FirstWaveCpu(order);
+  for (auto& [address, member] : board.mesh.members) {
+    const wire::PoolLoad& load = member.presence.load();
+    const bool can = member.presence.control() &&
+                     !member.presence.draining() &&
+                     IsHeard(board.mesh, address, now) &&
+                     load.queued_work_ms() == 0 &&
+                     load.free_cpu_millis() >= cpu + cpu / 4;
+    if (can && (best == nullptr ||
+                load.free_cpu_millis() >
+                    best->presence.load().free_cpu_millis())) {
+      best = &member;
+    }
+  }
+  return best;
+}
+
+void Forward(PoolBoard& board,
+             const wire::JobOrder& order,
+             MeshMember& to,
+             PoolActions& actions) {
+  ++board.counters.jobs_forwarded;
+  wire::PoolMessage message;
+  *message.mutable_job_order() = order;
+  message.mutable_job_order()->set_forwarded(true);
+  message.mutable_job_order()->set_seen_sequence(to.presence.sequence());
+  SendTo(actions, to.address, std::move(message));
+  wire::PoolMessage moved;
+  moved.mutable_job_moved()->set_order(order.order());
+  moved.mutable_job_moved()->set_to(to.address);
+  SendTo(actions, order.entry(), std::move(moved));
+  LogPool(actions, LogLevel::kInfo, "job_forwarded",
+          {{"job", order.job_id()},
+           {"to", to.address},
+           {"their_free_cpu_millis",
+            std::to_string(to.presence.load().free_cpu_millis())},
+           {"waiting_here", std::to_string(board.waiting.size())}});
+  // Until its next presence, the neighbour has this much less.
+  wire::PoolLoad& load = *to.presence.mutable_load();
+  load.set_free_cpu_millis(load.free_cpu_millis() - FirstWaveCpu(order));
+}
+
+bool CanEverRun(const PoolBoard& board, const wire::JobOrder& order) {
+  return std::all_of(
+      order.steps().begin(), order.steps().end(),
+      [&](const wire::JobStep& step) {
+        return std::any_of(board.workers.begin(), board.workers.end(),
+                           [&](const auto& entry) {
+                             return CouldEverRun(entry.second, order, step);
+                           });
+      });
+}
+
+// Gives the order of a job that is here already its place; returns whether
+// there was one.
+bool TakeOverJob(PoolBoard& board,
+                 const wire::JobOrder& order,
+                 Micros now,
+                 PoolActions& actions) {
+  const auto known = board.job_keys.find(order.job_id());
+  if (known == board.job_keys.end()) {
+    return false;
+  }
+  const std::string old_key = known->second;
+  const auto found = board.jobs.find(old_key);
+  if (found == board.jobs.end() || old_key == KeyOf(order)) {
+    return true;
+  }
+  std::unique_ptr<PoolJob> job = std::move(found->second);
+  board.jobs.erase(found);
+  job->key = KeyOf(order);
+  job->order = order;
+  job->deadline = now + order.budget_ms() * kMillisecond;
+  for (auto& [id, worker] : board.workers) {
+    for (auto& [name, run] : worker.runs) {
+      if (run.job_key == old_key) {
+        run.job_key = job->key;
+      }
+    }
+  }
+  LogPool(actions, LogLevel::kInfo, "job_attached",
+          {{"job", order.job_id()},
+           {"entry", order.entry()},
+           {"before", old_key}});
+  known->second = job->key;
+  const std::string key = job->key;
+  board.jobs[key] = std::move(job);
+  return true;
+}
+
+void LogAccepted(const PoolBoard& board,
+                 const PoolJob& job,
+                 Micros estimate,
+                 PoolActions& actions) {
+  LogPool(actions, LogLevel::kInfo, "job_accepted",
+          {{"job", job.order.job_id()},
+           {"queue", job.order.queue()},
+           {"entry", job.order.entry()},
+           {"tasks", std::to_string(job.open)},
+           {"budget_ms", std::to_string(job.order.budget_ms())},
+           {"due_ms", std::to_string((job.due - job.received) / kMillisecond)},
+           {"expected_ms", std::to_string(estimate / kMillisecond)},
+           {"waiting", std::to_string(board.waiting.size())}});
+}
+
+// Counts a failure of a run against its worker, unless the job itself fails
+// wherever it goes.
+void BlameWorker(PoolBoard& board,
+                 PoolWorker& worker,
+                 const PoolJob& job,
+                 Micros now,
+                 PoolActions& actions) {
+  const bool fails_elsewhere =
+      !job.failed_on.empty() &&
+      (job.failed_on.size() > 1 || *job.failed_on.begin() != worker.facts.id());
+  if (fails_elsewhere || !RecordFailure(worker, now)) {
+    return;
+  }
+  ++board.counters.ejections;
+  LogPool(actions, LogLevel::kWarning, "worker_ejected",
+          {{"worker", worker.facts.id()},
+           {"failures", std::to_string(worker.health.failures_in_row)},
+           {"for_ms", std::to_string((worker.health.ejected_until - now) /
+                                     kMillisecond)}});
+}
+
+void OnTaskDone(PoolBoard& board,
+                PoolWorker& worker,
+                PoolJob& job,
+                const TaskName& name,
+                const WorkerRun& run,
+                Micros now,
+                PoolActions& actions) {
+  RecordSuccess(worker);
+  if (run.answered_at != 0) {
+    LearnRunTime(board, job, name.step, worker, now - run.answered_at);
+  }
+  job.steps[name.step].tasks[name.index].phase = TaskPhase::kDone;
+  --job.steps[name.step].open;
+  --job.open;
+  if (job.open == 0) {
+    EndJob(board, job.key, wire::JOB_COMPLETED, "", now, actions);
+  } else if (job.steps[name.step].open == 0) {
+    QueueUnblocked(board, job);
+  }
+}
+
+void OnTaskFailed(PoolBoard& board,
+                  PoolWorker& worker,
+                  PoolJob& job,
+                  const TaskName& name,
+                  Micros now,
+                  PoolActions& actions) {
+  BlameWorker(board, worker, job, now, actions);
+  job.failed_on.insert(worker.facts.id());
+  PoolTask& task = job.steps[name.step].tasks[name.index];
+  ++task.failures;
+  if (task.failures >= job.order.max_attempts()) {
+    EndJob(board, job.key, wire::JOB_FAILED, "attempts_used_up", now, actions);
+    return;
+  }
+  QueueTask(board, job, name.step, name.index);
+}
+
+}  // namespace
+
+PoolJob* FindPoolJob(PoolBoard& board, const std::string& key) {
+  const auto found = board.jobs.find(key);
+  return found == board.jobs.end() ? nullptr : found->second.get();
+}
+
+void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index) {
+  job.steps[step].tasks[index].phase = TaskPhase::kWaiting;
+  board.waiting[WaitingKeyOf(job, step, index)] = {&job};
+  board.placement_due = true;
+}
+
+void OnJobOrder(PoolBoard& board,
+                const wire::JobOrder& order,
+                Micros now,
+                PoolActions& actions) {
+  ++board.counters.jobs_received;
+  const Micros seen_at = SentAt(board.mesh, order.seen_sequence());
+  if (seen_at == 0 || now - seen_at > board.options.stale_order) {
+    Refuse(board, order, wire::JOB_REFUSED, "order_out_of_date",
+           kShortestRetryAfterMs, actions);
+    return;
+  }
+  if (!IsEntryHeard(board, order, now)) {
+    Refuse(board, order, wire::JOB_REFUSED, "entry_not_heard",
+           kShortestRetryAfterMs, actions);
+    return;
+  }
+  if (TakeOverJob(board, order, now, actions)) {
+    return;
+  }
+  if (now - board.started_at > kKnowsWorkersAfter &&
+      !CanEverRun(board, order)) {
+    Refuse(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0,
+           actions);
+    return;
+  }
+  std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
+  const Micros estimate =
+      board.draining ? kNever : EstimateEnd(board, *job, now);
+  const Micros unhindered = job->steps[0].expected;
+  if (!order.forwarded() && (estimate > unhindered * 5 / 4 || board.draining)) {
+    MeshMember* neighbour = RoomierNeighbour(board, order, now);
+    if (neighbour != nullptr) {
+      Forward(board, order, *neighbour, actions);
+      return;
+    }
+  }
+  const Micros budget = order.budget_ms() * kMillisecond;
+  if (estimate > budget) {
+    Refuse(board, order, wire::JOB_REFUSED,
+           estimate >= kNever ? "no_workers" : "no_room_in_time",
+           estimate >= kNever ? kShortestRetryAfterMs
+                              : RetryAfterMs(estimate, budget),
+           actions);
+    return;
+  }
+  LogAccepted(board, *job, estimate, actions);
+  board.job_keys[order.job_id()] = job->key;
+  PoolJob& kept = *job;
+  board.jobs[kept.key] = std::move(job);
+  QueueUnblocked(board, kept);
+}
+
+void OnJobCancel(PoolBoard& board,
+                 const wire::JobCancel& cancel,
+                 Micros now,
+                 PoolActions& actions) {
+  const auto found = board.job_keys.find(cancel.job_id());
+  if (found == board.job_keys.end()) {
+    return;
+  }
+  const PoolJob* job = FindPoolJob(board, found->second);
+  const bool meant = job != nullptr && (cancel.order() == 0 ||
+                                        (cancel.order() == job->order.order() &&
+                                         cancel.entry() == job->order.entry()));
+  if (meant) {
+    EndJob(board, found->second, wire::JOB_CANCELLED, "asked_by_entry", now,
+           actions);
+  }
+}
+
+void EndJob(PoolBoard& board,
+            const std::string& key,
+            wire::JobFate fate,
+            const std::string& reason,
+            Micros now,
+            PoolActions& actions) {
+  const auto found = board.jobs.find(key);
+  if (found == board.jobs.end()) {
+    return;
+  }
+  const std::unique_ptr<PoolJob> job = std::move(found->second);
+  board.jobs.erase(found);
+  LeaveQueue(board, *job);
+  const auto by_id = board.job_keys.find(job->order.job_id());
+  if (by_id != board.job_keys.end() && by_id->second == key) {
+    board.job_keys.erase(by_id);
+  }
+  ++board.counters.jobs_ended[std::string(kFateNames[fate])];
+  const Micros waited = job->started ? job->first_start - job->received : 0;
+  LogPool(actions,
+          fate == wire::JOB_COMPLETED ? LogLevel::kInfo : LogLevel::kWarning,
+          "job_ended",
+          {{"job", job->order.job_id()},
+           {"queue", job->order.queue()},
+           {"fate", std::string(kFateNames[fate])},
+           {"reason", reason},
+           {"started", job->started ? "1" : "0"},
+           {"open_tasks", std::to_string(job->open)},
+           {"took_ms", std::to_string((now - job->received) / kMillisecond)},
+           {"first_start_ms", std::to_string(waited / kMillisecond)}});
+  SendEnd(job->order, fate, reason,
+          fate == wire::JOB_REFUSED ? kShortestRetryAfterMs : 0, actions);
+  for (uint32_t step = 0; step < job->steps.size(); ++step) {
+    for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
+      const PoolTask& task = job->steps[step].tasks[i];
+      const auto worker = board.workers.find(task.worker);
+      if (task.phase == TaskPhase::kRunning && worker != board.workers.end()) {
+        StopRun(board, worker->second, {job->order.job_id(), 0, step, i}, true,
+                now, actions);
+      }
+    }
+  }
+}
+
+void OnRunEnded(PoolBoard& board,
+                PoolWorker& worker,
+                const TaskName& name,
+                const WorkerRun& run,
+                RunEnd end,
+                bool never_ran,
+                Micros now,
+                PoolActions& actions) {
+  PoolJob* job = FindPoolJob(board, run.job_key);
+  if (job == nullptr) {
+    return;
+  }
+  PoolTask& task = job->steps[name.step].tasks[name.index];
+  if (task.phase != TaskPhase::kRunning || task.runs != run.run ||
+      task.worker != worker.facts.id()) {
+    return;
+  }
+  if (end != RunEnd::kDone) {
+    task.last_worker = worker.facts.id();
+    LogPool(actions, LogLevel::kWarning, "run_ended",
+            {{"job", name.job_id},
+             {"task", ToText(name)},
+             {"run", std::to_string(run.run)},
+             {"worker", worker.facts.id()},
+             {"end", std::string(NameOf(end))},
+             {"never_ran", never_ran ? "1" : "0"},
+             {"age_ms", std::to_string((now - run.sent_at) / kMillisecond)}});
+  }
+  if (never_ran) {
+    QueueTask(board, *job, name.step, name.index);
+  } else if (end == RunEnd::kDone) {
+    OnTaskDone(board, worker, *job, name, run, now, actions);
+  } else if (end == RunEnd::kFailed) {
+    OnTaskFailed(board, worker, *job, name, now, actions);
+  } else {
+    QueueTask(board, *job, name.step, name.index);
+  }
+}
+
+void JobsTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  std::vector<std::pair<std::string, bool>> ending;  // key, entry lost
+  for (const auto& [key, job] : board.jobs) {
+    const bool lost = !IsEntryHeard(board, job->order, now);
+    if (lost || now > job->deadline) {
+      ending.emplace_back(key, lost);
+      continue;
+    }
+    const Micros late_at =
+        job->received + kLateFactor * (job->due - job->received);
+    if (job->rank == 0 && now > late_at) {
+      YieldToTimelyJobs(board, *job);
+    }
+  }
+  for (const auto& [key, lost] : ending) {
+    const PoolJob* job = FindPoolJob(board, key);
+    const bool started = job != nullptr && job->started;
+    const wire::JobFate fate = lost      ? wire::JOB_CANCELLED
+                               : started ? wire::JOB_TIMED_OUT
+                                         : wire::JOB_REFUSED;
+    EndJob(board, key, fate, lost ? "entry_not_heard" : "time_is_up", now,
+           actions);
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/pool_placement.cc
@@ -0,0 +1,331 @@
+#include "pool/pool_placement.h"
+
+#include <algorithm>
+
+#include "pool/pool_jobs.h"
+#include "pool/worker_health.h"
+#include "pool/worker_session.h"
+
+namespace goldcrest {
+namespace {
+
+// Tasks that find no room before the rest of the queue is left for later.
+constexpr int kMaxMisses = 12;
+// A run is a straggler when it has taken this many times its expected run
+// time, and this much more.
+constexpr double kStragglerFactor = 2.0;
+constexpr Micros kStragglerSlack = 100 * kMillisecond;
+// Weight of one run in the learned run times.
+constexpr double kLearnWeight = 0.05;
+constexpr double kMinRatio = 0.4;
+constexpr double kMaxRatio = 2.5;
+
+Need NeedOf(const wire::JobStep& step) {
+  return {step.cpu_millis(), step.memory_mb(), step.accelerators()};
+}
+
+bool HasLabel(const PoolWorker& worker, const std::string& label) {
+  const auto& labels = worker.facts.labels();
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::string KindOf(const PoolWorker& worker) {
+  return worker.facts.labels_size() > 0 ? worker.facts.labels(0) : "";
+}
+
+double KindFactor(const PoolBoard& board, const PoolWorker& worker) {
+  const auto found = board.run_times.kind_factor.find(KindOf(worker));
+  return found == board.run_times.kind_factor.end() ? 1.0 : found->second;
+}
+
+bool TakesStarts(const PoolWorker& worker, Micros now) {
+  return IsPresent(worker) && worker.session == SessionState::kReady &&
+         !worker.facts.leaving() && worker.clock_ms != 0 &&
+         MayTakeTask(worker, now);
+}
+
+bool Matches(const PoolWorker& worker,
+             const wire::JobOrder& order,
+             const wire::JobStep& step) {
+  return worker.facts.service() == order.service() &&
+         (step.required_label().empty() ||
+          HasLabel(worker, step.required_label()));
+}
+
+uint32_t CountOfStep(const PoolWorker& worker,
+                     const std::string& job_id,
+                     uint32_t step) {
+  uint32_t count = 0;
+  for (const auto& [name, run] : worker.runs) {
+    count += name.job_id == job_id && name.step == step ? 1 : 0;
+  }
+  return count;
+}
+
+// The workers that may take a task now, with what they offer it.
+struct Offers {
+  std::vector<PoolWorker*> workers;
+  std::vector<WorkerOffer> offers;
+};
+
+Offers OffersFor(PoolBoard& board,
+                 const std::vector<PoolWorker*>& ready,
+                 const PoolJob& job,
+                 const WaitingKey& key) {
+  const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
+  const PoolTask& task = job.steps[key.step].tasks[key.index];
+  Offers result;
+  for (PoolWorker* worker : ready) {
+    const bool full =
+        step.most_per_worker() > 0 &&
+        CountOfStep(*worker, job.order.job_id(), key.step) >=
+            step.most_per_worker();
+    if (full || !Matches(*worker, job.order, step)) {
+      continue;
+    }
+    WorkerOffer offer;
+    offer.free = FreeRoom(*worker);
+    offer.near_data =
+        step.data_rack().empty() || HasLabel(*worker, step.data_rack());
+    offer.suspect = worker->health.failures_in_row > 0 ||
+                    worker->facts.id() == task.last_worker;
+    offer.factor = KindFactor(board, *worker);
+    result.workers.push_back(worker);
+    result.offers.push_back(offer);
+  }
+  return result;
+}
+
+std::vector<PoolWorker*> ReadyWorkers(PoolBoard& board, Micros now) {
+  std::vector<PoolWorker*> ready;
+  for (auto& [id, worker] : board.workers) {
+    if (TakesStarts(worker, now)) {
+      ready.push_back(&worker);
+    }
+  }
+  return ready;
+}
+
+void StartTaskOn(PoolBoard& board,
+                 PoolWorker& worker,
+                 PoolJob& job,
+                 const WaitingKey& key,
+                 Micros now,
+                 PoolActions& actions) {
+  PoolTask& task = job.steps[key.step].tasks[key.index];
+  task.phase = TaskPhase::kRunning;
+  task.worker = worker.facts.id();
+  ++task.runs;
+  if (!job.started) {
+    job.started = true;
+    job.first_start = now;
+  }
+  WorkerRun run;
+  run.job_key = job.key;
+  run.run = task.runs;
+  run.need = NeedOf(job.order.steps(static_cast<int>(key.step)));
+  run.sent_at = now;
+  run.expected = static_cast<Micros>(
+      static_cast<double>(job.steps[key.step].expected) *
+      KindFactor(board, worker));
+  StartRun(board, worker, {job.order.job_id(), 0, key.step, key.index}, run,
+           job.order.spec(), now, actions);
+}
+
+// Says whether the job's time is up before the task could end.
+bool IsHopeless(const PoolJob& job, uint32_t step, Micros now) {
+  return now + job.steps[step].expected / 2 > job.deadline;
+}
+
+// When each place for a task of `need` becomes free, from now.
+std::vector<Micros> SlotTimes(const PoolBoard& board,
+                              const wire::JobOrder& order,
+                              const wire::JobStep& step,
+                              Micros now) {
+  const Need need = NeedOf(step);
+  std::vector<Micros> slots;
+  for (const auto& [id, worker] : board.workers) {
+    if (!TakesStarts(worker, now) || !Matches(worker, order, step)) {
+      continue;
+    }
+    int64_t free = worker.facts.cpu_millis() - worker.used.cpu_millis;
+    const int64_t cpu = std::max<int64_t>(need.cpu_millis, 1);
+    for (; free >= cpu; free -= cpu) {
+      slots.push_back(0);
+    }
+    for (const auto& [name, run] : worker.runs) {
+      const Micros end = run.sent_at + run.expected - now;
+      free += run.need.cpu_millis;
+      if (free >= cpu) {
+        free -= cpu;
+        slots.push_back(std::max<Micros>(end, kMillisecond));
+      }
+    }
+  }
+  return slots;
+}
+
+}  // namespace
+
+Micros ExpectedRunTime(const PoolBoard& board,
+                       const wire::JobOrder& order,
+                       const wire::JobStep& step) {
+  const auto found = board.run_times.queue_ratio.find(order.queue());
+  const double ratio =
+      found == board.run_times.queue_ratio.end() ? 1.0 : found->second;
+  return static_cast<Micros>(ratio * step.estimate_ms() * kMillisecond);
+}
+
+void LearnRunTime(PoolBoard& board,
+                  const PoolJob& job,
+                  uint32_t step,
+                  const PoolWorker& worker,
+                  Micros took) {
+  const Micros estimate =
+      job.order.steps(static_cast<int>(step)).estimate_ms() * kMillisecond;
+  if (estimate == 0) {
+    return;
+  }
+  double& ratio =
+      board.run_times.queue_ratio.try_emplace(job.order.queue(), 1.0)
+          .first->second;
+  double& factor =
+      board.run_times.kind_factor.try_emplace(KindOf(worker), 1.0)
+          .first->second;
+  const double seen = static_cast<double>(took) / static_cast<double>(estimate);
+  const double queue_seen = std::clamp(seen / factor, kMinRatio, kMaxRatio);
+  const double kind_seen = std::clamp(seen / ratio, kMinRatio, kMaxRatio);
+  ratio += kLearnWeight * (queue_seen - ratio);
+  factor += kLearnWeight * (kind_seen - factor);
+}
+
+bool CouldEverRun(const PoolWorker& worker,
+                  const wire::JobOrder& order,
+                  const wire::JobStep& step) {
+  return IsPresent(worker) && Matches(worker, order, step) &&
+         step.cpu_millis() <= worker.facts.cpu_millis() &&
+         step.memory_mb() <= worker.facts.memory_mb() &&
+         step.accelerators() <= worker.facts.accelerators();
+}
+
+void PlaceWaiting(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (!board.placement_due) {
+    return;
+  }
+  board.placement_due = false;
+  std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
+  int misses = 0;
+  auto position = board.waiting.begin();
+  while (position != board.waiting.end() && misses < kMaxMisses) {
+    const WaitingKey key = position->first;
+    PoolJob& job = *position->second.job;
+    if (IsHopeless(job, key.step, now)) {
+      EndJob(board, job.key,
+             job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
+             "no_time_left", now, actions);
+      position = board.waiting.lower_bound(key);
+      continue;
+    }
+    Offers offers = OffersFor(board, ready, job, key);
+    const Need need = NeedOf(job.order.steps(static_cast<int>(key.step)));
+    const std::optional<size_t> chosen = ChooseWorker(offers.offers, need);
+    if (!chosen) {
+      ++misses;
+      ++position;
+      continue;
+    }
+    position = board.waiting.erase(position);
+    StartTaskOn(board, *offers.workers[*chosen], job, key, now, actions);
+    std::erase_if(ready, [&](PoolWorker* worker) {
+      return !TakesStarts(*worker, now);
+    });
+  }
+}
+
+void MoveStragglers(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (!board.waiting.empty()) {
+    return;  // no room to spare
+  }
+  const std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
+  for (auto& [id, worker] : board.workers) {
+    if (worker.session != SessionState::kReady) {
+      continue;
+    }
+    for (auto& [name, run] : worker.runs) {
+      PoolJob* job = FindPoolJob(board, run.job_key);
+      const Micros elapsed = now - run.answered_at;
+      if (job == nullptr || run.state != RunState::kRunning ||
+          static_cast<double>(elapsed) <
+              kStragglerFactor * static_cast<double>(run.expected) +
+                  static_cast<double>(kStragglerSlack)) {
+        continue;
+      }
+      const Micros left =
+          run.progress_percent > 0
+              ? elapsed * (100 - run.progress_percent) / run.progress_percent
+              : kNever;
+      const Micros anew = job->steps[name.step].expected;
+      const bool room = std::any_of(
+          ready.begin(), ready.end(), [&](const PoolWorker* other) {
+            return other != &worker && other->health.failures_in_row == 0 &&
+                   FreeRoom(*other).cpu_millis >= run.need.cpu_millis;
+          });
+      if (!room || left < 2 * anew || now + anew > job->deadline) {
+        continue;
+      }
+      LogPool(actions, LogLevel::kWarning, "straggler_stopped",
+              {{"worker", id},
+               {"job", name.job_id},
+               {"task", ToText(name)},
+               {"run", std::to_string(run.run)},
+               {"elapsed_ms", std::to_string(elapsed / kMillisecond)},
+               {"expected_ms", std::to_string(run.expected / kMillisecond)},
+               {"progress_percent", std::to_string(run.progress_percent)}});
+      RecordFailure(worker, now);
+      StopRun(board, worker, name, false, now, actions);
+    }
+  }
+}
+
+Micros EstimateEnd(const PoolBoard& board, const PoolJob& job, Micros now) {
+  const wire::JobStep& step = job.order.steps(0);
+  std::vector<TaskGroup> ahead;
+  for (const auto& [key, waiting] : board.waiting) {
+    if (key.rank > 0 || key.due > job.due) {
+      break;
+    }
+    ahead.push_back({1, waiting.job->steps[key.step].expected});
+  }
+  Micros end = ExpectedEnd(SlotTimes(board, job.order, step, now), ahead,
+                           {step.tasks(), job.steps[0].expected});
+  for (size_t i = 1; i < job.steps.size() && end < kNever; ++i) {
+    end += job.steps[i].expected;
+  }
+  return end;
+}
+
+void UpdateLoad(PoolBoard& board, Micros now) {
+  wire::PoolLoad load;
+  int64_t free = 0;
+  int64_t largest = 0;
+  for (const auto& [id, worker] : board.workers) {
+    if (!TakesStarts(worker, now)) {
+      continue;
+    }
+    load.set_workers(load.workers() + 1);
+    const int64_t room = std::max<int64_t>(FreeRoom(worker).cpu_millis, 0);
+    free += room;
+    largest = std::max(largest, room);
+  }
+  int64_t waiting_ms = 0;
+  for (const auto& [key, waiting] : board.waiting) {
+    const PoolStep& step = waiting.job->steps[key.step];
+    waiting_ms += step.expected / kMillisecond;
+  }
+  load.set_free_cpu_millis(free);
+  load.set_largest_free_cpu_millis(static_cast<uint32_t>(largest));
+  load.set_queued_work_ms(waiting_ms);
+  board.mesh.load = load;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/pool_step.cc
@@ -0,0 +1,225 @@
+#include "pool/pool_step.h"
+
+#include "pool/pool_jobs.h"
+#include "pool/pool_placement.h"
+#include "pool/worker_roster.h"
+#include "pool/worker_session.h"
+
+namespace goldcrest {
+namespace {
+
+// Longest graceful shutdown; the platform kills soon after.
+constexpr Micros kLongestDrain = 4500 * kMillisecond;
+
+// Sends the configuration to a daemon that has an older one.
+void OfferRouting(PoolBoard& board,
+                  const std::string& to,
+                  uint64_t have,
+                  PoolActions& actions) {
+  const wire::Routing& routing = board.agreement.committed.routing();
+  if (routing.version() <= have) {
+    return;
+  }
+  wire::PoolMessage message;
+  *message.mutable_routing() = routing;
+  message.mutable_routing()->clear_document();
+  SendTo(actions, to, std::move(message));
+}
+
+void TakePresence(PoolBoard& board,
+                  const wire::PoolMessage& message,
+                  Micros now,
+                  PoolActions& actions) {
+  const wire::Presence& presence = message.presence();
+  const MemberChange change = OnPresence(board.mesh, message.from(),
+                                         message.incarnation(), presence, now,
+                                         actions);
+  if (!presence.control()) {
+    OfferRouting(board, message.from(), presence.routing_version(), actions);
+    return;
+  }
+  OnAgreementPeer(board.agreement, message.from(), presence, now);
+  if (change != MemberChange::kNone) {
+    LogPool(actions, LogLevel::kInfo, "control_daemon_seen",
+            {{"address", message.from()},
+             {"incarnation", std::to_string(message.incarnation())},
+             {"failure_domain", presence.failure_domain()}});
+    SendWorkerTable(board, message.from(), actions);
+  }
+}
+
+void Take(PoolBoard& board,
+          const PoolReceived& event,
+          Micros now,
+          PoolActions& actions) {
+  const wire::PoolMessage& message = event.message;
+  const std::string& from = message.from();
+  switch (message.body_case()) {
+    case wire::PoolMessage::kPresence:
+      TakePresence(board, message, now, actions);
+      break;
+    case wire::PoolMessage::kJobOrder:
+      OnJobOrder(board, message.job_order(), now, actions);
+      break;
+    case wire::PoolMessage::kJobCancel:
+      OnJobCancel(board, message.job_cancel(), now, actions);
+      break;
+    case wire::PoolMessage::kWorkerNews:
+      OnWorkerNews(board, message.worker_news(), now, actions);
+      break;
+    case wire::PoolMessage::kWorkerRequest:
+      OnWorkerRequest(board, message.worker_request(), now, actions);
+      break;
+    case wire::PoolMessage::kVoteRequest:
+      OnVoteRequest(board.agreement, from, message.vote_request(), now,
+                    actions);
+      break;
+    case wire::PoolMessage::kVoteReply:
+      OnVoteReply(board.agreement, from, message.vote_reply(), now, actions);
+      break;
+    case wire::PoolMessage::kAppend:
+      OnAppend(board.agreement, from, message.append(), now, actions);
+      break;
+    case wire::PoolMessage::kAppendReply:
+      OnAppendReply(board.agreement, from, message.append_reply(), now,
+                    actions);
+      break;
+    default:
+      break;
+  }
+}
+
+void Take(PoolBoard& board,
+          const WorkerReported& event,
+          Micros now,
+          PoolActions& actions) {
+  OnWorkerReport(board, event.report, now, actions);
+}
+
+void Take(PoolBoard& board,
+          const WorkerLeft& event,
+          Micros now,
+          PoolActions& actions) {
+  OnWorkerLeft(board, event.id, now, actions);
+}
+
+void Take(PoolBoard& board,
+          const WorkerAnswer& event,
+          Micros now,
+          PoolActions& actions) {
+  OnWorkerAnswer(board, event, now, actions);
+}
+
+void Take(PoolBoard& board,
+          const RoutingChanged& event,
+          Micros now,
+          PoolActions& actions) {
+  ProposeRouting(board.agreement, event.token, event.routing, now, actions);
+}
+
+void Take(PoolBoard& board,
+          const RegisterStored& event,
+          Micros now,
+          PoolActions& actions) {
+  OnRegisterStored(board.agreement, event.sequence, event.ok, now, actions);
+}
+
+void Take(PoolBoard& board,
+          const PoolDrain& /*event*/,
+          Micros now,
+          PoolActions& actions) {
+  if (board.draining) {
+    return;
+  }
+  board.draining = true;
+  board.mesh.draining = true;
+  board.mesh.presence_due = now;  // tell everybody at once
+  board.drain_started = now;
+  LogPool(actions, LogLevel::kInfo, "drain_started",
+          {{"jobs", std::to_string(board.jobs.size())}});
+}
+
+void Take(PoolBoard&, const PoolTick&, Micros, PoolActions&) {}
+
+// After a pause of the process nothing that it believes about its workers is
+// sure: leases may have run out and others may have taken over.
+void NoticePause(PoolBoard& board, Micros now, PoolActions& actions) {
+  const Micros pause = now - board.last_step;
+  board.last_step = now;
+  if (pause < board.options.frozen_after) {
+    return;
+  }
+  LogPool(actions, LogLevel::kWarning, "process_was_paused",
+          {{"pause_ms", std::to_string(pause / kMillisecond)}});
+  for (auto& [id, worker] : board.workers) {
+    if (worker.session != SessionState::kNone) {
+      Settle(board, worker, "process_was_paused", now, actions);
+    }
+  }
+}
+
+void DrainTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (!board.draining || board.drained) {
+    return;
+  }
+  bool holds = false;
+  for (auto& [id, worker] : board.workers) {
+    if (board.waiting.empty() && worker.session == SessionState::kReady) {
+      worker.session = SessionState::kReleasing;
+      SessionTick(board, worker, now, actions);
+    }
+    holds = holds || worker.session != SessionState::kNone;
+  }
+  const bool done = board.jobs.empty() && !holds;
+  if (done || now - board.drain_started > kLongestDrain) {
+    board.drained = true;
+    LogPool(actions, LogLevel::kInfo, "drain_ended",
+            {{"whole", done ? "1" : "0"},
+             {"jobs", std::to_string(board.jobs.size())}});
+  }
+}
+
+}  // namespace
+
+PoolBoard MakePoolBoard(const PoolStart& start, Now now, PoolActions& actions) {
+  PoolBoard board;
+  board.options = start.options;
+  board.mesh = MakeMesh(start.mesh);
+  board.wall_ms = now.wall_ms;
+  board.started_at = now.mono;
+  board.last_step = now.mono;
+  std::vector<std::string> seeds = start.mesh.seeds;
+  board.agreement =
+      MakeAgreement(start.agreement, start.stored, start.first_start, seeds,
+                    start.random_seed, now.mono, actions);
+  board.mesh.store_id = board.agreement.stored.store_id();
+  return board;
+}
+
+void PoolStep(PoolBoard& board,
+              const PoolEvent& event,
+              Now now,
+              PoolActions& actions) {
+  board.wall_ms = now.wall_ms;
+  NoticePause(board, now.mono, actions);
+  std::visit(
+      [&](const auto& one) { Take(board, one, now.mono, actions); }, event);
+  AgreementTick(board.agreement, now.mono, actions);
+  if (std::holds_alternative<PoolTick>(event)) {
+    board.mesh.routing_version =
+        board.agreement.committed.routing().version();
+    OwnershipTick(board, now.mono, actions);
+    JobsTick(board, now.mono, actions);
+    MoveStragglers(board, now.mono, actions);
+    for (auto& [id, worker] : board.workers) {
+      SessionTick(board, worker, now.mono, actions);
+    }
+    board.placement_due = true;  // ejections end by time
+    DrainTick(board, now.mono, actions);
+    UpdateLoad(board, now.mono);
+    MeshTick(board.mesh, now.mono, actions);
+  }
+  PlaceWaiting(board, now.mono, actions);
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/worker_health.cc
@@ -0,0 +1,40 @@
+#include "pool/worker_health.h"
+
+#include <algorithm>
+
+namespace goldcrest {
+
+bool RecordFailure(PoolWorker& worker,
+                   Micros now,
+                   const HealthOptions& options) {
+  WorkerHealth& health = worker.health;
+  ++health.failures_in_row;
+  const bool ejected =
+      health.probation || health.failures_in_row >= options.failures_to_eject;
+  if (!ejected || now < health.ejected_until) {
+    return false;
+  }
+  const Micros length =
+      std::min(options.first_ejection << std::min(health.ejections, 8),
+               options.longest_ejection);
+  ++health.ejections;
+  health.ejected_until = now + length;
+  health.probation = true;
+  return true;
+}
+
+void RecordSuccess(PoolWorker& worker) {
+  worker.health.failures_in_row = 0;
+  worker.health.ejections = 0;
+  worker.health.probation = false;
+  worker.health.ejected_until = 0;
+}
+
+bool MayTakeTask(const PoolWorker& worker, Micros now) {
+  if (now < worker.health.ejected_until) {
+    return false;
+  }
+  return !worker.health.probation || worker.runs.empty();
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/worker_roster.cc
@@ -0,0 +1,338 @@
+#include "pool/worker_roster.h"
+
+#include <algorithm>
+
+#include "goldcrest/digest.h"
+#include "pool/worker_session.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kAskAgain = 600 * kMillisecond;
+// Hand-overs asked for in one round: the workers asked for take no starts
+// until they are idle, so the pool must not lose many at a time.
+constexpr int kHandOversPerRound = 3;
+
+bool IsNewerReport(const wire::WorkerNews& report,
+                   const wire::WorkerNews& known) {
+  return report.born_ms() != known.born_ms()
+             ? report.born_ms() > known.born_ms()
+             : report.sequence() > known.sequence();
+}
+
+bool DiffersInSubstance(const wire::WorkerNews& a, const wire::WorkerNews& b) {
+  return a.address() != b.address() || a.leaving() != b.leaving() ||
+         a.gone() != b.gone() || a.born_ms() != b.born_ms() ||
+         a.cpu_millis() != b.cpu_millis() || a.memory_mb() != b.memory_mb() ||
+         a.service() != b.service() ||
+         !std::equal(a.labels().begin(), a.labels().end(), b.labels().begin(),
+                     b.labels().end());
+}
+
+// Copies everything but the owner.
+void CopyReport(const wire::WorkerNews& report, wire::WorkerNews& facts) {
+  const std::string owner = facts.owner();
+  const uint64_t token = facts.token();
+  facts = report;
+  facts.set_owner(owner);
+  facts.set_token(token);
+}
+
+// A worker that starts at the address of another one has replaced it.
+void DropReplaced(PoolBoard& board,
+                  const wire::WorkerNews& report,
+                  Micros now,
+                  PoolActions& actions) {
+  for (auto& [id, other] : board.workers) {
+    if (id != report.id() && IsPresent(other) &&
+        other.facts.address() == report.address() &&
+        other.facts.born_ms() < report.born_ms()) {
+      ForgetProcess(board, other, "replaced", now, actions);
+      other.facts.set_gone(true);
+    }
+  }
+}
+
+// Takes in newer facts; returns whether they differ in substance.
+bool TakeReport(PoolBoard& board,
+                const wire::WorkerNews& report,
+                Micros now,
+                PoolActions& actions) {
+  const auto found = board.workers.find(report.id());
+  const bool is_new = found == board.workers.end();
+  PoolWorker& worker = board.workers[report.id()];
+  if (!is_new && !IsNewerReport(report, worker.facts)) {
+    return false;
+  }
+  const bool differs = is_new || DiffersInSubstance(report, worker.facts);
+  const bool restarted =
+      !is_new && report.born_ms() > worker.facts.born_ms();
+  const bool moved = !is_new && report.address() != worker.facts.address();
+  CopyReport(report, worker.facts);
+  worker.last_heard = now;
+  if (restarted || moved || report.gone()) {
+    ForgetProcess(board, worker, report.gone() ? "left" : "restarted", now,
+                  actions);
+  }
+  if (differs) {
+    DropReplaced(board, report, now, actions);
+    LogPool(actions, LogLevel::kInfo, "worker_changed",
+            {{"worker", report.id()},
+             {"address", report.address()},
+             {"service", report.service()},
+             {"failure_domain", report.failure_domain()},
+             {"leaving", report.leaving() ? "1" : "0"},
+             {"gone", report.gone() ? "1" : "0"},
+             {"born_ms", std::to_string(report.born_ms())},
+             {"sequence", std::to_string(report.sequence())}});
+    board.placement_due = true;
+  }
+  return differs;
+}
+
+bool IsControlCandidate(const PoolBoard& board,
+                        const MeshMember& member,
+                        Micros now) {
+  return member.presence.control() && member.incarnation != 0 &&
+         !member.presence.draining() &&
+         IsAlive(board.mesh, member.address, now);
+}
+
+// Keeps the better of two candidates for a worker: one of its own failure
+// domain, then the greater rendezvous weight.
+struct OwnerChoice {
+  std::string address;
+  bool near = false;
+  uint64_t weight = 0;
+
+  void Offer(const std::string& candidate, bool is_near, uint64_t its_weight) {
+    const bool better =
+        address.empty() || (is_near != near ? is_near : its_weight > weight);
+    if (better) {
+      *this = {candidate, is_near, its_weight};
+    }
+  }
+};
+
+void Claim(PoolBoard& board,
+           PoolWorker& worker,
+           Micros now,
+           PoolActions& actions) {
+  const bool foreign =
+      worker.facts.failure_domain() != board.mesh.options.failure_domain;
+  if (now < worker.claim_after || worker.facts.leaving() ||
+      (foreign &&
+       now - board.started_at < board.options.foreign_claims_after)) {
+    return;
+  }
+  Settle(board, worker, "claim", now, actions);
+}
+
+void ForgetIfSilent(PoolBoard& board,
+                    PoolWorker& worker,
+                    Micros now,
+                    PoolActions& actions) {
+  if (worker.session == SessionState::kNone ||
+      now - worker.last_heard < board.options.worker_silence) {
+    return;
+  }
+  ForgetProcess(board, worker, "silent", now, actions);
+  worker.facts.set_gone(true);
+  AnnounceWorker(board, worker, now, actions);
+}
+
+}  // namespace
+
+void OnWorkerReport(PoolBoard& board,
+                    const wire::WorkerNews& report,
+                    Micros now,
+                    PoolActions& actions) {
+  const bool differs = TakeReport(board, report, now, actions);
+  PoolWorker& worker = board.workers[report.id()];
+  worker.last_heard = now;
+  if (differs) {
+    AnnounceWorker(board, worker, now, actions);
+    board.ownership_due = now;
+    return;
+  }
+  const std::string& owner = worker.facts.owner();
+  if (!owner.empty() && owner != board.mesh.options.self) {
+    wire::PoolMessage message;
+    *message.mutable_worker_news()->add_workers() = worker.facts;
+    SendTo(actions, owner, std::move(message));
+  }
+}
+
+void OnWorkerLeft(PoolBoard& board,
+                  const std::string& id,
+                  Micros now,
+                  PoolActions& actions) {
+  const auto found = board.workers.find(id);
+  if (found == board.workers.end() || !IsPresent(found->second)) {
+    return;
+  }
+  PoolWorker& worker = found->second;
+  ForgetProcess(board, worker, "left", now, actions);
+  worker.facts.set_gone(true);
+  AnnounceWorker(board, worker, now, actions);
+}
+
+void OnWorkerNews(PoolBoard& board,
+                  const wire::WorkerTableNews& news,
+                  Micros now,
+                  PoolActions& actions) {
+  for (const wire::WorkerNews& row : news.workers()) {
+    TakeReport(board, row, now, actions);
+    PoolWorker& worker = board.workers[row.id()];
+    if (row.born_ms() == worker.facts.born_ms()) {
+      worker.last_heard = now;
+      if (row.gone() && IsPresent(worker) &&
+          row.sequence() >= worker.facts.sequence()) {
+        ForgetProcess(board, worker, "gone", now, actions);
+        worker.facts.set_gone(true);
+      }
+    }
+    const bool newer_owner =
+        row.token() > worker.facts.token() ||
+        (row.token() == worker.facts.token() && row.owner().empty());
+    if (newer_owner && row.token() > worker.token) {
+      worker.facts.set_owner(row.owner());
+      worker.facts.set_token(row.token());
+    } else if (newer_owner && worker.session == SessionState::kNone) {
+      worker.facts.set_owner(row.owner());
+      worker.facts.set_token(row.token());
+    }
+  }
+}
+
+void OnWorkerRequest(PoolBoard& board,
+                     const wire::WorkerRequest& request,
+                     Micros now,
+                     PoolActions& actions) {
+  for (const std::string& id : request.ids()) {
+    const auto found = board.workers.find(id);
+    if (found == board.workers.end()) {
+      continue;
+    }
+    PoolWorker& worker = found->second;
+    if (worker.session == SessionState::kReady) {
+      worker.session = SessionState::kReleasing;
+      SessionTick(board, worker, now, actions);
+    } else if (worker.session == SessionState::kNone) {
+      AnnounceWorker(board, worker, now, actions);  // the asker is behind
+    }
+  }
+}
+
+void AnnounceWorker(PoolBoard& board,
+                    const PoolWorker& worker,
+                    Micros now,
+                    PoolActions& actions) {
+  for (const auto& [address, member] : board.mesh.members) {
+    if (!member.presence.control() || !IsHeard(board.mesh, address, now)) {
+      continue;
+    }
+    wire::PoolMessage message;
+    *message.mutable_worker_news()->add_workers() = worker.facts;
+    SendTo(actions, address, std::move(message));
+  }
+}
+
+void SendWorkerTable(PoolBoard& board,
+                     const std::string& to,
+                     PoolActions& actions) {
+  wire::PoolMessage message;
+  for (const auto& [id, worker] : board.workers) {
+    if (IsPresent(worker)) {
+      *message.mutable_worker_news()->add_workers() = worker.facts;
+    }
+  }
+  if (message.worker_news().workers_size() > 0) {
+    SendTo(actions, to, std::move(message));
+  }
+}
+
+void ReleaseWorker(PoolBoard& board,
+                   PoolWorker& worker,
+                   Micros now,
+                   PoolActions& actions) {
+  EndSession(board, worker, "released", now, actions);
+  worker.facts.set_token(worker.token);
+  worker.facts.clear_owner();
+  worker.claim_after = now + kAskAgain;
+  AnnounceWorker(board, worker, now, actions);
+}
+
+std::string PreferredOwner(const PoolBoard& board,
+                           const PoolWorker& worker,
+                           Micros now) {
+  const std::string& domain = worker.facts.failure_domain();
+  OwnerChoice choice;
+  if (!board.draining) {
+    choice.Offer(board.mesh.options.self,
+                 board.mesh.options.failure_domain == domain,
+                 RendezvousWeight(worker.facts.id(), board.mesh.options.self));
+  }
+  for (const auto& [address, member] : board.mesh.members) {
+    if (IsControlCandidate(board, member, now)) {
+      choice.Offer(address, member.presence.failure_domain() == domain,
+                   RendezvousWeight(worker.facts.id(), address));
+    }
+  }
+  return choice.address;
+}
+
+std::string ReportAddress(const PoolBoard& board,
+                          const std::string& worker_id,
+                          Micros now) {
+  const auto found = board.workers.find(worker_id);
+  if (found == board.workers.end()) {
+    return "";
+  }
+  const std::string& owner = found->second.facts.owner();
+  if (owner == board.mesh.options.self) {
+    return board.mesh.options.control_address;
+  }
+  const auto member = board.mesh.members.find(owner);
+  return member != board.mesh.members.end() && IsHeard(board.mesh, owner, now)
+             ? member->second.presence.control_address()
+             : "";
+}
+
+void OwnershipTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (now < board.ownership_due) {
+    return;
+  }
+  board.ownership_due = now + board.options.ownership_period;
+  const std::string& self = board.mesh.options.self;
+  std::map<std::string, wire::WorkerRequest> requests;
+  int asked = 0;
+  for (auto& [id, worker] : board.workers) {
+    if (!IsPresent(worker)) {
+      continue;
+    }
+    ForgetIfSilent(board, worker, now, actions);
+    if (worker.session != SessionState::kNone || !IsPresent(worker)) {
+      continue;
+    }
+    if (PreferredOwner(board, worker, now) != self) {
+      continue;
+    }
+    const std::string& owner = worker.facts.owner();
+    if (owner.empty() || owner == self || !IsAlive(board.mesh, owner, now)) {
+      Claim(board, worker, now, actions);
+    } else if (now - worker.asked_at > kAskAgain &&
+               asked < kHandOversPerRound) {
+      worker.asked_at = now;
+      ++asked;
+      requests[owner].add_ids(id);
+    }
+  }
+  for (const auto& [owner, request] : requests) {
+    wire::PoolMessage message;
+    *message.mutable_worker_request() = request;
+    SendTo(actions, owner, std::move(message));
+  }
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/worker_session.cc
@@ -0,0 +1,499 @@
+#include "pool/worker_session.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "pool/pool_jobs.h"
+#include "pool/worker_health.h"
+#include "pool/worker_roster.h"
+
+namespace goldcrest {
+namespace {
+
+// Added to a token that the worker has refused: the daemon that used a higher
+// one may have had a clock that is ahead by seconds.
+constexpr uint64_t kTokenStep = 4000;
+// A worker that refused this daemon's token is not claimed for this long.
+constexpr Micros kClaimPause = 600 * kMillisecond;
+
+uint64_t NextToken(const PoolBoard& board, const PoolWorker& worker) {
+  const uint64_t used = std::max(worker.token, worker.facts.token());
+  return std::max(used + 1, static_cast<uint64_t>(board.wall_ms));
+}
+
+int64_t LeaseUntil(const PoolBoard& board,
+                   const PoolWorker& worker,
+                   Micros now) {
+  if (worker.clock_ms == 0) {
+    return 0;
+  }
+  return worker.clock_ms + (now - worker.clock_at) / kMillisecond +
+         board.options.lease_ms;
+}
+
+WorkerOrder MakeOrder(const PoolBoard& board,
+                      const PoolWorker& worker,
+                      OrderKind kind,
+                      Micros now) {
+  WorkerOrder order;
+  order.kind = kind;
+  order.worker = worker.facts.id();
+  order.address = worker.facts.address();
+  order.token = worker.token;
+  order.session = worker.session_number;
+  order.timeout = board.options.order_timeout;
+  order.sent_at = now;
+  return order;
+}
+
+WorkerOrder MakeHold(const PoolBoard& board,
+                     PoolWorker& worker,
+                     int64_t wait_ms,
+                     Micros now) {
+  WorkerOrder order = MakeOrder(board, worker, OrderKind::kHold, now);
+  order.acknowledged_end = worker.newest_end;
+  order.wait_ms = wait_ms;
+  order.timeout += wait_ms * kMillisecond;
+  // A worker that does not settle must lose its runs some time.
+  const bool gives_up =
+      worker.session == SessionState::kSettling &&
+      now - worker.settling_since > board.options.settle_with_lease;
+  if (!worker.runs.empty() && !gives_up) {
+    order.lease_until_ms = LeaseUntil(board, worker, now);
+    worker.lease_sent_at = now;
+  }
+  return order;
+}
+
+void AddUse(PoolWorker& worker, const Need& need, int64_t sign) {
+  worker.used.cpu_millis += sign * need.cpu_millis;
+  worker.used.memory_mb += sign * need.memory_mb;
+  worker.used.accelerators += sign * need.accelerators;
+}
+
+// Takes a run off the worker's books and tells its job.
+void RemoveRun(PoolBoard& board,
+               PoolWorker& worker,
+               std::map<TaskName, WorkerRun>::iterator position,
+               RunEnd end,
+               bool never_ran,
+               Micros now,
+               PoolActions& actions) {
+  const TaskName name = position->first;
+  const WorkerRun run = position->second;
+  AddUse(worker, run.need, -1);
+  worker.runs.erase(position);
+  board.placement_due = true;
+  OnRunEnded(board, worker, name, run, end, never_ran, now, actions);
+}
+
+// Ends all runs of the worker for which `applies`. `unanswered_never_ran` says
+// that starts without an answer are known not to have been carried out.
+template <typename Predicate>
+void RemoveRunsIf(PoolBoard& board,
+                  PoolWorker& worker,
+                  RunEnd end,
+                  bool unanswered_never_ran,
+                  Micros now,
+                  PoolActions& actions,
+                  Predicate applies) {
+  std::vector<TaskName> names;
+  for (const auto& [name, run] : worker.runs) {
+    if (applies(name, run)) {
+      names.push_back(name);
+    }
+  }
+  for (const TaskName& name : names) {
+    const auto found = worker.runs.find(name);
+    if (found != worker.runs.end()) {
+      const bool never_ran =
+          unanswered_never_ran && found->second.state == RunState::kSent;
+      RemoveRun(board, worker, found, end, never_ran, now, actions);
+    }
+  }
+}
+
+void TakeClock(PoolWorker& worker, const WorkerAnswer& answer, Micros now) {
+  if (answer.clock_ms == 0) {
+    return;
+  }
+  // The worker read its clock after the order was sent and before now; the
+  // earlier time makes leases shorter, never longer.
+  worker.clock_ms = answer.clock_ms;
+  worker.clock_at = now;
+}
+
+void TakeEnds(PoolBoard& board,
+              PoolWorker& worker,
+              const WorkerAnswer& answer,
+              Micros now,
+              PoolActions& actions) {
+  for (const EndedRow& row : answer.ended) {
+    if (row.number <= worker.newest_end) {
+      continue;
+    }
+    worker.newest_end = row.number;
+    worker.newest_end_at = now;
+    ++board.counters.run_ends[std::string(NameOf(row.end))];
+    const auto found = worker.runs.find(row.task);
+    if (found != worker.runs.end() && found->second.run == row.run) {
+      RemoveRun(board, worker, found, row.end, false, now, actions);
+    }
+  }
+}
+
+// Takes in what runs; a run that nobody here knows is stopped, and until it
+// is over the worker counts as full, since its room is not known.
+void TakeRunning(PoolBoard& board,
+                 PoolWorker& worker,
+                 const WorkerAnswer& answer,
+                 Micros now,
+                 PoolActions& actions) {
+  for (const RunningRow& row : answer.running) {
+    const auto found = worker.runs.find(row.task);
+    if (found == worker.runs.end()) {
+      WorkerRun unknown;
+      unknown.run = row.run;
+      unknown.need = {worker.facts.cpu_millis(), worker.facts.memory_mb(),
+                      worker.facts.accelerators()};
+      AddUse(worker, unknown.need, 1);
+      worker.runs[row.task] = unknown;
+      LogPool(actions, LogLevel::kInfo, "unknown_run_stopped",
+              {{"worker", worker.facts.id()},
+               {"job", row.task.job_id},
+               {"task", ToText(row.task)},
+               {"run", std::to_string(row.run)}});
+      StopRun(board, worker, row.task, true, now, actions);
+      continue;
+    }
+    WorkerRun& run = found->second;
+    run.progress_percent = row.progress_percent;
+    if (run.state == RunState::kSent &&
+        worker.session == SessionState::kSettling) {
+      run.state = RunState::kRunning;
+      run.answered_at = now;
+    }
+  }
+}
+
+bool IsListed(const WorkerAnswer& answer, const TaskName& name) {
+  return std::any_of(answer.running.begin(), answer.running.end(),
+                     [&](const RunningRow& row) { return row.task == name; });
+}
+
+void OnSettled(PoolBoard& board,
+               PoolWorker& worker,
+               const WorkerAnswer& answer,
+               Micros now,
+               PoolActions& actions) {
+  worker.acknowledged_end = answer.order.acknowledged_end;
+  TakeEnds(board, worker, answer, now, actions);
+  TakeRunning(board, worker, answer, now, actions);
+  RemoveRunsIf(board, worker, RunEnd::kLapsed, true, now, actions,
+               [&](const TaskName& name, const WorkerRun&) {
+                 return !IsListed(answer, name);
+               });
+  worker.session = SessionState::kReady;
+  worker.settle_pause = 0;
+  LogPool(actions, LogLevel::kInfo, "worker_ready",
+          {{"worker", worker.facts.id()},
+           {"token", std::to_string(worker.token)},
+           {"runs", std::to_string(worker.runs.size())},
+           {"settled_ms",
+            std::to_string((now - worker.settling_since) / kMillisecond)}});
+  worker.facts.set_owner(board.mesh.options.self);
+  worker.facts.set_token(worker.token);
+  AnnounceWorker(board, worker, now, actions);
+  board.placement_due = true;
+}
+
+void OnHeld(PoolBoard& board,
+            PoolWorker& worker,
+            const WorkerAnswer& answer,
+            Micros now,
+            PoolActions& actions) {
+  worker.hold_in_flight = false;
+  worker.acknowledged_end = answer.order.acknowledged_end;
+  TakeEnds(board, worker, answer, now, actions);
+  TakeRunning(board, worker, answer, now, actions);
+  RemoveRunsIf(board, worker, RunEnd::kLapsed, false, now, actions,
+               [&](const TaskName& name, const WorkerRun& run) {
+                 return run.answered_at != 0 &&
+                        run.answered_at < answer.order.sent_at &&
+                        !IsListed(answer, name);
+               });
+}
+
+void OnStartAnswer(PoolBoard& board,
+                   PoolWorker& worker,
+                   const WorkerAnswer& answer,
+                   Micros now,
+                   PoolActions& actions) {
+  const auto found = worker.runs.find(answer.order.task);
+  if (found == worker.runs.end() || found->second.run != answer.order.run ||
+      found->second.state != RunState::kSent) {
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kDone) {
+    found->second.state = RunState::kRunning;
+    found->second.answered_at = now;
+    return;
+  }
+  LogPool(actions, LogLevel::kWarning, "start_rejected",
+          {{"worker", worker.facts.id()},
+           {"job", answer.order.task.job_id},
+           {"task", ToText(answer.order.task)},
+           {"run", std::to_string(answer.order.run)},
+           {"outcome", std::string(NameOf(answer.outcome))}});
+  if (answer.outcome == OrderOutcome::kUnhealthy) {
+    RecordFailure(worker, now);
+  }
+  RemoveRun(board, worker, found, RunEnd::kOther, true, now, actions);
+  const bool books_differ = answer.outcome == OrderOutcome::kNoRoom ||
+                            answer.outcome == OrderOutcome::kTooLate ||
+                            answer.outcome == OrderOutcome::kNotSent;
+  if (books_differ) {
+    Settle(board, worker, std::string(NameOf(answer.outcome)), now, actions);
+  }
+}
+
+void OnSettleAnswer(PoolBoard& board,
+                    PoolWorker& worker,
+                    const WorkerAnswer& answer,
+                    Micros now,
+                    PoolActions& actions) {
+  worker.settle_in_flight = false;
+  if (answer.outcome == OrderOutcome::kDone) {
+    OnSettled(board, worker, answer, now, actions);
+    return;
+  }
+  worker.settle_pause = std::clamp(2 * worker.settle_pause,
+                                   board.options.settle_retry,
+                                   board.options.settle_retry_max);
+  worker.settle_due = now + worker.settle_pause;
+}
+
+void OnFenced(PoolBoard& board,
+              PoolWorker& worker,
+              Micros now,
+              PoolActions& actions) {
+  worker.token += kTokenStep;
+  worker.claim_after = now + kClaimPause;
+  EndSession(board, worker, "fenced", now, actions);
+}
+
+}  // namespace
+
+void Settle(PoolBoard& board,
+            PoolWorker& worker,
+            const std::string& reason,
+            Micros now,
+            PoolActions& actions) {
+  if (worker.session != SessionState::kSettling) {
+    worker.settling_since = now;
+    worker.settle_pause = 0;
+  }
+  ++board.counters.settles;
+  worker.session = SessionState::kSettling;
+  worker.session_number = board.next_session++;
+  worker.token = NextToken(board, worker);
+  worker.settle_due = now;
+  worker.settle_in_flight = false;
+  worker.hold_in_flight = false;
+  LogPool(actions, LogLevel::kInfo, "worker_settling",
+          {{"worker", worker.facts.id()},
+           {"reason", reason},
+           {"token", std::to_string(worker.token)},
+           {"runs", std::to_string(worker.runs.size())}});
+  SessionTick(board, worker, now, actions);
+}
+
+void EndSession(PoolBoard& board,
+                PoolWorker& worker,
+                const std::string& reason,
+                Micros now,
+                PoolActions& actions) {
+  LogPool(actions, LogLevel::kInfo, "worker_session_ended",
+          {{"worker", worker.facts.id()},
+           {"reason", reason},
+           {"runs", std::to_string(worker.runs.size())}});
+  worker.session = SessionState::kNone;
+  worker.session_number = 0;
+  worker.hold_in_flight = false;
+  worker.settle_in_flight = false;
+  if (worker.facts.owner() == board.mesh.options.self) {
+    worker.facts.clear_owner();
+  }
+  const std::map<TaskName, WorkerRun> runs = std::exchange(worker.runs, {});
+  worker.used = {};
+  for (const auto& [name, run] : runs) {
+    EndJob(board, run.job_key, wire::JOB_UNKNOWN, reason, now, actions);
+  }
+}
+
+void ForgetProcess(PoolBoard& board,
+                   PoolWorker& worker,
+                   const std::string& reason,
+                   Micros now,
+                   PoolActions& actions) {
+  LogPool(actions, LogLevel::kInfo, "worker_process_gone",
+          {{"worker", worker.facts.id()},
+           {"reason", reason},
+           {"runs", std::to_string(worker.runs.size())}});
+  worker.session = SessionState::kNone;
+  worker.session_number = 0;
+  worker.hold_in_flight = false;
+  worker.settle_in_flight = false;
+  worker.acknowledged_end = 0;
+  worker.newest_end = 0;
+  worker.clock_ms = 0;
+  worker.health = {};
+  if (worker.facts.owner() == board.mesh.options.self) {
+    worker.facts.clear_owner();
+  }
+  RemoveRunsIf(board, worker, RunEnd::kLapsed, false, now, actions,
+               [](const TaskName&, const WorkerRun&) { return true; });
+}
+
+void StartRun(PoolBoard& board,
+              PoolWorker& worker,
+              const TaskName& name,
+              const WorkerRun& run,
+              const std::string& spec,
+              Micros now,
+              PoolActions& actions) {
+  WorkerOrder order = MakeOrder(board, worker, OrderKind::kStart, now);
+  order.task = name;
+  order.run = run.run;
+  order.spec = spec;
+  order.lease_until_ms = LeaseUntil(board, worker, now);
+  worker.lease_sent_at = now;
+  worker.runs[name] = run;
+  AddUse(worker, run.need, 1);
+  ++board.counters.starts;
+  actions.emplace_back(SendOrder{std::move(order)});
+}
+
+void StopRun(PoolBoard& board,
+             PoolWorker& worker,
+             const TaskName& name,
+             bool abandoned,
+             Micros now,
+             PoolActions& actions) {
+  const auto found = worker.runs.find(name);
+  if (found == worker.runs.end()) {
+    return;
+  }
+  found->second.state = RunState::kStopping;
+  if (abandoned) {
+    found->second.job_key.clear();
+  }
+  if (worker.session == SessionState::kNone) {
+    return;
+  }
+  WorkerOrder order = MakeOrder(board, worker, OrderKind::kStop, now);
+  order.task = name;
+  order.run = found->second.run;
+  actions.emplace_back(SendOrder{std::move(order)});
+}
+
+void OnWorkerAnswer(PoolBoard& board,
+                    const WorkerAnswer& answer,
+                    Micros now,
+                    PoolActions& actions) {
+  ++board.counters.order_outcomes[std::string(NameOf(answer.outcome))];
+  const auto found = board.workers.find(answer.order.worker);
+  if (found == board.workers.end() ||
+      found->second.session_number != answer.order.session ||
+      answer.order.session == 0) {
+    return;  // of an earlier session
+  }
+  PoolWorker& worker = found->second;
+  TakeClock(worker, answer, now);
+  if (answer.outcome == OrderOutcome::kDone) {
+    worker.last_heard = now;
+  }
+  const bool other_process =
+      answer.outcome == OrderOutcome::kOtherIncarnation ||
+      (answer.born_ms != 0 && worker.facts.born_ms() != 0 &&
+       answer.born_ms != worker.facts.born_ms());
+  if (other_process) {
+    ForgetProcess(board, worker, "restarted", now, actions);
+    if (answer.born_ms > worker.facts.born_ms()) {
+      worker.facts.set_born_ms(answer.born_ms);
+    }
+    worker.claim_after = now + kClaimPause;
+    return;
+  }
+  if (answer.outcome == OrderOutcome::kFenced) {
+    OnFenced(board, worker, now, actions);
+    return;
+  }
+  if (worker.session == SessionState::kSettling) {
+    if (answer.order.kind == OrderKind::kHold) {
+      OnSettleAnswer(board, worker, answer, now, actions);
+    }
+    return;
+  }
+  const bool in_doubt = answer.outcome == OrderOutcome::kNoAnswer ||
+                        (answer.order.kind != OrderKind::kStart &&
+                         answer.outcome != OrderOutcome::kDone &&
+                         answer.outcome != OrderOutcome::kStaleRun);
+  if (in_doubt) {
+    Settle(board, worker, std::string(NameOf(answer.outcome)), now, actions);
+    return;
+  }
+  if (answer.order.kind == OrderKind::kHold) {
+    OnHeld(board, worker, answer, now, actions);
+  } else if (answer.order.kind == OrderKind::kStart) {
+    OnStartAnswer(board, worker, answer, now, actions);
+  }
+  SessionTick(board, worker, now, actions);
+}
+
+void SessionTick(PoolBoard& board,
+                 PoolWorker& worker,
+                 Micros now,
+                 PoolActions& actions) {
+  if (worker.session == SessionState::kNone) {
+    return;
+  }
+  if (worker.session == SessionState::kSettling) {
+    const bool lapsed =
+        !worker.runs.empty() &&
+        now - worker.lease_sent_at > board.options.lease_over &&
+        now - worker.settling_since > board.options.lease_over;
+    if (lapsed) {
+      RemoveRunsIf(board, worker, RunEnd::kLapsed, false, now, actions,
+                   [](const TaskName&, const WorkerRun&) { return true; });
+    }
+    if (!worker.settle_in_flight && now >= worker.settle_due) {
+      worker.settle_in_flight = true;
+      worker.token = NextToken(board, worker);
+      actions.emplace_back(SendOrder{MakeHold(board, worker, 0, now)});
+    }
+    return;
+  }
+  if (worker.hold_in_flight) {
+    return;
+  }
+  const bool runs = std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [](const auto& entry) { return entry.second.state != RunState::kSent; });
+  const bool must_acknowledge =
+      worker.newest_end > worker.acknowledged_end &&
+      now - worker.newest_end_at > board.options.acknowledge_after;
+  if (!runs && !must_acknowledge) {
+    const bool idle = worker.runs.empty() &&
+                      worker.newest_end == worker.acknowledged_end;
+    if (idle && worker.session == SessionState::kReleasing) {
+      ReleaseWorker(board, worker, now, actions);
+    }
+    return;
+  }
+  worker.hold_in_flight = true;
+  const int64_t wait_ms = runs ? board.options.hold_wait_ms : 0;
+  actions.emplace_back(SendOrder{MakeHold(board, worker, wait_ms, now)});
+}
+
+}  // namespace goldcrest
