Take the caller's own timeout as a job's time budget

Ruled out: want of room (workers were free). Conclusion: the queue's timeout stands in where the caller names none.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -142,10 +142,9 @@
     RefuseCaller(board, job, "no_control_daemon", actions);
     return;
   }
-  int64_t budget_ms = queue->timeout_ms();
-  if (job.caller_timeout_ms > 0) {
-    budget_ms = std::min(budget_ms, job.caller_timeout_ms);
-  }
+  const int64_t budget_ms = job.caller_timeout_ms > 0
+                                ? job.caller_timeout_ms
+                                : static_cast<int64_t>(queue->timeout_ms());
   const uint64_t number = board.next_order++;
   PendingJob pending;
   pending.order = number;
@@ -170,7 +169,8 @@
             std::to_string((now - board.mesh.members.at(*control).last_heard) /
                            kMillisecond)},
            {"configuration", std::to_string(board.routing.version())},
-           {"budget_ms", std::to_string(budget_ms)}});
+           {"budget_ms", std::to_string(budget_ms)},
+           {"caller_timeout_ms", std::to_string(job.caller_timeout_ms)}});
   board.orders[job.token] = number;
   board.order_of_job[job.job_id] = number;
   board.pending[number] = std::move(pending);
