Do not take workers back after a pause, and hand changes to the leader inside

Ruled out: load; with the room back the same load is served. A pause now counts as nobody's silence, ends the jobs it broke, and settling first asks under the old token. A daemon that hears no entry daemon, or less than half of the control daemons, takes no workers from others. Reports go to the owner to be. Entry daemons that do not hear a control daemon have left it.

--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -54,7 +54,7 @@
         [this](RequestToken token, const HttpRequest& request) {
           OnHttpRequest(token, request);
         },
-        [this](RequestToken token) { operators_.erase(token); });
+        [](RequestToken) {});
     if (!options_.metrics_address.empty()) {
       metrics_server_ = std::make_unique<HttpServer>(
           loop_, Poco::Net::SocketAddress(options_.metrics_address),
@@ -91,28 +91,6 @@
   inbox_.Put(PoolDrain(), false);
 }
 
-HttpReply ControlDaemon::ElsewhereOrLater(const HttpRequest& request) const {
-  const std::string& leader = board_.agreement.leader;
-  const auto member = board_.mesh.members.find(leader);
-  if (leader == board_.mesh.options.self ||
-      member == board_.mesh.members.end() ||
-      !IsHeard(board_.mesh, leader, ReadBootClock().mono)) {
-    return control_.TryLater();
-  }
-  return control_.Redirect(member->second.presence.control_address(), request);
-}
-
-void ControlDaemon::AnswerRead(RequestToken token, const HttpRequest& request) {
-  const Agreement& agreement = board_.agreement;
-  const bool has_any = agreement.committed.routing().version() > 0;
-  if (has_any && MayServeReads(agreement, ReadBootClock().mono)) {
-    server_->Respond(token,
-                     control_.Configuration(agreement.committed.routing()));
-    return;
-  }
-  server_->Respond(token, ElsewhereOrLater(request));
-}
-
 void ControlDaemon::OnHttpRequest(RequestToken token,
                                   const HttpRequest& request) {
   ControlRequest decoded = control_.Decode(request);
@@ -128,10 +106,9 @@
     server_->Respond(token, control_.LeaveTaken());
   } else if (auto* change = std::get_if<RoutingChanged>(&decoded)) {
     change->token = token;
-    operators_[token] = {request};
     StepWith(*change);
   } else {
-    AnswerRead(token, request);
+    StepWith(RoutingAsked{token});
   }
 }
 
@@ -167,22 +144,15 @@
 void ControlDaemon::PerformOne(ReplyJob& /*action*/) {}
 
 void ControlDaemon::PerformOne(ReplyChange& action) {
-  const auto waiting = operators_.extract(action.token);
-  if (waiting.empty()) {
-    return;
-  }
-  switch (action.result) {
-    case ChangeResult::kDurable:
-      server_->Respond(action.token, control_.ChangeDurable());
-      break;
-    case ChangeResult::kNotLeader:
-      server_->Respond(action.token,
-                       ElsewhereOrLater(waiting.mapped().request));
-      break;
-    case ChangeResult::kUnknown:
-      server_->Respond(action.token, control_.TryLater());
-      break;
-  }
+  const bool durable = action.result == ChangeResult::kDurable;
+  server_->Respond(action.token,
+                   durable ? control_.ChangeDurable() : control_.TryLater());
+}
+
+void ControlDaemon::PerformOne(ReplyRead& action) {
+  const wire::Routing& routing = board_.agreement.committed.routing();
+  server_->Respond(action.token, action.newest ? control_.Configuration(routing)
+                                               : control_.TryLater());
 }
 
 void ControlDaemon::PerformOne(PersistRegister& action) {
@@ -193,19 +163,23 @@
   WriteLog(action);
 }
 
+void ControlDaemon::ServeEvents() {
+  for (const PoolEvent& event : inbox_.TakeAll()) {
+    StepWith(event);
+  }
+  const std::vector<PoolEvent> events = std::exchange(local_events_, {});
+  for (const PoolEvent& event : events) {
+    StepWith(event);
+  }
+}
+
 void ControlDaemon::Run() {
   Micros tick_due = 0;
   Micros close_due = 0;
   while (!board_.drained) {
     const Micros now = MonotonicMicros();
     loop_.Poll(local_events_.empty() ? tick_due - now : 0);
-    for (const PoolEvent& event : inbox_.TakeAll()) {
-      StepWith(event);
-    }
-    const std::vector<PoolEvent> events = std::exchange(local_events_, {});
-    for (const PoolEvent& event : events) {
-      StepWith(event);
-    }
+    ServeEvents();
     const Micros after = MonotonicMicros();
     if (after >= tick_due) {
       tick_due = after + options_.tick;
@@ -220,9 +194,11 @@
       client_->CloseStale(after);
     }
   }
+  // Requests that still come are answered, if only with a refusal.
   const Micros until = MonotonicMicros() + kLastReplies;
   while (MonotonicMicros() < until) {
-    loop_.Poll(until - MonotonicMicros());
+    loop_.Poll(local_events_.empty() ? until - MonotonicMicros() : 0);
+    ServeEvents();
   }
 }
 
--- a/edge/control_daemon.h
+++ b/edge/control_daemon.h
@@ -8,7 +8,6 @@
 // is due runs with a tick.
 
 #include <atomic>
-#include <map>
 #include <functional>
 #include <memory>
 #include <string>
@@ -60,20 +59,15 @@
   void OnTick(TickHandler handler) { on_tick_ = std::move(handler); }
 
  private:
-  // A change or a read of an operator that waits.
-  struct WaitingOperator {
-    HttpRequest request;
-  };
-
   void OnHttpRequest(RequestToken token, const HttpRequest& request);
-  void AnswerRead(RequestToken token, const HttpRequest& request);
-  HttpReply ElsewhereOrLater(const HttpRequest& request) const;
+  void ServeEvents();
   void StepWith(const PoolEvent& event);
   void Perform(PoolActions& actions);
   void PerformOne(SendPool& action);
   void PerformOne(SendOrder& action);
   void PerformOne(ReplyJob& action);
   void PerformOne(ReplyChange& action);
+  void PerformOne(ReplyRead& action);
   void PerformOne(PersistRegister& action);
   void PerformOne(LogEvent& action);
 
@@ -90,7 +84,6 @@
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<MeshLink> link_;
   std::unique_ptr<RegisterFile> file_;
-  std::map<RequestToken, WaitingOperator> operators_;
 };
 
 }  // namespace goldcrest
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -128,25 +128,31 @@
 
 void EntryDaemon::PerformOne(ReplyChange& /*action*/) {}
 
+void EntryDaemon::PerformOne(ReplyRead& /*action*/) {}
+
 void EntryDaemon::PerformOne(PersistRegister& /*action*/) {}
 
 void EntryDaemon::PerformOne(LogEvent& action) {
   WriteLog(action);
 }
 
+void EntryDaemon::ServeEvents() {
+  for (const EntryEvent& event : inbox_.TakeAll()) {
+    StepWith(event);
+  }
+  const std::vector<EntryEvent> events = std::exchange(local_events_, {});
+  for (const EntryEvent& event : events) {
+    StepWith(event);
+  }
+}
+
 void EntryDaemon::Run() {
   Micros tick_due = 0;
   Micros close_due = 0;
   while (!board_.drained) {
     const Micros now = MonotonicMicros();
     loop_.Poll(local_events_.empty() ? tick_due - now : 0);
-    for (const EntryEvent& event : inbox_.TakeAll()) {
-      StepWith(event);
-    }
-    const std::vector<EntryEvent> events = std::exchange(local_events_, {});
-    for (const EntryEvent& event : events) {
-      StepWith(event);
-    }
+    ServeEvents();
     const Micros after = MonotonicMicros();
     if (after >= tick_due) {
       tick_due = after + options_.tick;
@@ -161,9 +167,11 @@
       readiness_server_->CloseStale(after);
     }
   }
+  // Requests that still come are answered, if only with a refusal.
   const Micros until = MonotonicMicros() + kLastReplies;
   while (MonotonicMicros() < until) {
-    loop_.Poll(until - MonotonicMicros());
+    loop_.Poll(local_events_.empty() ? until - MonotonicMicros() : 0);
+    ServeEvents();
   }
 }
 
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -56,11 +56,13 @@
  private:
   void OnCallerRequest(RequestToken token, const HttpRequest& request);
   void OnReadinessRequest(RequestToken token, const HttpRequest& request);
+  void ServeEvents();
   void StepWith(const EntryEvent& event);
   void PerformOne(SendPool& action);
   void PerformOne(SendOrder& action);
   void PerformOne(ReplyJob& action);
   void PerformOne(ReplyChange& action);
+  void PerformOne(ReplyRead& action);
   void PerformOne(PersistRegister& action);
   void PerformOne(LogEvent& action);
 
--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -51,7 +51,7 @@
 // An operator asks for the configuration in force.
 struct ConfigurationQuery {};
 
-// A request that another daemon has to answer, or nobody can now.
+// A request as decoded; an HttpReply is its answer.
 using ControlRequest = std::variant<WorkerReported,
                                     WorkerLeft,
                                     RoutingChanged,
@@ -68,9 +68,6 @@
   virtual HttpReply LeaveTaken() const = 0;
   virtual HttpReply ChangeDurable() const = 0;
   virtual HttpReply Configuration(const wire::Routing& routing) const = 0;
-  // Sends the operator to the daemon at `address`.
-  virtual HttpReply Redirect(const std::string& address,
-                             const HttpRequest& request) const = 0;
   virtual HttpReply TryLater() const = 0;
 };
 
--- a/pool/agreement.cc
+++ b/pool/agreement.cc
@@ -60,12 +60,25 @@
       {agreement.write_sequence, SendPool{to, std::move(message)}});
 }
 
+void AnswerChange(const Asker& asker,
+                  ChangeResult result,
+                  PoolActions& actions) {
+  if (asker.from.empty()) {
+    actions.emplace_back(ReplyChange{asker.token, result});
+    return;
+  }
+  wire::PoolMessage message;
+  message.mutable_change_answer()->set_number(asker.token);
+  message.mutable_change_answer()->set_result(static_cast<uint32_t>(result));
+  SendTo(actions, asker.from, std::move(message));
+}
+
 void BecomeFollower(Agreement& agreement, Micros now, PoolActions& actions) {
   if (agreement.role == AgreementRole::kLeader) {
     LogPool(actions, LogLevel::kWarning, "leadership_lost",
             {{"term", std::to_string(agreement.stored.term())}});
     for (const WaitingChange& change : agreement.waiting) {
-      actions.emplace_back(ReplyChange{change.token, ChangeResult::kUnknown});
+      AnswerChange(change.asker, ChangeResult::kUnknown, actions);
     }
     agreement.waiting.clear();
     agreement.proposed.clear();
@@ -108,11 +121,16 @@
     if (change.index > agreement.committed_index) {
       return false;
     }
-    actions.emplace_back(ReplyChange{change.token, ChangeResult::kDurable});
+    AnswerChange(change.asker, ChangeResult::kDurable, actions);
     return true;
   });
 }
 
+bool HasOtherLeader(const Agreement& agreement) {
+  return agreement.role != AgreementRole::kLeader &&
+         !agreement.leader.empty();
+}
+
 // Returns what the leader knows of a voter's disk; null when nothing, or when
 // the VM at the voter's address has another disk now.
 const FollowerState* FollowerOf(const Agreement& agreement,
@@ -655,7 +673,7 @@
     if (now < change.due) {
       return false;
     }
-    actions.emplace_back(ReplyChange{change.token, ChangeResult::kUnknown});
+    AnswerChange(change.asker, ChangeResult::kUnknown, actions);
     return true;
   });
   if (agreement.role == AgreementRole::kLeader) {
@@ -678,12 +696,19 @@
 }
 
 void ProposeRouting(Agreement& agreement,
-                    ReplyToken token,
+                    const Asker& asker,
                     const wire::Routing& routing,
                     Micros now,
                     PoolActions& actions) {
+  if (asker.from.empty() && HasOtherLeader(agreement)) {
+    wire::PoolMessage message;
+    message.mutable_change_forward()->set_number(asker.token);
+    *message.mutable_change_forward()->mutable_routing() = routing;
+    SendTo(actions, agreement.leader, std::move(message));
+    return;
+  }
   if (!MayServeReads(agreement, now)) {
-    actions.emplace_back(ReplyChange{token, ChangeResult::kNotLeader});
+    AnswerChange(asker, ChangeResult::kNotLeader, actions);
     return;
   }
   const uint64_t held = State(agreement).routing().version();
@@ -695,11 +720,49 @@
              {"before", std::to_string(held)}});
     Propose(agreement, std::move(state), now, actions);
   }
-  agreement.waiting.push_back({token, State(agreement).index(),
+  agreement.waiting.push_back({asker, State(agreement).index(),
                                now + agreement.options.change_timeout});
   AnswerWaiting(agreement, actions);
 }
 
+void OnChangeAnswer(const wire::ChangeAnswer& answer, PoolActions& actions) {
+  const auto result = static_cast<ChangeResult>(answer.result());
+  actions.emplace_back(ReplyChange{answer.number(), result});
+}
+
+void ReadRouting(Agreement& agreement,
+                 const Asker& asker,
+                 Micros now,
+                 PoolActions& actions) {
+  const bool may_serve = MayServeReads(agreement, now);
+  if (!asker.from.empty()) {
+    wire::PoolMessage message;
+    wire::VersionAnswer& answer = *message.mutable_version_answer();
+    answer.set_number(asker.token);
+    answer.set_known(may_serve);
+    answer.set_version(agreement.committed.routing().version());
+    SendTo(actions, asker.from, std::move(message));
+    return;
+  }
+  if (!may_serve && HasOtherLeader(agreement)) {
+    wire::PoolMessage message;
+    message.mutable_version_query()->set_number(asker.token);
+    SendTo(actions, agreement.leader, std::move(message));
+    return;
+  }
+  actions.emplace_back(ReplyRead{
+      asker.token, may_serve && agreement.committed.routing().version() > 0});
+}
+
+void OnVersionAnswer(const Agreement& agreement,
+                     const wire::VersionAnswer& answer,
+                     PoolActions& actions) {
+  const uint64_t held = agreement.committed.routing().version();
+  actions.emplace_back(
+      ReplyRead{answer.number(),
+                answer.known() && held > 0 && held >= answer.version()});
+}
+
 bool MayServeReads(const Agreement& agreement, Micros now) {
   if (agreement.role != AgreementRole::kLeader ||
       agreement.committed.term() != agreement.stored.term()) {
--- a/pool/agreement.h
+++ b/pool/agreement.h
@@ -77,8 +77,15 @@
   Micros state_sent_at = 0;
 };
 
-struct WaitingChange {
+// Who asked for a change: a request at this daemon, or another daemon that
+// handed it on.
+struct Asker {
   ReplyToken token = kNoToken;
+  std::string from;  // mesh address; empty: this daemon
+};
+
+struct WaitingChange {
+  Asker asker;
   uint64_t index = 0;
   Micros due = 0;
 };
@@ -169,14 +176,28 @@
 // Runs what is due.
 void AgreementTick(Agreement& agreement, Micros now, PoolActions& actions);
 
-// Proposes `routing`, and answers `token` when it, or what is in force instead
-// of an older version, can no longer be lost.
+// Proposes `routing`, and answers when it, or what is in force instead of an
+// older version, can no longer be lost. A daemon that does not lead hands the
+// change to the leader, so that the operator needs one answer only.
 void ProposeRouting(Agreement& agreement,
-                    ReplyToken token,
+                    const Asker& asker,
                     const wire::Routing& routing,
                     Micros now,
                     PoolActions& actions);
 
+// Takes in the leader's answer to a change that was handed on.
+void OnChangeAnswer(const wire::ChangeAnswer& answer, PoolActions& actions);
+
+// Answers whether the committed state is the newest, asking the leader where
+// this daemon does not lead.
+void ReadRouting(Agreement& agreement,
+                 const Asker& asker,
+                 Micros now,
+                 PoolActions& actions);
+void OnVersionAnswer(const Agreement& agreement,
+                     const wire::VersionAnswer& answer,
+                     PoolActions& actions);
+
 // Says whether this daemon leads and may serve reads now.
 bool MayServeReads(const Agreement& agreement, Micros now);
 
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -128,6 +128,14 @@
           Micros now,
           PoolActions& actions) {
   ++board.counters.received;
+  board.last_request = now;
+  const bool too_late = board.draining &&
+                        now - board.drain_started >
+                            board.options.drain_takes_jobs;
+  if (board.drained || too_late) {
+    RefuseCaller(board, job, "draining", actions);
+    return;
+  }
   const wire::Queue* queue = QueueByName(board.routing, job.queue);
   if (queue == nullptr) {
     RefuseCaller(board, job, "no_such_queue_now", actions);
@@ -302,8 +310,9 @@
     return;
   }
   const Micros since = now - board.drain_started;
-  const bool done =
-      board.pending.empty() && since > board.options.shortest_drain;
+  const bool done = board.pending.empty() &&
+                    since > board.options.shortest_drain &&
+                    now - board.last_request > board.options.drain_quiet;
   if (done || since > board.options.longest_drain) {
     board.drained = true;
     LogPool(actions, LogLevel::kInfo, "drain_ended",
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -30,10 +30,15 @@
 namespace goldcrest {
 
 struct EntryOptions {
-  // Longest graceful shutdown, and how long connections are still taken: the
-  // balancer needs this long to notice.
-  Micros longest_drain = 5 * kSecond;
+  // A graceful shutdown lasts at least this long, since the balancer needs two
+  // missed probes to notice it,
   Micros shortest_drain = 2500 * kMillisecond;
+  // ends when no request has come for this long and none waits,
+  Micros drain_quiet = 500 * kMillisecond;
+  // takes no more jobs after this long,
+  Micros drain_takes_jobs = 4200 * kMillisecond;
+  // and lasts at most this long.
+  Micros longest_drain = 5200 * kMillisecond;
   // A job whose control daemon does not answer by the caller's timeout and
   // this is given up.
   Micros answer_slack = 50 * kMillisecond;
@@ -114,6 +119,7 @@
   std::vector<EntryObservation> observations;  // drained by the edge
   bool draining = false;
   Micros drain_started = 0;
+  Micros last_request = 0;
   bool drained = false;
 };
 
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -130,6 +130,13 @@
   }
 }
 
+void ForgivePause(Mesh& mesh, Micros pause) {
+  for (auto& [address, member] : mesh.members) {
+    member.last_heard += member.last_heard != 0 ? pause : 0;
+    member.heard_by_others += member.heard_by_others != 0 ? pause : 0;
+  }
+}
+
 bool IsHeard(const Mesh& mesh, const std::string& address, Micros now) {
   const auto found = mesh.members.find(address);
   return found != mesh.members.end() && found->second.last_heard != 0 &&
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -83,6 +83,9 @@
 // Sends presences when they are due.
 void MeshTick(Mesh& mesh, Micros now, PoolActions& actions);
 
+// Does not count a pause of this process as silence of the others.
+void ForgivePause(Mesh& mesh, Micros pause);
+
 // Says whether the daemon at `address` was heard of late.
 bool IsHeard(const Mesh& mesh, const std::string& address, Micros now);
 
--- a/pool/pool_action.h
+++ b/pool/pool_action.h
@@ -37,7 +37,7 @@
 // What became of an operator's change of the configuration.
 enum class ChangeResult : uint8_t {
   kDurable,    // it, or a newer version, can no longer be lost
-  kNotLeader,  // ask the daemon at `leader_control_address`
+  kNotLeader,  // this daemon does not lead, and knows no leader
   kUnknown,    // it may or may not take effect: send it again
 };
 
@@ -46,6 +46,13 @@
   ChangeResult result = ChangeResult::kUnknown;
 };
 
+// Answers an operator's question for the configuration: with the committed one
+// when it is known to be the newest.
+struct ReplyRead {
+  ReplyToken token = kNoToken;
+  bool newest = false;
+};
+
 // Writes what must survive a restart; a stored event with `sequence` follows.
 struct PersistRegister {
   wire::StoredRegister stored;
@@ -56,6 +63,7 @@
                                 SendOrder,
                                 ReplyJob,
                                 ReplyChange,
+                                ReplyRead,
                                 PersistRegister,
                                 LogEvent>;
 
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -37,6 +37,8 @@
   Micros lease_over = 880 * kMillisecond;
   // An entry daemon that was not heard for this long has lost its callers.
   Micros entry_silence = 400 * kMillisecond;
+  // So has one that has not heard this daemon for this long.
+  Micros entry_deafness = 700 * kMillisecond;
   // An order whose sender last heard this daemon longer ago is not taken.
   Micros stale_order = 500 * kMillisecond;
   // How long an answer to a hold may wait for the end of a run.
@@ -111,6 +113,8 @@
   uint64_t session_number = 0;
   uint64_t token = 0;
   Micros settling_since = 0;
+  // Settling first asks under the old token whether the worker is still ours.
+  bool verifying = false;
   Micros settle_due = 0;
   Micros settle_pause = 0;
   bool settle_in_flight = false;
@@ -142,9 +146,14 @@
 
 struct PoolJob;
 
-// Orders the tasks that wait for room.
+// What can still become of a job's answer.
+enum class JobHope : uint8_t { kInTime, kLate, kVeryLate };
+
+// Orders the tasks that wait for room: jobs that can be in time, then the
+// operator's priority, then the objective's time.
 struct WaitingKey {
-  int rank = 0;
+  JobHope hope = JobHope::kInTime;
+  int priority = 0;
   Micros due = 0;
   uint64_t sequence = 0;
   uint32_t step = 0;
@@ -168,8 +177,7 @@
   Micros due = 0;       // when callers want it done
   std::vector<PoolStep> steps;
   size_t open = 0;
-  // 1 when it can no longer be in time and yields to others.
-  int rank = 0;
+  JobHope hope = JobHope::kInTime;
   // Whether a start was sent for any of its tasks.
   bool started = false;
   Micros first_start = 0;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -11,11 +11,14 @@
 namespace goldcrest {
 namespace {
 
-// A job is late after this many times its objective; then it yields to those
-// that can still be in time.
+// An answer is of little use after this many times its objective.
 constexpr int kLateFactor = 3;
 // A daemon that has just started may not know all workers yet.
 constexpr Micros kKnowsWorkersAfter = 5 * kSecond;
+// A job goes to a neighbour whose wait, and the way there, are this many times
+// shorter.
+constexpr int64_t kWaitRatio = 2;
+constexpr int64_t kWayMs = 20;
 constexpr int64_t kShortestRetryAfterMs = 1000;
 constexpr int64_t kLongestRetryAfterMs = 10'000;
 
@@ -71,13 +74,18 @@
                   const wire::JobOrder& order,
                   Micros now) {
   const auto found = board.mesh.members.find(order.entry());
-  return found != board.mesh.members.end() &&
-         found->second.incarnation == order.entry_incarnation() &&
-         now - found->second.last_heard < board.options.entry_silence;
+  if (found == board.mesh.members.end() ||
+      found->second.incarnation != order.entry_incarnation()) {
+    return false;
+  }
+  const MeshMember& entry = found->second;
+  const Micros heard_us = SentAt(board.mesh, entry.presence.echoed_sequence());
+  return now - entry.last_heard < board.options.entry_silence &&
+         heard_us != 0 && now - heard_us < board.options.entry_deafness;
 }
 
 WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
-  return {job.rank, job.due, job.sequence, step, index};
+  return {job.hope, job.order.priority(), job.due, job.sequence, step, index};
 }
 
 std::unique_ptr<PoolJob> MakeJob(PoolBoard& board,
@@ -134,9 +142,25 @@
   }
 }
 
-void YieldToTimelyJobs(PoolBoard& board, PoolJob& job) {
+// Returns what can still become of a job whose first open step has `expected`
+// run time.
+JobHope HopeOf(const PoolJob& job, Micros now) {
+  Micros expected = 0;
+  for (const PoolStep& step : job.steps) {
+    expected += step.open > 0 ? step.expected : 0;
+  }
+  const Micros objective = job.due - job.received;
+  if (now + expected <= job.due) {
+    return JobHope::kInTime;
+  }
+  return now + expected <= job.received + kLateFactor * objective
+             ? JobHope::kLate
+             : JobHope::kVeryLate;
+}
+
+void MoveInQueue(PoolBoard& board, PoolJob& job, JobHope hope) {
   LeaveQueue(board, job);
-  job.rank = 1;
+  job.hope = hope;
   for (uint32_t step = 0; step < job.steps.size(); ++step) {
     for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
       if (job.steps[step].tasks[i].phase == TaskPhase::kWaiting) {
@@ -156,6 +180,28 @@
   return cpu;
 }
 
+// Returns the neighbour whose queue is so much shorter than this pool's that
+// the way there pays; null when there is none. Answers a burst that reaches
+// one failure domain only.
+MeshMember* ShorterQueue(PoolBoard& board, Micros now) {
+  MeshMember* best = nullptr;
+  const int64_t own_wait_ms = board.draining
+                                  ? kLongestRetryAfterMs
+                                  : board.mesh.load.wait_ms();
+  for (auto& [address, member] : board.mesh.members) {
+    const wire::PoolLoad& load = member.presence.load();
+    const bool can = member.presence.control() &&
+                     !member.presence.draining() && load.workers() > 0 &&
+                     IsHeard(board.mesh, address, now) &&
+                     kWaitRatio * (load.wait_ms() + kWayMs) < own_wait_ms;
+    if (can && (best == nullptr ||
+                load.wait_ms() < best->presence.load().wait_ms())) {
+      best = &member;
+    }
+  }
+  return best;
+}
+
 // Returns the neighbour with the most free room of those that can start all of
 // the job at once; null when there is none.
 MeshMember* RoomierNeighbour(PoolBoard& board,
@@ -168,7 +214,7 @@
     const bool can = member.presence.control() &&
                      !member.presence.draining() &&
                      IsHeard(board.mesh, address, now) &&
-                     load.queued_work_ms() == 0 &&
+                     load.wait_ms() == 0 &&
                      load.free_cpu_millis() >= cpu + cpu / 4;
     if (can && (best == nullptr ||
                 load.free_cpu_millis() >
@@ -201,7 +247,11 @@
            {"waiting_here", std::to_string(board.waiting.size())}});
   // Until its next presence, the neighbour has this much less.
   wire::PoolLoad& load = *to.presence.mutable_load();
-  load.set_free_cpu_millis(load.free_cpu_millis() - FirstWaveCpu(order));
+  const int64_t cpu = FirstWaveCpu(order);
+  const int64_t work_ms = cpu * order.steps(0).estimate_ms();
+  load.set_free_cpu_millis(load.free_cpu_millis() - cpu);
+  load.set_wait_ms(load.wait_ms() +
+                   work_ms / std::max<int64_t>(load.capacity_cpu_millis(), 1));
 }
 
 bool CanEverRun(const PoolBoard& board, const wire::JobOrder& order) {
@@ -370,6 +420,7 @@
   const Micros unhindered = job->steps[0].expected;
   if (!order.forwarded() && (estimate > unhindered * 5 / 4 || board.draining)) {
     MeshMember* neighbour = RoomierNeighbour(board, order, now);
+    neighbour = neighbour != nullptr ? neighbour : ShorterQueue(board, now);
     if (neighbour != nullptr) {
       Forward(board, order, *neighbour, actions);
       return;
@@ -500,10 +551,10 @@
       ending.emplace_back(key, lost);
       continue;
     }
-    const Micros late_at =
-        job->received + kLateFactor * (job->due - job->received);
-    if (job->rank == 0 && now > late_at) {
-      YieldToTimelyJobs(board, *job);
+    // A job that has begun keeps its place: half of it is of no use.
+    const JobHope hope = job->started ? job->hope : HopeOf(*job, now);
+    if (hope != job->hope) {
+      MoveInQueue(board, *job, hope);
     }
   }
   for (const auto& [key, lost] : ending) {
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -1,6 +1,7 @@
 #include "pool/pool_placement.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "pool/pool_jobs.h"
 #include "pool/worker_health.h"
@@ -291,7 +292,8 @@
   const wire::JobStep& step = job.order.steps(0);
   std::vector<TaskGroup> ahead;
   for (const auto& [key, waiting] : board.waiting) {
-    if (key.rank > 0 || key.due > job.due) {
+    if (std::tie(key.hope, key.priority, key.due) >
+        std::make_tuple(JobHope::kInTime, job.order.priority(), job.due)) {
       break;
     }
     ahead.push_back({1, waiting.job->steps[key.step].expected});
@@ -307,24 +309,24 @@
 void UpdateLoad(PoolBoard& board, Micros now) {
   wire::PoolLoad load;
   int64_t free = 0;
-  int64_t largest = 0;
+  int64_t capacity = 0;
   for (const auto& [id, worker] : board.workers) {
     if (!TakesStarts(worker, now)) {
       continue;
     }
     load.set_workers(load.workers() + 1);
-    const int64_t room = std::max<int64_t>(FreeRoom(worker).cpu_millis, 0);
-    free += room;
-    largest = std::max(largest, room);
+    capacity += worker.facts.cpu_millis();
+    free += std::max<int64_t>(FreeRoom(worker).cpu_millis, 0);
   }
-  int64_t waiting_ms = 0;
+  int64_t cpu_ms = 0;  // of all that waits
   for (const auto& [key, waiting] : board.waiting) {
-    const PoolStep& step = waiting.job->steps[key.step];
-    waiting_ms += step.expected / kMillisecond;
+    const PoolJob& job = *waiting.job;
+    cpu_ms += job.order.steps(static_cast<int>(key.step)).cpu_millis() *
+              (job.steps[key.step].expected / kMillisecond);
   }
   load.set_free_cpu_millis(free);
-  load.set_largest_free_cpu_millis(static_cast<uint32_t>(largest));
-  load.set_queued_work_ms(waiting_ms);
+  load.set_capacity_cpu_millis(capacity);
+  load.set_wait_ms(cpu_ms / std::max<int64_t>(capacity, 1));
   board.mesh.load = load;
 }
 
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -84,6 +84,20 @@
       OnAppendReply(board.agreement, from, message.append_reply(), now,
                     actions);
       break;
+    case wire::PoolMessage::kChangeForward:
+      ProposeRouting(board.agreement, {message.change_forward().number(), from},
+                     message.change_forward().routing(), now, actions);
+      break;
+    case wire::PoolMessage::kChangeAnswer:
+      OnChangeAnswer(message.change_answer(), actions);
+      break;
+    case wire::PoolMessage::kVersionQuery:
+      ReadRouting(board.agreement, {message.version_query().number(), from},
+                  now, actions);
+      break;
+    case wire::PoolMessage::kVersionAnswer:
+      OnVersionAnswer(board.agreement, message.version_answer(), actions);
+      break;
     default:
       break;
   }
@@ -114,7 +128,15 @@
           const RoutingChanged& event,
           Micros now,
           PoolActions& actions) {
-  ProposeRouting(board.agreement, event.token, event.routing, now, actions);
+  ProposeRouting(board.agreement, {event.token, ""}, event.routing, now,
+                 actions);
+}
+
+void Take(PoolBoard& board,
+          const RoutingAsked& event,
+          Micros now,
+          PoolActions& actions) {
+  ReadRouting(board.agreement, {event.token, ""}, now, actions);
 }
 
 void Take(PoolBoard& board,
@@ -142,7 +164,9 @@
 void Take(PoolBoard&, const PoolTick&, Micros, PoolActions&) {}
 
 // After a pause of the process nothing that it believes about its workers is
-// sure: leases may have run out and others may have taken over.
+// sure: leases may have run out and others may have taken over. Callers of its
+// jobs were given up by their entry daemons. That others were not heard during
+// the pause says nothing about them.
 void NoticePause(PoolBoard& board, Micros now, PoolActions& actions) {
   const Micros pause = now - board.last_step;
   board.last_step = now;
@@ -151,7 +175,16 @@
   }
   LogPool(actions, LogLevel::kWarning, "process_was_paused",
           {{"pause_ms", std::to_string(pause / kMillisecond)}});
+  ForgivePause(board.mesh, pause);
+  std::vector<std::string> keys;
+  for (const auto& [key, job] : board.jobs) {
+    keys.push_back(key);
+  }
+  for (const std::string& key : keys) {
+    EndJob(board, key, wire::JOB_UNKNOWN, "process_was_paused", now, actions);
+  }
   for (auto& [id, worker] : board.workers) {
+    worker.last_heard += pause;
     if (worker.session != SessionState::kNone) {
       Settle(board, worker, "process_was_paused", now, actions);
     }
--- a/pool/pool_step.h
+++ b/pool/pool_step.h
@@ -39,6 +39,11 @@
   wire::Routing routing;
 };
 
+// An operator asks for the configuration.
+struct RoutingAsked {
+  ReplyToken token = kNoToken;
+};
+
 struct RegisterStored {
   uint64_t sequence = 0;
   bool ok = false;
@@ -55,6 +60,7 @@
                                WorkerLeft,
                                WorkerAnswer,
                                RoutingChanged,
+                               RoutingAsked,
                                RegisterStored,
                                PoolDrain,
                                PoolTick>;
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -114,15 +114,40 @@
   }
 };
 
+// Whether this daemon may believe that another one is lost: one that is itself
+// cut off from callers, or from most others, must not take workers that others
+// are using.
+bool MayJudgeOthers(const PoolBoard& board, bool foreign, Micros now) {
+  size_t controls = 1;
+  size_t controls_heard = 1;
+  bool hears_entry = false;
+  for (const auto& [address, member] : board.mesh.members) {
+    const bool heard = IsHeard(board.mesh, address, now);
+    if (member.presence.control()) {
+      controls += 1;
+      controls_heard += heard ? 1 : 0;
+    } else {
+      hears_entry = hears_entry || heard;
+    }
+  }
+  return hears_entry && (!foreign || 2 * controls_heard >= controls);
+}
+
 void Claim(PoolBoard& board,
            PoolWorker& worker,
            Micros now,
            PoolActions& actions) {
   const bool foreign =
       worker.facts.failure_domain() != board.mesh.options.failure_domain;
-  if (now < worker.claim_after || worker.facts.leaving() ||
-      (foreign &&
-       now - board.started_at < board.options.foreign_claims_after)) {
+  if (now < worker.claim_after || worker.facts.leaving()) {
+    return;
+  }
+  if (foreign && now - board.started_at < board.options.foreign_claims_after) {
+    return;
+  }
+  const std::string& owner = worker.facts.owner();
+  const bool taken = !owner.empty() && owner != board.mesh.options.self;
+  if ((taken || foreign) && !MayJudgeOthers(board, foreign, now)) {
     return;
   }
   Settle(board, worker, "claim", now, actions);
@@ -155,7 +180,9 @@
     board.ownership_due = now;
     return;
   }
-  const std::string& owner = worker.facts.owner();
+  const std::string owner = worker.facts.owner().empty()
+                                ? PreferredOwner(board, worker, now)
+                                : worker.facts.owner();
   if (!owner.empty() && owner != board.mesh.options.self) {
     wire::PoolMessage message;
     *message.mutable_worker_news()->add_workers() = worker.facts;
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -263,6 +263,11 @@
                     Micros now,
                     PoolActions& actions) {
   worker.settle_in_flight = false;
+  if (answer.outcome == OrderOutcome::kDone && worker.verifying) {
+    worker.verifying = false;
+    SessionTick(board, worker, now, actions);
+    return;
+  }
   if (answer.outcome == OrderOutcome::kDone) {
     OnSettled(board, worker, answer, now, actions);
     return;
@@ -294,9 +299,12 @@
     worker.settle_pause = 0;
   }
   ++board.counters.settles;
+  worker.verifying = worker.session == SessionState::kReady ||
+                     worker.session == SessionState::kReleasing ||
+                     (worker.session == SessionState::kSettling &&
+                      worker.verifying);
   worker.session = SessionState::kSettling;
   worker.session_number = board.next_session++;
-  worker.token = NextToken(board, worker);
   worker.settle_due = now;
   worker.settle_in_flight = false;
   worker.hold_in_flight = false;
@@ -469,7 +477,9 @@
     }
     if (!worker.settle_in_flight && now >= worker.settle_due) {
       worker.settle_in_flight = true;
-      worker.token = NextToken(board, worker);
+      if (!worker.verifying) {
+        worker.token = NextToken(board, worker);
+      }
       actions.emplace_back(SendOrder{MakeHold(board, worker, 0, now)});
     }
     return;
