Ask who has a worker before taking it back; try another control daemon

A control daemon that found itself fenced did not know by whom, and claimed the worker again 0.8 s later under a higher token, which ended the new owner's runs as unknown; and its backlog of answers after the pause made entry daemons send it jobs with an old sequence number, which it refused. Ruled out: the hand-over itself, which waits for idle workers. It now asks all others who has the worker and claims it only if nobody says so for 1.5 s; a refusal for a cause of one daemon alone is taken to another one.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -102,8 +102,7 @@
 wire::JobOrder MakeOrder(const EntryBoard& board,
                          const CallerJob& job,
                          const wire::Queue& queue,
-                         uint64_t number,
-                         int64_t budget_ms) {
+                         uint64_t number) {
   wire::JobOrder order;
   order.set_order(number);
   order.set_job_id(job.job_id);
@@ -117,12 +116,38 @@
   order.set_max_attempts(queue.max_attempts());
   order.set_stretch(queue.stretch());
   order.set_target_ms(queue.target_ms());
-  order.set_budget_ms(static_cast<uint32_t>(budget_ms));
   order.set_entry(board.mesh.options.self);
   order.set_entry_incarnation(board.mesh.options.incarnation);
   return order;
 }
 
+// Sends a pending job to a control daemon.
+void SendOrderTo(EntryBoard& board,
+                 PendingJob& pending,
+                 const std::string& control,
+                 Micros now,
+                 PoolActions& actions) {
+  const MeshMember& member = board.mesh.members.at(control);
+  const int64_t left_ms =
+      std::max<int64_t>((pending.deadline - now) / kMillisecond, 0);
+  pending.control = control;
+  pending.control_incarnation = member.incarnation;
+  pending.message.set_seen_sequence(NewestSequence(board.mesh, control));
+  pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
+  wire::PoolMessage message;
+  *message.mutable_job_order() = pending.message;
+  SendTo(actions, control, std::move(message));
+  LogPool(actions, LogLevel::kInfo, "job_sent",
+          {{"job", pending.job_id},
+           {"queue", pending.queue},
+           {"control", control},
+           {"heard_ms_ago",
+            std::to_string((now - member.last_heard) / kMillisecond)},
+           {"configuration", std::to_string(board.routing.version())},
+           {"budget_ms", std::to_string(left_ms)},
+           {"tried", std::to_string(pending.tried.size())}});
+}
+
 void Take(EntryBoard& board,
           const CallerJob& job,
           Micros now,
@@ -154,34 +179,17 @@
                                 ? job.caller_timeout_ms
                                 : static_cast<int64_t>(queue->timeout_ms());
   const uint64_t number = board.next_order++;
-  PendingJob pending;
+  PendingJob& pending = board.pending[number];
   pending.order = number;
   pending.token = job.token;
   pending.job_id = job.job_id;
   pending.queue = job.queue;
-  pending.control = *control;
-  pending.control_incarnation = board.mesh.members.at(*control).incarnation;
   pending.received = now;
   pending.deadline = now + budget_ms * kMillisecond;
-  wire::PoolMessage message;
-  *message.mutable_job_order() =
-      MakeOrder(board, job, *queue, number, budget_ms);
-  message.mutable_job_order()->set_seen_sequence(
-      NewestSequence(board.mesh, *control));
-  SendTo(actions, *control, std::move(message));
-  LogPool(actions, LogLevel::kInfo, "job_sent",
-          {{"job", job.job_id},
-           {"queue", job.queue},
-           {"control", *control},
-           {"heard_ms_ago",
-            std::to_string((now - board.mesh.members.at(*control).last_heard) /
-                           kMillisecond)},
-           {"configuration", std::to_string(board.routing.version())},
-           {"budget_ms", std::to_string(budget_ms)},
-           {"caller_timeout_ms", std::to_string(job.caller_timeout_ms)}});
+  pending.message = MakeOrder(board, job, *queue, number);
   board.orders[job.token] = number;
   board.order_of_job[job.job_id] = number;
-  board.pending[number] = std::move(pending);
+  SendOrderTo(board, pending, *control, now, actions);
 }
 
 void Take(EntryBoard& board,
@@ -244,6 +252,26 @@
   }
 }
 
+// Sends a job that its control daemon has not taken to another one. Returns
+// whether there is one.
+bool TryElsewhere(EntryBoard& board,
+                  uint64_t order,
+                  Micros now,
+                  PoolActions& actions) {
+  const auto found = board.pending.find(order);
+  if (found == board.pending.end()) {
+    return false;
+  }
+  PendingJob& job = found->second;
+  job.tried.insert(job.control);
+  const auto control = ChooseControl(board.mesh, now, job.tried);
+  if (!control) {
+    return false;
+  }
+  SendOrderTo(board, job, *control, now, actions);
+  return true;
+}
+
 void Take(EntryBoard& board,
           const EntryReceived& event,
           Micros now,
@@ -264,6 +292,10 @@
     TakeMoved(board, message.job_moved());
   } else if (message.has_job_end()) {
     const wire::JobEnd& end = message.job_end();
+    if (end.fate() == wire::JOB_REFUSED && end.try_elsewhere() &&
+        TryElsewhere(board, end.order(), now, actions)) {
+      return;
+    }
     Finish(board, end.order(), end.fate(), end.reason(), end.retry_after_ms(),
            now, actions);
   }
@@ -358,13 +390,15 @@
   return best;
 }
 
-std::optional<std::string> ChooseControl(const Mesh& mesh, Micros now) {
+std::optional<std::string> ChooseControl(const Mesh& mesh,
+                                         Micros now,
+                                         const std::set<std::string>& tried) {
   std::optional<std::string> best;
   std::tuple<bool, bool, int64_t> best_rank;
   for (const auto& [address, member] : mesh.members) {
     const wire::Presence& presence = member.presence;
     if (!presence.control() || presence.draining() ||
-        !IsHeard(mesh, address, now)) {
+        tried.contains(address) || !IsHeard(mesh, address, now)) {
       continue;
     }
     const bool has_workers = presence.load().workers() > 0;
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -89,6 +90,8 @@
   ReplyToken token = kNoToken;
   std::string job_id;
   std::string queue;
+  wire::JobOrder message;
+  std::set<std::string> tried;  // control daemons that could not take it
   std::string control;  // mesh address
   uint64_t control_incarnation = 0;
   Micros received = 0;
@@ -139,7 +142,11 @@
 
 // Returns the control daemon for a new job: of the own failure domain, then
 // the one with the most room; nothing when none can take jobs.
-std::optional<std::string> ChooseControl(const Mesh& mesh, Micros now);
+// `tried` are left out.
+std::optional<std::string> ChooseControl(
+    const Mesh& mesh,
+    Micros now,
+    const std::set<std::string>& tried = {});
 
 // Says whether the balancer should send callers here.
 bool IsReady(const EntryBoard& board, Micros now);
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr size_t kSentRemembered = 100;
+// What a daemon said of its load is of use for this long.
+constexpr Micros kFreshFor = 350 * kMillisecond;
 
 wire::PoolMessage MakePresence(Mesh& mesh,
                                const std::string& to,
@@ -88,13 +90,13 @@
     change = member.incarnation == 0 ? MemberChange::kAppeared
                                      : MemberChange::kRestarted;
     member.incarnation = incarnation;
-    member.first_heard = now;
     member.presence.Clear();
   } else if (presence.sequence() < member.presence.sequence()) {
     return MemberChange::kNone;  // overtaken by a newer one
   }
   member.address = from;
   member.last_heard = now;
+  member.presence_at = now;
   member.presence = presence;
   for (const std::string& address : presence.knows()) {
     if (address != mesh.options.self && !mesh.members.contains(address)) {
@@ -152,6 +154,10 @@
          now - found->second.heard_by_others < mesh.options.hearsay;
 }
 
+bool IsFresh(const MeshMember& member, Micros now) {
+  return member.presence_at != 0 && now - member.presence_at < kFreshFor;
+}
+
 Micros SentAt(const Mesh& mesh, uint64_t sequence) {
   for (const auto& [number, at] : mesh.sent) {
     if (number == sequence) {
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -47,7 +47,7 @@
   std::string address;
   uint64_t incarnation = 0;
   Micros last_heard = 0;        // 0: never
-  Micros first_heard = 0;       // of this incarnation
+  Micros presence_at = 0;       // when `presence` came; pauses count
   Micros heard_by_others = 0;   // newest time another daemon said it hears it
   wire::Presence presence;      // the newest one
 };
@@ -93,6 +93,9 @@
 // at `address` of late.
 bool IsAlive(const Mesh& mesh, const std::string& address, Micros now);
 
+// Says whether what `member` last told about itself can be built upon.
+bool IsFresh(const MeshMember& member, Micros now);
+
 // Returns when the presence with `sequence` was sent; 0 when that is long ago.
 Micros SentAt(const Mesh& mesh, uint64_t sequence);
 
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -56,6 +56,11 @@
   // After its start, a daemon leaves the workers of other failure domains
   // alone for this long: their own daemons may only be starting too.
   Micros foreign_claims_after = 2500 * kMillisecond;
+  // Nor does it claim any before others had time to say which are theirs.
+  Micros claims_after = 500 * kMillisecond;
+  // A worker that refused this daemon's token is another's; if nobody says so
+  // for this long, that one is lost.
+  Micros unknown_owner_for = 1500 * kMillisecond;
   Micros ownership_period = 200 * kMillisecond;
   // A pause of the process longer than this makes all sessions settle anew.
   Micros frozen_after = 400 * kMillisecond;
@@ -130,6 +135,8 @@
   WorkerHealth health;
   Micros asked_at = 0;     // for a hand-over
   Micros claim_after = 0;  // not claimed before
+  // When the worker refused this daemon's token; 0 once its owner is known.
+  Micros fenced_at = 0;
 };
 
 // ------------------------------------------------------------ jobs
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -40,6 +40,7 @@
              wire::JobFate fate,
              const std::string& reason,
              int64_t retry_after_ms,
+             bool try_elsewhere,
              PoolActions& actions) {
   wire::PoolMessage message;
   wire::JobEnd& end = *message.mutable_job_end();
@@ -48,6 +49,7 @@
   end.set_fate(fate);
   end.set_reason(reason);
   end.set_retry_after_ms(static_cast<uint32_t>(retry_after_ms));
+  end.set_try_elsewhere(try_elsewhere);
   SendTo(actions, order.entry(), std::move(message));
 }
 
@@ -56,6 +58,7 @@
             wire::JobFate fate,
             const std::string& reason,
             int64_t retry_after_ms,
+            bool try_elsewhere,
             PoolActions& actions) {
   ++board.counters.jobs_ended[std::string(kFateNames[fate])];
   LogPool(actions, LogLevel::kWarning, "job_not_taken",
@@ -67,7 +70,7 @@
            {"budget_ms", std::to_string(order.budget_ms())},
            {"waiting", std::to_string(board.waiting.size())},
            {"retry_after_ms", std::to_string(retry_after_ms)}});
-  SendEnd(order, fate, reason, retry_after_ms, actions);
+  SendEnd(order, fate, reason, retry_after_ms, try_elsewhere, actions);
 }
 
 bool IsEntryHeard(const PoolBoard& board,
@@ -192,7 +195,7 @@
     const wire::PoolLoad& load = member.presence.load();
     const bool can = member.presence.control() &&
                      !member.presence.draining() && load.workers() > 0 &&
-                     IsHeard(board.mesh, address, now) &&
+                     IsFresh(member, now) &&
                      kWaitRatio * (load.wait_ms() + kWayMs) < own_wait_ms;
     if (can && (best == nullptr ||
                 load.wait_ms() < best->presence.load().wait_ms())) {
@@ -213,8 +216,7 @@
     const wire::PoolLoad& load = member.presence.load();
     const bool can = member.presence.control() &&
                      !member.presence.draining() &&
-                     IsHeard(board.mesh, address, now) &&
-                     load.wait_ms() == 0 &&
+                     IsFresh(member, now) && load.wait_ms() == 0 &&
                      load.free_cpu_millis() >= cpu + cpu / 4;
     if (can && (best == nullptr ||
                 load.free_cpu_millis() >
@@ -397,12 +399,12 @@
   const Micros seen_at = SentAt(board.mesh, order.seen_sequence());
   if (seen_at == 0 || now - seen_at > board.options.stale_order) {
     Refuse(board, order, wire::JOB_REFUSED, "order_out_of_date",
-           kShortestRetryAfterMs, actions);
+           kShortestRetryAfterMs, true, actions);
     return;
   }
   if (!IsEntryHeard(board, order, now)) {
     Refuse(board, order, wire::JOB_REFUSED, "entry_not_heard",
-           kShortestRetryAfterMs, actions);
+           kShortestRetryAfterMs, true, actions);
     return;
   }
   if (TakeOverJob(board, order, now, actions)) {
@@ -411,7 +413,7 @@
   if (now - board.started_at > kKnowsWorkersAfter &&
       !CanEverRun(board, order)) {
     Refuse(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0,
-           actions);
+           false, actions);
     return;
   }
   std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
@@ -427,12 +429,14 @@
     }
   }
   const Micros budget = order.budget_ms() * kMillisecond;
+  if (estimate >= kNever) {
+    Refuse(board, order, wire::JOB_REFUSED, "no_workers",
+           kShortestRetryAfterMs, true, actions);
+    return;
+  }
   if (estimate > budget) {
-    Refuse(board, order, wire::JOB_REFUSED,
-           estimate >= kNever ? "no_workers" : "no_room_in_time",
-           estimate >= kNever ? kShortestRetryAfterMs
-                              : RetryAfterMs(estimate, budget),
-           actions);
+    Refuse(board, order, wire::JOB_REFUSED, "no_room_in_time",
+           RetryAfterMs(estimate, budget), false, actions);
     return;
   }
   LogAccepted(board, *job, estimate, actions);
@@ -491,7 +495,8 @@
            {"took_ms", std::to_string((now - job->received) / kMillisecond)},
            {"first_start_ms", std::to_string(waited / kMillisecond)}});
   SendEnd(job->order, fate, reason,
-          fate == wire::JOB_REFUSED ? kShortestRetryAfterMs : 0, actions);
+          fate == wire::JOB_REFUSED ? kShortestRetryAfterMs : 0, false,
+          actions);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -1,6 +1,7 @@
 #include "pool/testing/fake_pool.h"
 
 #include <algorithm>
+#include <iostream>
 #include <memory>
 
 #include "goldcrest/digest.h"
@@ -201,6 +202,13 @@
       });
     } else if (const auto* line = std::get_if<LogEvent>(&action)) {
       ++logged_[std::string(line->event)];
+      if (options_.print_log) {
+        std::cout << now_ / kMillisecond << ' ' << self << ' ' << line->event;
+        for (const LogField& field : line->fields) {
+          std::cout << ' ' << field.key << '=' << field.value;
+        }
+        std::cout << '\n';
+      }
     }
   }
 }
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -30,6 +30,7 @@
   int workers_per_domain = 4;
   int64_t worker_cpu = 16'000;
   uint64_t seed = 1;
+  bool print_log = false;
   Micros delay = kMillisecond;
   Micros sync = 9 * kMillisecond;
 };
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -139,7 +139,8 @@
            PoolActions& actions) {
   const bool foreign =
       worker.facts.failure_domain() != board.mesh.options.failure_domain;
-  if (now < worker.claim_after || worker.facts.leaving()) {
+  if (now < worker.claim_after || worker.facts.leaving() ||
+      now - board.started_at < board.options.claims_after) {
     return;
   }
   if (foreign && now - board.started_at < board.options.foreign_claims_after) {
@@ -219,6 +220,9 @@
         worker.facts.set_gone(true);
       }
     }
+    if (!row.owner().empty()) {
+      worker.fenced_at = 0;
+    }
     const bool newer_owner =
         row.token() > worker.facts.token() ||
         (row.token() == worker.facts.token() && row.owner().empty());
@@ -346,7 +350,17 @@
       continue;
     }
     const std::string& owner = worker.facts.owner();
-    if (owner.empty() || owner == self || !IsAlive(board.mesh, owner, now)) {
+    const bool asks_all =
+        worker.fenced_at != 0 &&
+        now - worker.fenced_at < board.options.unknown_owner_for;
+    if (asks_all) {
+      for (const auto& [address, member] : board.mesh.members) {
+        if (member.presence.control() && IsHeard(board.mesh, address, now)) {
+          requests[address].add_ids(id);
+        }
+      }
+    } else if (owner.empty() || owner == self ||
+               !IsAlive(board.mesh, owner, now)) {
       Claim(board, worker, now, actions);
     } else if (now - worker.asked_at > kAskAgain &&
                asked < kHandOversPerRound) {
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -203,6 +203,7 @@
             std::to_string((now - worker.settling_since) / kMillisecond)}});
   worker.facts.set_owner(board.mesh.options.self);
   worker.facts.set_token(worker.token);
+  worker.fenced_at = 0;
   AnnounceWorker(board, worker, now, actions);
   board.placement_due = true;
 }
@@ -284,6 +285,7 @@
               PoolActions& actions) {
   worker.token += kTokenStep;
   worker.claim_after = now + kClaimPause;
+  worker.fenced_at = now;
   EndSession(board, worker, "fenced", now, actions);
 }
 
