--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -190,6 +190,7 @@
     }
     if (after >= close_due) {
       close_due = after + kCloseStalePeriod;
+      FlushLog();
       server_->CloseStale(after);
       client_->CloseStale(after);
     }
--- a/edge/daemon.cc
+++ b/edge/daemon.cc
@@ -201,6 +201,7 @@
     return;
   }
   closed_stale_at_ = now;
+  FlushLog();
   server_->CloseStale(now);
   client_->CloseStale(now);
 }
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -163,6 +163,7 @@
     }
     if (after >= close_due) {
       close_due = after + kCloseStalePeriod;
+      FlushLog();
       server_->CloseStale(after);
       readiness_server_->CloseStale(after);
     }
--- a/edge/logging.cc
+++ b/edge/logging.cc
@@ -1,16 +1,24 @@
 #include "edge/logging.h"
 
-#include <iostream>
+#include <unistd.h>
+
+#include <mutex>
+#include <optional>
 #include <utility>
 
 #include <Poco/DateTimeFormatter.h>
 #include <Poco/Timestamp.h>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
+#include "edge/log_limiter.h"
+#include "edge/log_writer.h"
+#include "edge/socket_loop.h"
 #include "goldcrest/json_reader.h"
 
 namespace goldcrest {
@@ -30,6 +38,34 @@
   return fields;
 }
 
+LogWriter& TheWriter() {
+  static LogWriter writer(STDOUT_FILENO);
+  return writer;
+}
+
+// The limiter of all threads.
+struct SharedLimiter {
+  std::mutex mutex;
+  LogLimiter limiter;
+};
+
+SharedLimiter& TheLimiter() {
+  static SharedLimiter limiter;
+  return limiter;
+}
+
+// Hands formatted lines to the writer.
+class WriterBackend : public boost::log::sinks::basic_formatted_sink_backend<
+                          char,
+                          boost::log::sinks::concurrent_feeding> {
+ public:
+  void consume(  // NOLINT(readability-identifier-naming): Boost's name
+      const boost::log::record_view& /*record*/,
+      const std::string& line) {
+    TheWriter().Write(line);
+  }
+};
+
 std::string_view NameOf(LogLevel level) {
   constexpr std::string_view kNames[] = {"debug", "info", "warning", "error"};
   return kNames[static_cast<int>(level)];
@@ -56,9 +92,10 @@
       continue;
     }
     CommonFields() = std::move(fields);
-    boost::log::add_console_log(
-        std::clog, boost::log::keywords::format = expressions::stream
-                                                  << expressions::smessage);
+    using Sink = boost::log::sinks::synchronous_sink<WriterBackend>;
+    const auto sink = boost::make_shared<Sink>();
+    sink->set_formatter(expressions::stream << expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
     boost::log::core::get()->set_filter(
         expressions::attr<LogLevel>("Severity") >= lowest);
     return true;
@@ -79,10 +116,33 @@
 }
 
 void WriteLog(const LogEvent& event) {
+  std::optional<uint64_t> left_out;
+  {
+    SharedLimiter& shared = TheLimiter();
+    const std::lock_guard<std::mutex> lock(shared.mutex);
+    left_out =
+        shared.limiter.Admit(event.event, event.level, MonotonicMicros());
+  }
+  if (!left_out) {
+    return;
+  }
   const std::string time = Poco::DateTimeFormatter::format(
       Poco::Timestamp(), "%Y-%m-%dT%H:%M:%S.%iZ");
-  BOOST_LOG_SEV(TheLogger(), event.level)
-      << "time=" << time << ' ' << FormatLog(event);
+  std::string line = "time=" + time + ' ' + FormatLog(event);
+  if (*left_out > 0) {
+    line += " left_out_before=" + std::to_string(*left_out);
+  }
+  BOOST_LOG_SEV(TheLogger(), event.level) << line;
+}
+
+void FlushLog() {
+  TheWriter().Flush();
+}
+
+LogLosses CountLogLosses() {
+  SharedLimiter& shared = TheLimiter();
+  const std::lock_guard<std::mutex> lock(shared.mutex);
+  return {shared.limiter.left_out(), TheWriter().dropped()};
 }
 
 }  // namespace goldcrest
--- a/edge/mesh_link.cc
+++ b/edge/mesh_link.cc
@@ -48,8 +48,8 @@
   router_.set(zmq::sockopt::heartbeat_timeout, kDeadAfterMs);
   router_.bind("tcp://" + self);
   // ZeroMQ owns its descriptor; the loop watches a duplicate.
-  router_signal_ = Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(
-      dup(router_.get(zmq::sockopt::fd))));
+  router_signal_ = Poco::Net::StreamSocket(
+      new Poco::Net::StreamSocketImpl(dup(router_.get(zmq::sockopt::fd))));
   loop_.Add(router_signal_, waker_.get(), false);
 }
 
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -4,6 +4,7 @@
 
 #include <boost/histogram/indexed.hpp>
 
+#include "edge/logging.h"
 #include "edge/socket_loop.h"
 #include "goldcrest/json_reader.h"
 
@@ -60,6 +61,11 @@
 
 void AppendMesh(std::string& text, const Mesh& mesh, const MeshLink& link) {
   const Micros now = ReadBootClock().mono;
+  const LogLosses losses = CountLogLosses();
+  AppendOne(text, "log_lines_limited_total", "counter",
+            std::to_string(losses.limited));
+  AppendOne(text, "log_lines_dropped_total", "counter",
+            std::to_string(losses.dropped));
   AppendOne(text, "mesh_sent_bytes_total", "counter",
             std::to_string(link.bytes_sent()));
   AppendOne(text, "mesh_received_bytes_total", "counter",
@@ -92,8 +98,8 @@
     return;
   }
   Series& series = series_[key];
-  const double seconds = static_cast<double>(observation.took) /
-                         static_cast<double>(kSecond);
+  const double seconds =
+      static_cast<double>(observation.took) / static_cast<double>(kSecond);
   series.seconds(seconds);
   series.sum += seconds;
 }
@@ -112,8 +118,8 @@
   AppendMesh(text, board.mesh, link);
   AppendType(text, "job_response_seconds", "histogram");
   for (const auto& [key, series] : series_) {
-    const std::string labels = "{queue=" + JsonQuote(key.first) +
-                               ",outcome=" + JsonQuote(key.second);
+    const std::string labels =
+        "{queue=" + JsonQuote(key.first) + ",outcome=" + JsonQuote(key.second);
     uint64_t below = 0;
     for (auto&& bin : boost::histogram::indexed(series.seconds)) {
       below += static_cast<uint64_t>(*bin);
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -24,9 +24,7 @@
 DEFINE_string(name, "vm1", "Name of this VM.");
 DEFINE_string(domain, "local", "Failure domain of this VM.");
 DEFINE_string(ip, "127.0.0.1", "Address of this VM for other daemons.");
-DEFINE_uint64(mesh_port,
-              7720,
-              "Port for other daemons, the same on all VMs.");
+DEFINE_uint64(mesh_port, 7720, "Port for other daemons, the same on all VMs.");
 DEFINE_string(seeds,
               "",
               "Addresses (IP:PORT) of control daemons to start from, with "
@@ -93,8 +91,8 @@
   for (std::string& argument : arguments) {
     pointers.push_back(argument.data());
   }
-  const auto rest = ReadSettings(program, static_cast<int>(pointers.size()),
-                                 pointers.data());
+  const auto rest =
+      ReadSettings(program, static_cast<int>(pointers.size()), pointers.data());
   if (!rest.empty()) {
     FailUsage(program, "unexpected argument '" + rest.front() + "'");
   }
@@ -169,8 +167,7 @@
     if (!argument.starts_with(kPrefix)) {
       continue;
     }
-    std::vector<std::string> seeds =
-        SplitList(argument.substr(kPrefix.size()));
+    std::vector<std::string> seeds = SplitList(argument.substr(kPrefix.size()));
     std::erase_if(seeds, [](const auto& seed) { return !IsAddress(seed); });
     return MeshSeeds(seeds);
   }
--- /dev/null
+++ b/edge/testing/register_file_test.cc
@@ -0,0 +1,121 @@
+// The state on disk survives torn, refused and damaged writes.
+
+#include <condition_variable>
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+
+#include <Poco/File.h>
+#include <Poco/TemporaryFile.h>
+#include <catch2/catch.hpp>
+
+#include "edge/register_file.h"
+
+namespace goldcrest {
+namespace {
+
+// Waits for writes to be reported.
+class Reports {
+ public:
+  RegisterFile::StoredHandler Handler() {
+    return [this](uint64_t sequence, bool ok) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      newest_ = sequence;
+      ok_ = ok;
+      changed_.notify_all();
+    };
+  }
+
+  bool WaitFor(uint64_t sequence) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [&] { return newest_ >= sequence; });
+    return ok_;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  uint64_t newest_ = 0;
+  bool ok_ = false;
+};
+
+wire::StoredRegister State(uint64_t term) {
+  wire::StoredRegister stored;
+  stored.set_store_id(77);
+  stored.set_term(term);
+  stored.mutable_state()->mutable_routing()->set_document(
+      std::string(1000 + term, 'd'));
+  return stored;
+}
+
+std::string NewFolder() {
+  Poco::TemporaryFile folder;
+  folder.createDirectories();
+  folder.keepUntilExit();
+  return folder.path();
+}
+
+void WriteStates(const std::string& folder, uint64_t first, uint64_t last) {
+  Reports reports;
+  RegisterFile file(folder, *ReadRegisterFiles(folder), reports.Handler());
+  for (uint64_t term = first; term <= last; ++term) {
+    file.Write(State(term), term);
+    REQUIRE(reports.WaitFor(term));
+  }
+}
+
+uint64_t TermIn(const std::string& folder) {
+  return ReadRegisterFiles(folder)->stored.term();
+}
+
+TEST_CASE("The newest state comes back") {
+  const std::string folder = NewFolder();
+  CHECK(ReadRegisterFiles(folder)->stored.store_id() == 0);
+  WriteStates(folder, 1, 5);
+  CHECK(TermIn(folder) == 5);
+  WriteStates(folder, 6, 6);
+  CHECK(TermIn(folder) == 6);
+  CHECK(ReadRegisterFiles(folder)->stored.store_id() == 77);
+}
+
+TEST_CASE("A torn write leaves the state before it") {
+  for (const size_t keep : {0U, 3U, 15U, 16U, 200U, 1000U}) {
+    CAPTURE(keep);
+    const std::string folder = NewFolder();
+    WriteStates(folder, 1, 2);  // 1 in register.0, 2 in register.1
+    Poco::File(folder + "/register.1").setSize(keep);
+    CHECK(TermIn(folder) == 1);
+  }
+}
+
+TEST_CASE("A damaged file is not read") {
+  const std::string folder = NewFolder();
+  WriteStates(folder, 1, 2);
+  std::fstream file(folder + "/register.1",
+                    std::ios::in | std::ios::out | std::ios::binary);
+  file.seekp(300);
+  file.put('!');
+  file.close();
+  CHECK(TermIn(folder) == 1);
+}
+
+TEST_CASE("A refused write is told and harms nothing") {
+  const std::string folder = NewFolder();
+  WriteStates(folder, 1, 2);
+  Poco::File(folder + "/register.0").remove();
+  Poco::File(folder + "/register.0").createDirectory();  // cannot be written
+  Reports reports;
+  {
+    RegisterFile file(folder, *ReadRegisterFiles(folder), reports.Handler());
+    file.Write(State(3), 3);
+    CHECK_FALSE(reports.WaitFor(3));
+  }
+  CHECK(TermIn(folder) == 2);
+}
+
+TEST_CASE("A folder that is not there is an error") {
+  CHECK_FALSE(ReadRegisterFiles(NewFolder() + "/none").has_value());
+}
+
+}  // namespace
+}  // namespace goldcrest
--- a/pool/agreement.cc
+++ b/pool/agreement.cc
@@ -127,8 +127,7 @@
 }
 
 bool HasOtherLeader(const Agreement& agreement) {
-  return agreement.role != AgreementRole::kLeader &&
-         !agreement.leader.empty();
+  return agreement.role != AgreementRole::kLeader && !agreement.leader.empty();
 }
 
 // Returns what the leader knows of a voter's disk; null when nothing, or when
@@ -139,9 +138,8 @@
   const auto peer = agreement.peers.find(voter.address());
   const bool same_disk = peer != agreement.peers.end() &&
                          peer->second.store_id == voter.store_id();
-  return same_disk && follower != agreement.followers.end()
-             ? &follower->second
-             : nullptr;
+  return same_disk && follower != agreement.followers.end() ? &follower->second
+                                                            : nullptr;
 }
 
 // Returns the highest index that a majority of the voters has on disk.
@@ -386,10 +384,9 @@
 
 int CountInDomain(const std::vector<wire::Voter>& voters,
                   const std::string& domain) {
-  return static_cast<int>(
-      std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
-        return voter.failure_domain() == domain;
-      }));
+  return static_cast<int>(std::count_if(
+      voters.begin(), voters.end(),
+      [&](const auto& voter) { return voter.failure_domain() == domain; }));
 }
 
 }  // namespace
@@ -420,16 +417,14 @@
         !caught_up.contains(vm.store_id())) {
       continue;
     }
-    const bool better =
-        candidate == nullptr ||
-        CountInDomain(good, vm.failure_domain()) <
-            CountInDomain(good, candidate->failure_domain());
+    const bool better = candidate == nullptr ||
+                        CountInDomain(good, vm.failure_domain()) <
+                            CountInDomain(good, candidate->failure_domain());
     candidate = better ? &vm : candidate;
   }
   const bool wants_more = lost != nullptr || voters.size() < wanted;
-  const bool has_majority =
-      static_cast<int>(good.size()) + 1 >=
-      MajorityOf(static_cast<int>(voters.size()) + 1);
+  const bool has_majority = static_cast<int>(good.size()) + 1 >=
+                            MajorityOf(static_cast<int>(voters.size()) + 1);
   if (candidate != nullptr && wants_more && has_majority) {
     next.push_back(*candidate);
   }
@@ -455,8 +450,7 @@
                                               : (agreement.random() | 1));
     if (first_start) {
       for (const std::string& seed : seeds) {
-        wire::Voter& voter =
-            *agreement.stored.mutable_state()->add_voters();
+        wire::Voter& voter = *agreement.stored.mutable_state()->add_voters();
         voter.set_store_id(StableHash(seed));
         voter.set_address(seed);
       }
@@ -501,20 +495,19 @@
   if (!request.trial()) {
     AdoptTerm(agreement, request.term(), now, actions);
   }
-  const bool up_to_date = !IsNewer(State(agreement).term(),
-                                   State(agreement).index(),
-                                   [&] {
-                                     wire::RegisterState last;
-                                     last.set_term(request.last_term());
-                                     last.set_index(request.last_index());
-                                     return last;
-                                   }());
+  const bool up_to_date =
+      !IsNewer(State(agreement).term(), State(agreement).index(), [&] {
+        wire::RegisterState last;
+        last.set_term(request.last_term());
+        last.set_index(request.last_index());
+        return last;
+      }());
   const uint64_t voted_for = agreement.stored.voted_for();
   const bool free_to_vote =
-      request.trial() ? request.term() > agreement.stored.term()
-                      : request.term() == agreement.stored.term() &&
-                            (voted_for == 0 ||
-                             voted_for == request.candidate());
+      request.trial()
+          ? request.term() > agreement.stored.term()
+          : request.term() == agreement.stored.term() &&
+                (voted_for == 0 || voted_for == request.candidate());
   const bool granted = up_to_date && free_to_vote;
   if (granted && !request.trial() && voted_for == 0) {
     agreement.stored.set_voted_for(request.candidate());
@@ -587,8 +580,7 @@
     Commit(agreement, State(agreement), actions);
   }
   reply.set_term(append.term());
-  reply.set_last_term(newer ? State(agreement).term()
-                            : agreement.durable_term);
+  reply.set_last_term(newer ? State(agreement).term() : agreement.durable_term);
   reply.set_last_index(newer ? State(agreement).index()
                              : agreement.durable_index);
   if (newer) {
@@ -645,12 +637,10 @@
   agreement.durable_sequence = sequence;
   const auto written = agreement.writes.find(sequence);
   if (written != agreement.writes.end()) {
-    std::tie(agreement.durable_term, agreement.durable_index) =
-        written->second;
+    std::tie(agreement.durable_term, agreement.durable_index) = written->second;
     agreement.writes.erase(agreement.writes.begin(), std::next(written));
   }
-  if (agreement.write_retry_at != 0 &&
-      sequence == agreement.write_sequence) {
+  if (agreement.write_retry_at != 0 && sequence == agreement.write_sequence) {
     agreement.write_retry_at = 0;
     LogPool(actions, LogLevel::kInfo, "disk_write_recovered", {});
   }
@@ -685,8 +675,7 @@
     }
     return;
   }
-  if (now < agreement.election_due ||
-      !IsVoter(agreement, StoreId(agreement))) {
+  if (now < agreement.election_due || !IsVoter(agreement, StoreId(agreement))) {
     return;
   }
   ScheduleElection(agreement, now);
@@ -758,9 +747,8 @@
                      const wire::VersionAnswer& answer,
                      PoolActions& actions) {
   const uint64_t held = agreement.committed.routing().version();
-  actions.emplace_back(
-      ReplyRead{answer.number(),
-                answer.known() && held > 0 && held >= answer.version()});
+  actions.emplace_back(ReplyRead{
+      answer.number(), answer.known() && held > 0 && held >= answer.version()});
 }
 
 bool MayServeReads(const Agreement& agreement, Micros now) {
--- a/pool/agreement.h
+++ b/pool/agreement.h
@@ -113,8 +113,8 @@
   Micros voters_due = 0;
   uint64_t round = 0;
   std::map<uint64_t, Micros> round_sent;
-  std::map<std::string, AgreementPeer> peers;        // by address
-  std::map<std::string, FollowerState> followers;    // by address
+  std::map<std::string, AgreementPeer> peers;      // by address
+  std::map<std::string, FollowerState> followers;  // by address
   uint64_t write_sequence = 0;
   uint64_t durable_sequence = 0;
   Micros write_retry_at = 0;
--- a/pool/choose_worker.h
+++ b/pool/choose_worker.h
@@ -18,9 +18,9 @@
 // One worker as a task sees it.
 struct WorkerOffer {
   Need free;
-  bool near_data = true;   // holds the task's input in its rack
-  bool suspect = false;    // its last run failed, or the task failed there
-  double factor = 1.0;     // run time there over that on an ordinary worker
+  bool near_data = true;  // holds the task's input in its rack
+  bool suspect = false;   // its last run failed, or the task failed there
+  double factor = 1.0;    // run time there over that on an ordinary worker
 };
 
 // Returns the place in `offers` of the worker for a task: near its data, then
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -154,9 +154,8 @@
           PoolActions& actions) {
   ++board.counters.received;
   board.last_request = now;
-  const bool too_late = board.draining &&
-                        now - board.drain_started >
-                            board.options.drain_takes_jobs;
+  const bool too_late = board.draining && now - board.drain_started >
+                                              board.options.drain_takes_jobs;
   if (board.drained || too_late) {
     RefuseCaller(board, job, "draining", actions);
     return;
@@ -366,8 +365,8 @@
                const EntryEvent& event,
                Now now,
                PoolActions& actions) {
-  std::visit(
-      [&](const auto& one) { Take(board, one, now.mono, actions); }, event);
+  std::visit([&](const auto& one) { Take(board, one, now.mono, actions); },
+             event);
   if (std::holds_alternative<EntryTick>(event)) {
     GiveUpLost(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
@@ -382,8 +381,8 @@
   for (const wire::Queue& queue : routing.queues()) {
     const bool matches =
         queue.host() == host && path.starts_with(queue.path_prefix());
-    if (matches && (best == nullptr || queue.path_prefix().size() >
-                                           best->path_prefix().size())) {
+    if (matches && (best == nullptr ||
+                    queue.path_prefix().size() > best->path_prefix().size())) {
       best = &queue;
     }
   }
@@ -397,13 +396,12 @@
   std::tuple<bool, bool, int64_t> best_rank;
   for (const auto& [address, member] : mesh.members) {
     const wire::Presence& presence = member.presence;
-    if (!presence.control() || presence.draining() ||
-        tried.contains(address) || !IsHeard(mesh, address, now)) {
+    if (!presence.control() || presence.draining() || tried.contains(address) ||
+        !IsHeard(mesh, address, now)) {
       continue;
     }
     const bool has_workers = presence.load().workers() > 0;
-    const bool near =
-        presence.failure_domain() == mesh.options.failure_domain;
+    const bool near = presence.failure_domain() == mesh.options.failure_domain;
     const std::tuple rank(has_workers, near, presence.load().free_cpu_millis());
     if (!best || rank > best_rank) {
       best = address;
@@ -419,11 +417,9 @@
 }
 
 size_t PendingOf(const EntryBoard& board, const std::string& queue) {
-  return static_cast<size_t>(
-      std::count_if(board.pending.begin(), board.pending.end(),
-                    [&](const auto& entry) {
-                      return entry.second.queue == queue;
-                    }));
+  return static_cast<size_t>(std::count_if(
+      board.pending.begin(), board.pending.end(),
+      [&](const auto& entry) { return entry.second.queue == queue; }));
 }
 
 }  // namespace goldcrest
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -92,7 +92,7 @@
   std::string queue;
   wire::JobOrder message;
   std::set<std::string> tried;  // control daemons that could not take it
-  std::string control;  // mesh address
+  std::string control;          // mesh address
   uint64_t control_incarnation = 0;
   Micros received = 0;
   Micros deadline = 0;
@@ -113,7 +113,7 @@
 struct EntryBoard {
   EntryOptions options;
   Mesh mesh;
-  wire::Routing routing;  // version 0: none yet
+  wire::Routing routing;                             // version 0: none yet
   std::unordered_map<uint64_t, PendingJob> pending;  // by order number
   std::unordered_map<ReplyToken, uint64_t> orders;
   std::unordered_map<std::string, uint64_t> order_of_job;
@@ -126,8 +126,7 @@
   bool drained = false;
 };
 
-EntryBoard MakeEntryBoard(const EntryOptions& options,
-                          const MeshOptions& mesh);
+EntryBoard MakeEntryBoard(const EntryOptions& options, const MeshOptions& mesh);
 
 void EntryStep(EntryBoard& board,
                const EntryEvent& event,
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -47,6 +47,24 @@
   }
 }
 
+// Tells once when a control daemon falls silent and when it is back.
+void LogLostAndBack(Mesh& mesh, Micros now, PoolActions& actions) {
+  for (auto& [address, member] : mesh.members) {
+    const bool lost = !IsHeard(mesh, address, now);
+    if (!member.presence.control() || member.last_heard == 0 ||
+        lost == member.counted_lost) {
+      continue;
+    }
+    member.counted_lost = lost;
+    LogPool(actions, lost ? LogLevel::kWarning : LogLevel::kInfo,
+            lost ? "control_daemon_lost" : "control_daemon_back",
+            {{"address", address},
+             {"heard_ms_ago",
+              std::to_string((now - member.last_heard) / kMillisecond)},
+             {"others_hear_it", IsAlive(mesh, address, now) ? "1" : "0"}});
+  }
+}
+
 void ForgetSilent(Mesh& mesh, Micros now) {
   std::erase_if(mesh.members, [&](const auto& entry) {
     const MeshMember& member = entry.second;
@@ -124,6 +142,7 @@
   }
   mesh.presence_due = now + mesh.options.presence_period;
   CountPresence(mesh, now);
+  LogLostAndBack(mesh, now, actions);
   ForgetSilent(mesh, now);
   for (const auto& [address, member] : mesh.members) {
     if (member.presence.control()) {
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -46,10 +46,11 @@
 struct MeshMember {
   std::string address;
   uint64_t incarnation = 0;
-  Micros last_heard = 0;        // 0: never
-  Micros presence_at = 0;       // when `presence` came; pauses count
-  Micros heard_by_others = 0;   // newest time another daemon said it hears it
-  wire::Presence presence;      // the newest one
+  Micros last_heard = 0;       // 0: never
+  Micros presence_at = 0;      // when `presence` came; pauses count
+  Micros heard_by_others = 0;  // newest time another daemon said it hears it
+  wire::Presence presence;     // the newest one
+  bool counted_lost = false;   // was told in the log
 };
 
 struct Mesh {
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -84,7 +84,7 @@
 };
 
 enum class RunState : uint8_t {
-  kSent,      // the start has no answer yet
+  kSent,  // the start has no answer yet
   kRunning,
   kStopping,  // its end is not known yet
 };
@@ -171,7 +171,7 @@
 
 struct PoolStep {
   std::vector<PoolTask> tasks;
-  size_t open = 0;  // tasks that are not done
+  size_t open = 0;      // tasks that are not done
   Micros expected = 0;  // run time of one task on an ordinary worker
 };
 
@@ -220,7 +220,7 @@
   Agreement agreement;
   std::map<std::string, PoolWorker> workers;
   std::unordered_map<std::string, std::unique_ptr<PoolJob>> jobs;  // by key
-  std::unordered_map<std::string, std::string> job_keys;  // by job id
+  std::unordered_map<std::string, std::string> job_keys;           // by job id
   std::map<WaitingKey, WaitingTask> waiting;
   RunTimes run_times;
   PoolCounters counters;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -32,8 +32,8 @@
 }
 
 std::string KeyOf(const wire::JobOrder& order) {
-  return order.entry() + '/' + std::to_string(order.entry_incarnation()) +
-         '/' + std::to_string(order.order());
+  return order.entry() + '/' + std::to_string(order.entry_incarnation()) + '/' +
+         std::to_string(order.order());
 }
 
 void SendEnd(const wire::JobOrder& order,
@@ -188,17 +188,15 @@
 // one failure domain only.
 MeshMember* ShorterQueue(PoolBoard& board, Micros now) {
   MeshMember* best = nullptr;
-  const int64_t own_wait_ms = board.draining
-                                  ? kLongestRetryAfterMs
-                                  : board.mesh.load.wait_ms();
+  const int64_t own_wait_ms =
+      board.draining ? kLongestRetryAfterMs : board.mesh.load.wait_ms();
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.presence.load();
-    const bool can = member.presence.control() &&
-                     !member.presence.draining() && load.workers() > 0 &&
-                     IsFresh(member, now) &&
+    const bool can = member.presence.control() && !member.presence.draining() &&
+                     load.workers() > 0 && IsFresh(member, now) &&
                      kWaitRatio * (load.wait_ms() + kWayMs) < own_wait_ms;
-    if (can && (best == nullptr ||
-                load.wait_ms() < best->presence.load().wait_ms())) {
+    if (can &&
+        (best == nullptr || load.wait_ms() < best->presence.load().wait_ms())) {
       best = &member;
     }
   }
@@ -214,13 +212,12 @@
   const int64_t cpu = FirstWaveCpu(order);
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.presence.load();
-    const bool can = member.presence.control() &&
-                     !member.presence.draining() &&
+    const bool can = member.presence.control() && !member.presence.draining() &&
                      IsFresh(member, now) && load.wait_ms() == 0 &&
                      load.free_cpu_millis() >= cpu + cpu / 4;
-    if (can && (best == nullptr ||
-                load.free_cpu_millis() >
-                    best->presence.load().free_cpu_millis())) {
+    if (can &&
+        (best == nullptr ||
+         load.free_cpu_millis() > best->presence.load().free_cpu_millis())) {
       best = &member;
     }
   }
@@ -257,14 +254,14 @@
 }
 
 bool CanEverRun(const PoolBoard& board, const wire::JobOrder& order) {
-  return std::all_of(
-      order.steps().begin(), order.steps().end(),
-      [&](const wire::JobStep& step) {
-        return std::any_of(board.workers.begin(), board.workers.end(),
+  return std::all_of(order.steps().begin(), order.steps().end(),
+                     [&](const wire::JobStep& step) {
+                       return std::any_of(
+                           board.workers.begin(), board.workers.end(),
                            [&](const auto& entry) {
                              return CouldEverRun(entry.second, order, step);
                            });
-      });
+                     });
 }
 
 // Gives the order of a job that is here already its place; returns whether
@@ -294,10 +291,9 @@
       }
     }
   }
-  LogPool(actions, LogLevel::kInfo, "job_attached",
-          {{"job", order.job_id()},
-           {"entry", order.entry()},
-           {"before", old_key}});
+  LogPool(
+      actions, LogLevel::kInfo, "job_attached",
+      {{"job", order.job_id()}, {"entry", order.entry()}, {"before", old_key}});
   known->second = job->key;
   const std::string key = job->key;
   board.jobs[key] = std::move(job);
@@ -412,8 +408,8 @@
   }
   if (now - board.started_at > kKnowsWorkersAfter &&
       !CanEverRun(board, order)) {
-    Refuse(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0,
-           false, actions);
+    Refuse(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0, false,
+           actions);
     return;
   }
   std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
@@ -430,8 +426,8 @@
   }
   const Micros budget = order.budget_ms() * kMillisecond;
   if (estimate >= kNever) {
-    Refuse(board, order, wire::JOB_REFUSED, "no_workers",
-           kShortestRetryAfterMs, true, actions);
+    Refuse(board, order, wire::JOB_REFUSED, "no_workers", kShortestRetryAfterMs,
+           true, actions);
     return;
   }
   if (estimate > budget) {
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -77,10 +77,9 @@
   const PoolTask& task = job.steps[key.step].tasks[key.index];
   Offers result;
   for (PoolWorker* worker : ready) {
-    const bool full =
-        step.most_per_worker() > 0 &&
-        CountOfStep(*worker, job.order.job_id(), key.step) >=
-            step.most_per_worker();
+    const bool full = step.most_per_worker() > 0 &&
+                      CountOfStep(*worker, job.order.job_id(), key.step) >=
+                          step.most_per_worker();
     if (full || !Matches(*worker, job.order, step)) {
       continue;
     }
@@ -126,9 +125,21 @@
   run.run = task.runs;
   run.need = NeedOf(job.order.steps(static_cast<int>(key.step)));
   run.sent_at = now;
-  run.expected = static_cast<Micros>(
-      static_cast<double>(job.steps[key.step].expected) *
-      KindFactor(board, worker));
+  run.expected =
+      static_cast<Micros>(static_cast<double>(job.steps[key.step].expected) *
+                          KindFactor(board, worker));
+  LogPool(actions, LogLevel::kInfo, "task_started",
+          {{"job", job.order.job_id()},
+           {"step", std::to_string(key.step)},
+           {"index", std::to_string(key.index)},
+           {"run", std::to_string(run.run)},
+           {"worker", task.worker},
+           {"token", std::to_string(worker.token)},
+           {"waited_ms", std::to_string((now - job.received) / kMillisecond)},
+           {"expected_ms", std::to_string(run.expected / kMillisecond)},
+           {"free_cpu", std::to_string(FreeRoom(worker).cpu_millis)},
+           {"clock_ms_old",
+            std::to_string((now - worker.clock_at) / kMillisecond)}});
   StartRun(board, worker, {job.order.job_id(), 0, key.step, key.index}, run,
            job.order.spec(), now, actions);
 }
@@ -190,9 +201,8 @@
   double& ratio =
       board.run_times.queue_ratio.try_emplace(job.order.queue(), 1.0)
           .first->second;
-  double& factor =
-      board.run_times.kind_factor.try_emplace(KindOf(worker), 1.0)
-          .first->second;
+  double& factor = board.run_times.kind_factor.try_emplace(KindOf(worker), 1.0)
+                       .first->second;
   const double seen = static_cast<double>(took) / static_cast<double>(estimate);
   const double queue_seen = std::clamp(seen / factor, kMinRatio, kMaxRatio);
   const double kind_seen = std::clamp(seen / ratio, kMinRatio, kMaxRatio);
@@ -237,9 +247,8 @@
     }
     position = board.waiting.erase(position);
     StartTaskOn(board, *offers.workers[*chosen], job, key, now, actions);
-    std::erase_if(ready, [&](PoolWorker* worker) {
-      return !TakesStarts(*worker, now);
-    });
+    std::erase_if(
+        ready, [&](PoolWorker* worker) { return !TakesStarts(*worker, now); });
   }
 }
 
@@ -266,8 +275,8 @@
               ? elapsed * (100 - run.progress_percent) / run.progress_percent
               : kNever;
       const Micros anew = job->steps[name.step].expected;
-      const bool room = std::any_of(
-          ready.begin(), ready.end(), [&](const PoolWorker* other) {
+      const bool room =
+          std::any_of(ready.begin(), ready.end(), [&](const PoolWorker* other) {
             return other != &worker && other->health.failures_in_row == 0 &&
                    FreeRoom(*other).cpu_millis >= run.need.cpu_millis;
           });
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -31,9 +31,9 @@
                   Micros now,
                   PoolActions& actions) {
   const wire::Presence& presence = message.presence();
-  const MemberChange change = OnPresence(board.mesh, message.from(),
-                                         message.incarnation(), presence, now,
-                                         actions);
+  const MemberChange change =
+      OnPresence(board.mesh, message.from(), message.incarnation(), presence,
+                 now, actions);
   if (!presence.control()) {
     OfferRouting(board, message.from(), presence.routing_version(), actions);
     return;
@@ -235,12 +235,11 @@
               PoolActions& actions) {
   board.wall_ms = now.wall_ms;
   NoticePause(board, now.mono, actions);
-  std::visit(
-      [&](const auto& one) { Take(board, one, now.mono, actions); }, event);
+  std::visit([&](const auto& one) { Take(board, one, now.mono, actions); },
+             event);
   AgreementTick(board.agreement, now.mono, actions);
   if (std::holds_alternative<PoolTick>(event)) {
-    board.mesh.routing_version =
-        board.agreement.committed.routing().version();
+    board.mesh.routing_version = board.agreement.committed.routing().version();
     OwnershipTick(board, now.mono, actions);
     JobsTick(board, now.mono, actions);
     MoveStragglers(board, now.mono, actions);
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -369,9 +369,9 @@
   }
   worker.highest_token = order.token;
   answer.outcome = OrderOutcome::kDone;
-  worker.lease_until = std::max(
-      worker.lease_until,
-      std::min(order.lease_until_ms * kMillisecond, now_ + kSecond));
+  worker.lease_until =
+      std::max(worker.lease_until,
+               std::min(order.lease_until_ms * kMillisecond, now_ + kSecond));
   if (order.kind == OrderKind::kStart) {
     Start(worker, order, answer);
     return answer;
@@ -440,9 +440,8 @@
     }
     StepControl(i, WorkerReported{worker.facts});
     const auto known = control.board.workers.find(worker.facts.id());
-    worker.report_to = known == control.board.workers.end()
-                           ? ""
-                           : known->second.facts.owner();
+    worker.report_to =
+        known == control.board.workers.end() ? "" : known->second.facts.owner();
     return;
   }
 }
@@ -585,10 +584,9 @@
 }
 
 int FakePool::CountAnswers(wire::JobFate fate) const {
-  return static_cast<int>(
-      std::count_if(answers_.begin(), answers_.end(), [&](const auto& entry) {
-        return entry.second.fate == fate;
-      }));
+  return static_cast<int>(std::count_if(
+      answers_.begin(), answers_.end(),
+      [&](const auto& entry) { return entry.second.fate == fate; }));
 }
 
 uint64_t FakePool::NewestVersion() const {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -138,14 +138,19 @@
   void Deliver(const std::string& from, SendPool send, uint64_t incarnation);
   void SendToWorker(size_t control, int life, WorkerOrder order);
   WorkerAnswer Execute(FakeWorker& worker, const WorkerOrder& order);
-  void Start(FakeWorker& worker, const WorkerOrder& order, WorkerAnswer& answer);
+  void Start(FakeWorker& worker,
+             const WorkerOrder& order,
+             WorkerAnswer& answer);
   void EndRun(FakeWorker& worker, const TaskName& name, RunEnd end);
   void TickWorkers();
   void TickWorker(FakeWorker& worker);
   void Report(FakeWorker& worker);
   void BootControl(size_t index, bool first_start);
   void BootEntry(size_t index);
-  void SendJob(int job, size_t entry, int tasks, int64_t run_ms,
+  void SendJob(int job,
+               size_t entry,
+               int tasks,
+               int64_t run_ms,
                int64_t timeout_ms);
   FakeWorker* FindWorker(const std::string& id);
 
--- a/pool/worker_order.h
+++ b/pool/worker_order.h
@@ -39,8 +39,9 @@
 };
 
 inline constexpr std::array<std::string_view, 10> kOrderOutcomeNames = {
-    "done",      "fenced",            "stale_run", "too_late", "no_room",
-    "unhealthy", "other_incarnation", "invalid",   "not_sent", "no_answer"};
+    "done",     "fenced",    "stale_run",         "too_late",
+    "no_room",  "unhealthy", "other_incarnation", "invalid",
+    "not_sent", "no_answer"};
 
 inline std::string_view NameOf(OrderOutcome outcome) {
   return kOrderOutcomeNames[static_cast<size_t>(outcome)];
@@ -52,7 +53,7 @@
   kFailed,
   kStopped,
   kLapsed,  // the lease ran out
-  kOther,   // an end that concerns gangs, or one that this version does not know
+  kOther,  // an end that concerns gangs, or one that this version does not know
 };
 
 inline constexpr std::array<std::string_view, 5> kRunEndNames = {
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -65,8 +65,7 @@
     return false;
   }
   const bool differs = is_new || DiffersInSubstance(report, worker.facts);
-  const bool restarted =
-      !is_new && report.born_ms() > worker.facts.born_ms();
+  const bool restarted = !is_new && report.born_ms() > worker.facts.born_ms();
   const bool moved = !is_new && report.address() != worker.facts.address();
   CopyReport(report, worker.facts);
   worker.last_heard = now;
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -273,9 +273,9 @@
     OnSettled(board, worker, answer, now, actions);
     return;
   }
-  worker.settle_pause = std::clamp(2 * worker.settle_pause,
-                                   board.options.settle_retry,
-                                   board.options.settle_retry_max);
+  worker.settle_pause =
+      std::clamp(2 * worker.settle_pause, board.options.settle_retry,
+                 board.options.settle_retry_max);
   worker.settle_due = now + worker.settle_pause;
 }
 
@@ -301,10 +301,10 @@
     worker.settle_pause = 0;
   }
   ++board.counters.settles;
-  worker.verifying = worker.session == SessionState::kReady ||
-                     worker.session == SessionState::kReleasing ||
-                     (worker.session == SessionState::kSettling &&
-                      worker.verifying);
+  worker.verifying =
+      worker.session == SessionState::kReady ||
+      worker.session == SessionState::kReleasing ||
+      (worker.session == SessionState::kSettling && worker.verifying);
   worker.session = SessionState::kSettling;
   worker.session_number = board.next_session++;
   worker.settle_due = now;
@@ -469,10 +469,9 @@
     return;
   }
   if (worker.session == SessionState::kSettling) {
-    const bool lapsed =
-        !worker.runs.empty() &&
-        now - worker.lease_sent_at > board.options.lease_over &&
-        now - worker.settling_since > board.options.lease_over;
+    const bool lapsed = !worker.runs.empty() &&
+                        now - worker.lease_sent_at > board.options.lease_over &&
+                        now - worker.settling_since > board.options.lease_over;
     if (lapsed) {
       RemoveRunsIf(board, worker, RunEnd::kLapsed, false, now, actions,
                    [](const TaskName&, const WorkerRun&) { return true; });
@@ -496,8 +495,8 @@
       worker.newest_end > worker.acknowledged_end &&
       now - worker.newest_end_at > board.options.acknowledge_after;
   if (!runs && !must_acknowledge) {
-    const bool idle = worker.runs.empty() &&
-                      worker.newest_end == worker.acknowledged_end;
+    const bool idle =
+        worker.runs.empty() && worker.newest_end == worker.acknowledged_end;
     if (idle && worker.session == SessionState::kReleasing) {
       ReleaseWorker(board, worker, now, actions);
     }
--- a/pool/worker_session.h
+++ b/pool/worker_session.h
@@ -6,11 +6,12 @@
 // A session begins by settling: a hold under a token higher than any used
 // before. A daemon that had the worker first asks under its old token whether
 // it still has it, so that one that was paused or cut off never takes a worker
-// back from the daemon that took it over. Its answer lists what runs, and everything that was ordered earlier
-// and has not arrived by then is void, since its token is lower. The same step
-// recovers from every doubt: an order without an answer, a pause of this
-// process, a worker taken over from another daemon. While a worker that has
-// runs does not settle, its lease runs out, after which nothing runs there.
+// back from the daemon that took it over. Its answer lists what runs, and
+// everything that was ordered earlier and has not arrived by then is void,
+// since its token is lower. The same step recovers from every doubt: an order
+// without an answer, a pause of this process, a worker taken over from another
+// daemon. While a worker that has runs does not settle, its lease runs out,
+// after which nothing runs there.
 //
 // In a ready session a hold is always on its way while anything runs: it
 // extends the lease and its answer brings the ends of runs.
