Send long replies whole, and stand in for control daemons that are all down

POCO 1.11 throws for a full send buffer of a non-blocking socket, and the server took that for a broken connection: every reply beyond 64 KB there was cut off. Ruled out: the leader's lease (all reads were answered as newest). SendSome() tells the two apart; the test gets 3.9 of 16 MB before and all of it after. An entry daemon that hears no control daemon, and whose witnesses do not either, takes its share of its domain's workers by the same claims and tokens. Ruled out: letting it act alone, since one that is cut off would take workers from living daemons.

--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -12,9 +12,6 @@
 namespace {
 
 constexpr Micros kCloseStalePeriod = 50 * kMillisecond;
-constexpr Micros kConnectTimeout = 300 * kMillisecond;
-// Connections to workers are kept while the worker lives.
-constexpr Micros kWorkerIdleTimeout = 120 * kSecond;
 // Replies that are on their way when the daemon ends get this long to leave.
 constexpr Micros kLastReplies = 100 * kMillisecond;
 
@@ -65,11 +62,7 @@
           },
           [](RequestToken) {});
     }
-    HttpClientOptions client;
-    client.limits.max_body_bytes = options_.max_body_bytes;
-    client.connect_timeout = kConnectTimeout;
-    client.idle_timeout = kWorkerIdleTimeout;
-    client_ = std::make_unique<HttpClient>(loop_, client);
+    client_ = std::make_unique<HttpClient>(loop_, WorkerClientOptions());
     link_ = std::make_unique<MeshLink>(
         loop_, options_.start.mesh.self, options_.start.mesh.incarnation,
         [this](wire::PoolMessage message) {
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -9,16 +9,18 @@
 namespace goldcrest {
 namespace {
 
-constexpr Micros kCloseStalePeriod = 200 * kMillisecond;
+constexpr Micros kCloseStalePeriod = 50 * kMillisecond;
 // Replies that are on their way when the daemon ends get this long to leave.
 constexpr Micros kLastReplies = 200 * kMillisecond;
 
 }  // namespace
 
 EntryDaemon::EntryDaemon(EntryDaemonOptions options,
-                         const CallerProtocol& callers)
+                         const CallerProtocol& callers,
+                         const WorkerProtocol& workers)
     : options_(std::move(options)),
       callers_(callers),
+      worker_protocol_(workers),
       board_(MakeEntryBoard(options_.entry, options_.mesh)),
       inbox_(loop_) {}
 
@@ -52,6 +54,7 @@
           },
           [](RequestToken) {});
     }
+    client_ = std::make_unique<HttpClient>(loop_, WorkerClientOptions());
     link_ = std::make_unique<MeshLink>(
         loop_, options_.mesh.self, options_.mesh.incarnation,
         [this](wire::PoolMessage message) {
@@ -114,10 +117,21 @@
 }
 
 void EntryDaemon::PerformOne(SendPool& action) {
+  if (action.to == options_.mesh.self) {
+    action.message.set_from(options_.mesh.self);
+    local_events_.emplace_back(EntryReceived{std::move(action.message)});
+    return;
+  }
   link_->Send(action.to, std::move(action.message));
 }
 
-void EntryDaemon::PerformOne(SendOrder& /*action*/) {}
+void EntryDaemon::PerformOne(SendOrder& action) {
+  const HttpCall call = worker_protocol_.Encode(action.order);
+  client_->Call(call, [this, order = std::move(action.order)](
+                          CallEnd end, const HttpResponse& response) {
+    local_events_.emplace_back(worker_protocol_.Decode(order, end, response));
+  });
+}
 
 void EntryDaemon::PerformOne(ReplyJob& action) {
   HttpReply reply = callers_.JobAnswer(action);
@@ -157,7 +171,7 @@
     if (after >= tick_due) {
       tick_due = after + options_.tick;
       if (on_tick_) {
-        on_tick_(board_.mesh, ReadBootClock().mono);
+        on_tick_(board_.pool.mesh, ReadBootClock().mono);
       }
       StepWith(EntryTick());
     }
@@ -165,6 +179,7 @@
       close_due = after + kCloseStalePeriod;
       FlushLog();
       server_->CloseStale(after);
+      client_->CloseStale(after);
       readiness_server_->CloseStale(after);
     }
   }
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -2,7 +2,8 @@
 #define EDGE_ENTRY_DAEMON_H_
 
 // The edges of an entry daemon around its decisions: callers' connections, the
-// balancer's readiness probe, metrics and the mesh, all on one thread.
+// balancer's readiness probe, metrics, the mesh, and orders to workers while
+// it stands in for control daemons, all on one thread.
 
 #include <functional>
 #include <memory>
@@ -12,6 +13,7 @@
 
 #include <tl/expected.hpp>
 
+#include "edge/http_client.h"
 #include "edge/http_server.h"
 #include "edge/inbox.h"
 #include "edge/mesh_link.h"
@@ -35,7 +37,9 @@
 
 class EntryDaemon {
  public:
-  EntryDaemon(EntryDaemonOptions options, const CallerProtocol& callers);
+  EntryDaemon(EntryDaemonOptions options,
+              const CallerProtocol& callers,
+              const WorkerProtocol& workers);
   ~EntryDaemon();
   EntryDaemon(const EntryDaemon&) = delete;
   EntryDaemon& operator=(const EntryDaemon&) = delete;
@@ -68,6 +72,7 @@
 
   EntryDaemonOptions options_;
   const CallerProtocol& callers_;
+  const WorkerProtocol& worker_protocol_;
   EntryBoard board_;
   EntryMetrics metrics_;
   TickHandler on_tick_;
@@ -77,6 +82,7 @@
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> readiness_server_;
   std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<HttpClient> client_;
   std::unique_ptr<MeshLink> link_;
 };
 
--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -8,6 +8,8 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include "edge/socket_io.h"
+
 namespace goldcrest {
 namespace {
 
@@ -125,19 +127,18 @@
 
 void HttpClient::Connection::Flush() {
   while (!output_.empty()) {
-    int sent = 0;
+    size_t sent = 0;
     try {
-      sent =
-          socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
+      sent = SendSome(socket_, output_.data(), output_.size());
     } catch (const Poco::Exception&) {
       client_.Close(id_);
       return;
     }
-    if (sent <= 0) {
+    if (sent == 0) {
       break;
     }
-    sent_bytes_ += static_cast<size_t>(sent);
-    output_.erase(0, static_cast<size_t>(sent));
+    sent_bytes_ += sent;
+    output_.erase(0, sent);
   }
   const bool pending = !output_.empty();
   if (pending != watching_writable_) {
--- a/edge/http_server.cc
+++ b/edge/http_server.cc
@@ -7,6 +7,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
+#include "edge/socket_io.h"
 #include "goldcrest/submission.h"
 
 namespace goldcrest {
@@ -213,18 +214,17 @@
     return;
   }
   while (!output_.empty()) {
-    int sent = 0;
+    size_t sent = 0;
     try {
-      sent =
-          socket_.sendBytes(output_.data(), static_cast<int>(output_.size()));
+      sent = SendSome(socket_, output_.data(), output_.size());
     } catch (const Poco::Exception&) {
       server_.Close(id_);
       return;
     }
-    if (sent <= 0) {
+    if (sent == 0) {
       break;
     }
-    output_.erase(0, static_cast<size_t>(sent));
+    output_.erase(0, sent);
   }
   const bool pending = !output_.empty();
   if (pending != watching_writable_) {
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -115,7 +115,8 @@
             std::to_string(board.pending.size()));
   AppendOne(text, "configuration_version", "gauge",
             std::to_string(board.routing.version()));
-  AppendMesh(text, board.mesh, link);
+  AppendOne(text, "standby", "gauge", board.pool.standby ? "1" : "0");
+  AppendMesh(text, board.pool.mesh, link);
   AppendType(text, "job_response_seconds", "histogram");
   for (const auto& [key, series] : series_) {
     const std::string labels =
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -256,7 +256,8 @@
 int RunEntryProgram(int argc,
                     char** argv,
                     const std::string& settings_file,
-                    const CallerProtocol& callers) {
+                    const CallerProtocol& callers,
+                    const WorkerProtocol& workers) {
   const ProgramInfo program =
       Program("goldcrest_entry",
               "Takes callers' jobs and hands them to control daemons.");
@@ -271,7 +272,7 @@
   BlockStopSignals();
   std::signal(SIGHUP, SIG_IGN);
   LogStart(program, options.mesh);
-  EntryDaemon daemon(options, callers);
+  EntryDaemon daemon(options, callers, workers);
   return Serve(program, daemon, settings_file);
 }
 
--- a/edge/pool_program.h
+++ b/edge/pool_program.h
@@ -19,7 +19,8 @@
 int RunEntryProgram(int argc,
                     char** argv,
                     const std::string& settings_file,
-                    const CallerProtocol& callers);
+                    const CallerProtocol& callers,
+                    const WorkerProtocol& workers);
 
 // Runs a control daemon until it is drained; returns the exit code.
 int RunControlProgram(int argc,
--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -71,6 +71,15 @@
   virtual HttpReply TryLater() const = 0;
 };
 
+// How daemons connect to workers: connections are kept while the worker lives.
+inline HttpClientOptions WorkerClientOptions() {
+  HttpClientOptions options;
+  options.limits.max_body_bytes = 8 * 1024 * 1024;
+  options.connect_timeout = 300 * kMillisecond;
+  options.idle_timeout = 120 * kSecond;
+  return options;
+}
+
 // Orders to workers.
 class WorkerProtocol {
  public:
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -4,6 +4,13 @@
 #include <tuple>
 #include <utility>
 
+#include "pool/pool_jobs.h"
+#include "pool/pool_placement.h"
+#include "pool/pool_step.h"
+#include "pool/standby.h"
+#include "pool/worker_roster.h"
+#include "pool/worker_session.h"
+
 namespace goldcrest {
 namespace {
 
@@ -63,7 +70,7 @@
   wire::JobCancel& cancel = *message.mutable_job_cancel();
   cancel.set_order(job.order);
   cancel.set_job_id(job.job_id);
-  cancel.set_entry(board.mesh.options.self);
+  cancel.set_entry(board.pool.mesh.options.self);
   SendTo(actions, job.control, std::move(message));
 }
 
@@ -116,8 +123,8 @@
   order.set_max_attempts(queue.max_attempts());
   order.set_stretch(queue.stretch());
   order.set_target_ms(queue.target_ms());
-  order.set_entry(board.mesh.options.self);
-  order.set_entry_incarnation(board.mesh.options.incarnation);
+  order.set_entry(board.pool.mesh.options.self);
+  order.set_entry_incarnation(board.pool.mesh.options.incarnation);
   return order;
 }
 
@@ -127,12 +134,14 @@
                  const std::string& control,
                  Micros now,
                  PoolActions& actions) {
-  const MeshMember& member = board.mesh.members.at(control);
+  const auto found = board.pool.mesh.members.find(control);
+  const MeshMember member =
+      found == board.pool.mesh.members.end() ? MeshMember() : found->second;
   const int64_t left_ms =
       std::max<int64_t>((pending.deadline - now) / kMillisecond, 0);
   pending.control = control;
   pending.control_incarnation = member.incarnation;
-  pending.message.set_seen_sequence(NewestSequence(board.mesh, control));
+  pending.message.set_seen_sequence(NewestSequence(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
   wire::PoolMessage message;
   *message.mutable_job_order() = pending.message;
@@ -169,7 +178,10 @@
     RefuseCaller(board, job, "unsupported_" + job.unsupported, actions);
     return;
   }
-  const std::optional<std::string> control = ChooseControl(board.mesh, now);
+  std::optional<std::string> control = ChooseControl(board.pool.mesh, now);
+  if (!control && HasReadyWorkers(board.pool)) {
+    control = board.pool.mesh.options.self;
+  }
   if (!control) {
     RefuseCaller(board, job, "no_control_daemon", actions);
     return;
@@ -213,8 +225,8 @@
     // The job may be another entry daemon's: its control daemon knows it.
     PendingJob job;
     job.job_id = cancels.job_id;
-    for (const auto& [address, member] : board.mesh.members) {
-      if (member.presence.control() && IsHeard(board.mesh, address, now)) {
+    for (const auto& [address, member] : board.pool.mesh.members) {
+      if (member.presence.control() && IsHeard(board.pool.mesh, address, now)) {
         job.control = address;
         SendCancel(board, job, actions);
       }
@@ -240,14 +252,14 @@
            {"before", std::to_string(board.routing.version())},
            {"queues", std::to_string(routing.queues_size())}});
   board.routing = routing;
-  board.mesh.routing_version = routing.version();
-  board.mesh.routing_source.clear();
+  board.pool.mesh.routing_version = routing.version();
+  board.pool.mesh.routing_source.clear();
 }
 
 void TakeMoved(EntryBoard& board, const wire::JobMoved& moved) {
   const auto found = board.pending.find(moved.order());
-  const auto member = board.mesh.members.find(moved.to());
-  if (found != board.pending.end() && member != board.mesh.members.end()) {
+  const auto member = board.pool.mesh.members.find(moved.to());
+  if (found != board.pending.end() && member != board.pool.mesh.members.end()) {
     found->second.control = moved.to();
     found->second.control_incarnation = member->second.incarnation;
   }
@@ -265,7 +277,7 @@
   }
   PendingJob& job = found->second;
   job.tried.insert(job.control);
-  const auto control = ChooseControl(board.mesh, now, job.tried);
+  const auto control = ChooseControl(board.pool.mesh, now, job.tried);
   if (!control) {
     return false;
   }
@@ -280,13 +292,22 @@
   const wire::PoolMessage& message = event.message;
   if (message.has_presence()) {
     const MemberChange change =
-        OnPresence(board.mesh, message.from(), message.incarnation(),
+        OnPresence(board.pool.mesh, message.from(), message.incarnation(),
                    message.presence(), now, actions);
     if (change != MemberChange::kNone) {
       LogPool(actions, LogLevel::kInfo, "control_daemon_seen",
               {{"address", message.from()},
                {"incarnation", std::to_string(message.incarnation())}});
+      SendWorkerTable(board.pool, message.from(), actions);
     }
+  } else if (message.has_worker_news()) {
+    OnWorkerNews(board.pool, message.worker_news(), now, actions);
+  } else if (message.has_worker_request()) {
+    OnWorkerRequest(board.pool, message.worker_request(), now, actions);
+  } else if (message.has_job_order()) {
+    OnJobOrder(board.pool, message.job_order(), now, actions);
+  } else if (message.has_job_cancel()) {
+    OnJobCancel(board.pool, message.job_cancel(), now, actions);
   } else if (message.has_routing()) {
     TakeRouting(board, message.routing(), actions);
   } else if (message.has_job_moved()) {
@@ -310,23 +331,37 @@
     return;
   }
   board.draining = true;
-  board.mesh.draining = true;
+  board.pool.draining = true;
+  board.pool.mesh.draining = true;
   board.drain_started = now;
   LogPool(actions, LogLevel::kInfo, "drain_started",
           {{"jobs", std::to_string(board.pending.size())}});
 }
 
+void Take(EntryBoard& board,
+          const WorkerAnswer& answer,
+          Micros now,
+          PoolActions& actions) {
+  OnWorkerAnswer(board.pool, answer, now, actions);
+}
+
 void Take(EntryBoard&, const EntryTick&, Micros, PoolActions&) {}
 
 // Gives up jobs whose control daemon is lost or does not answer in time.
 void GiveUpLost(EntryBoard& board, Micros now, PoolActions& actions) {
   std::vector<std::pair<uint64_t, std::string>> lost;
   for (const auto& [order, job] : board.pending) {
-    const auto member = board.mesh.members.find(job.control);
-    if (member == board.mesh.members.end() ||
-        member->second.incarnation != job.control_incarnation) {
+    const auto member = board.pool.mesh.members.find(job.control);
+    const bool here = job.control == board.pool.mesh.options.self;
+    if (here && now <= job.deadline + board.options.answer_slack) {
+      continue;
+    }
+    if (here) {
+      lost.emplace_back(order, "time_is_up");
+    } else if (member == board.pool.mesh.members.end() ||
+               member->second.incarnation != job.control_incarnation) {
       lost.emplace_back(order, "control_restarted");
-    } else if (!IsHeard(board.mesh, job.control, now)) {
+    } else if (!IsHeard(board.pool.mesh, job.control, now)) {
       lost.emplace_back(order, "control_not_heard");
     } else if (now > job.deadline + board.options.answer_slack) {
       lost.emplace_back(order, "time_is_up");
@@ -359,7 +394,7 @@
                           const MeshOptions& mesh) {
   EntryBoard board;
   board.options = options;
-  board.mesh = MakeMesh(mesh);
+  board.pool.mesh = MakeMesh(mesh);
   return board;
 }
 
@@ -367,13 +402,21 @@
                const EntryEvent& event,
                Now now,
                PoolActions& actions) {
+  board.pool.wall_ms = now.wall_ms;
+  if (board.pool.last_step != 0) {
+    NoticePause(board.pool, now.mono, actions);
+  }
+  board.pool.last_step = now.mono;
   std::visit([&](const auto& one) { Take(board, one, now.mono, actions); },
              event);
   if (std::holds_alternative<EntryTick>(event)) {
     GiveUpLost(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
-    MeshTick(board.mesh, now.mono, actions);
+    StandbyTick(board.pool, now.mono, actions);
+    RunPool(board.pool, now.mono, actions);
+    MeshTick(board.pool.mesh, now.mono, actions);
   }
+  PlaceWaiting(board.pool, now.mono, actions);
 }
 
 const wire::Queue* FindQueue(const wire::Routing& routing,
@@ -415,7 +458,8 @@
 
 bool IsReady(const EntryBoard& board, Micros now) {
   return !board.draining && board.routing.version() > 0 &&
-         ChooseControl(board.mesh, now).has_value();
+         (ChooseControl(board.pool.mesh, now).has_value() ||
+          HasReadyWorkers(board.pool));
 }
 
 size_t PendingOf(const EntryBoard& board, const std::string& queue) {
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -4,7 +4,8 @@
 // The decisions of an entry daemon: callers' jobs on their way to a control
 // daemon and back.
 //
-// An entry daemon holds the caller's connection and nothing else that matters.
+// An entry daemon holds the caller's connection and nothing else that matters,
+// but for the time in which it stands in for control daemons (standby.h).
 // It sends each job to one control daemon, of its own failure domain where
 // that is alive, and answers the caller with what that daemon says. When the
 // daemon falls silent the caller is told at once that the outcome is unknown;
@@ -26,6 +27,7 @@
 #include "goldcrest/time_units.h"
 #include "pool/mesh.h"
 #include "pool/pool_action.h"
+#include "pool/pool_board.h"
 #include "proto/pool.pb.h"
 
 namespace goldcrest {
@@ -81,6 +83,7 @@
                                 CallerLeft,
                                 CallerCancels,
                                 EntryReceived,
+                                WorkerAnswer,
                                 EntryDrain,
                                 EntryTick>;
 
@@ -112,7 +115,8 @@
 
 struct EntryBoard {
   EntryOptions options;
-  Mesh mesh;
+  // The mesh, and the workers that this daemon orders while it stands in.
+  PoolBoard pool;
   wire::Routing routing;                             // version 0: none yet
   std::unordered_map<uint64_t, PendingJob> pending;  // by order number
   std::unordered_map<ReplyToken, uint64_t> orders;
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -2,10 +2,14 @@
 
 #include <algorithm>
 
+#include "pool/standby.h"
+
 namespace goldcrest {
 namespace {
 
 constexpr size_t kSentRemembered = 100;
+// Of all answers to entry daemons, one in so many names witnesses.
+constexpr uint64_t kWitnessesEvery = 8;
 // What a daemon said of its load is of use for this long.
 constexpr Micros kFreshFor = 350 * kMillisecond;
 
@@ -38,6 +42,12 @@
   if (mesh.options.control) {
     *presence.mutable_load() = mesh.load;
   }
+  if (mesh.options.control && is_answer &&
+      mesh.sequence % kWitnessesEvery == 0) {
+    for (const std::string& address : WitnessesFor(mesh, to, now)) {
+      presence.add_witnesses(address);
+    }
+  }
   return message;
 }
 
@@ -159,13 +169,17 @@
       known.heard_by_others = now;
     }
   }
+  if (presence.witnesses_size() > 0) {
+    mesh.witnesses.assign(presence.witnesses().begin(),
+                          presence.witnesses().end());
+  }
   for (const std::string& address : presence.hears()) {
     const auto heard = mesh.members.find(address);
     if (heard != mesh.members.end()) {
       heard->second.heard_by_others = now;
     }
   }
-  if (mesh.options.control && !presence.control() && !presence.is_answer()) {
+  if (!presence.control() && !presence.is_answer()) {
     SendTo(actions, from, MakePresence(mesh, from, now, true));
   }
   return change;
@@ -187,6 +201,12 @@
       SendTo(actions, address, MakePresence(mesh, address, now, false));
     }
   }
+  if (!mesh.probing) {
+    return;
+  }
+  for (const std::string& address : mesh.witnesses) {
+    SendTo(actions, address, MakePresence(mesh, address, now, false));
+  }
 }
 
 void ForgivePause(Mesh& mesh, Micros pause) {
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -69,6 +69,10 @@
   std::string routing_source;
   Micros routing_asked_at = 0;
   bool routing_ask_due = false;
+  // Entry daemons that can say whether control daemons are alive, and whether
+  // they are being asked.
+  std::vector<std::string> witnesses;
+  bool probing = false;
   uint64_t store_id = 0;
   wire::PoolLoad load;
 };
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -233,6 +233,9 @@
   uint64_t next_sequence = 1;
   uint64_t next_session = 1;
   bool placement_due = false;
+  // Entry daemons only: stands in for control daemons.
+  bool standby = false;
+  Micros probing_since = 0;
   bool draining = false;
   Micros drain_started = 0;
   bool drained = false;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -76,6 +76,9 @@
 bool IsEntryHeard(const PoolBoard& board,
                   const wire::JobOrder& order,
                   Micros now) {
+  if (order.entry() == board.mesh.options.self) {
+    return true;
+  }
   const auto found = board.mesh.members.find(order.entry());
   if (found == board.mesh.members.end() ||
       found->second.incarnation != order.entry_incarnation()) {
@@ -392,7 +395,9 @@
                 Micros now,
                 PoolActions& actions) {
   ++board.counters.jobs_received;
-  const Micros seen_at = SentAt(board.mesh, order.seen_sequence());
+  const Micros seen_at = order.entry() == board.mesh.options.self
+                             ? now
+                             : SentAt(board.mesh, order.seen_sequence());
   if (seen_at == 0 || now - seen_at > board.options.stale_order) {
     Refuse(board, order, wire::JOB_REFUSED, "order_out_of_date",
            kShortestRetryAfterMs, true, actions);
@@ -406,7 +411,9 @@
   if (TakeOverJob(board, order, now, actions)) {
     return;
   }
-  if (now - board.started_at > kKnowsWorkersAfter &&
+  // An entry daemon that stands in knows its own domain's workers only.
+  if (board.mesh.options.control &&
+      now - board.started_at > kKnowsWorkersAfter &&
       !CanEverRun(board, order)) {
     Refuse(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0, false,
            actions);
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -35,6 +35,9 @@
       OnPresence(board.mesh, message.from(), message.incarnation(), presence,
                  now, actions);
   if (!presence.control()) {
+    if (change != MemberChange::kNone) {
+      SendWorkerTable(board, message.from(), actions);
+    }
     if (presence.wants_routing()) {
       OfferRouting(board, message.from(), presence.routing_version(), actions);
     }
@@ -165,6 +168,29 @@
 
 void Take(PoolBoard&, const PoolTick&, Micros, PoolActions&) {}
 
+void DrainTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (!board.draining || board.drained) {
+    return;
+  }
+  bool holds = false;
+  for (auto& [id, worker] : board.workers) {
+    if (board.waiting.empty() && worker.session == SessionState::kReady) {
+      worker.session = SessionState::kReleasing;
+      SessionTick(board, worker, now, actions);
+    }
+    holds = holds || worker.session != SessionState::kNone;
+  }
+  const bool done = board.jobs.empty() && !holds;
+  if (done || now - board.drain_started > kLongestDrain) {
+    board.drained = true;
+    LogPool(actions, LogLevel::kInfo, "drain_ended",
+            {{"whole", done ? "1" : "0"},
+             {"jobs", std::to_string(board.jobs.size())}});
+  }
+}
+
+}  // namespace
+
 // After a pause of the process nothing that it believes about its workers is
 // sure: leases may have run out and others may have taken over. Callers of its
 // jobs were given up by their entry daemons. That others were not heard during
@@ -193,29 +219,17 @@
   }
 }
 
-void DrainTick(PoolBoard& board, Micros now, PoolActions& actions) {
-  if (!board.draining || board.drained) {
-    return;
-  }
-  bool holds = false;
+void RunPool(PoolBoard& board, Micros now, PoolActions& actions) {
+  OwnershipTick(board, now, actions);
+  JobsTick(board, now, actions);
+  MoveStragglers(board, now, actions);
   for (auto& [id, worker] : board.workers) {
-    if (board.waiting.empty() && worker.session == SessionState::kReady) {
-      worker.session = SessionState::kReleasing;
-      SessionTick(board, worker, now, actions);
-    }
-    holds = holds || worker.session != SessionState::kNone;
-  }
-  const bool done = board.jobs.empty() && !holds;
-  if (done || now - board.drain_started > kLongestDrain) {
-    board.drained = true;
-    LogPool(actions, LogLevel::kInfo, "drain_ended",
-            {{"whole", done ? "1" : "0"},
-             {"jobs", std::to_string(board.jobs.size())}});
+    SessionTick(board, worker, now, actions);
   }
+  board.placement_due = true;  // ejections end by time
+  UpdateLoad(board, now);
 }
 
-}  // namespace
-
 PoolBoard MakePoolBoard(const PoolStart& start, Now now, PoolActions& actions) {
   PoolBoard board;
   board.options = start.options;
@@ -242,15 +256,8 @@
   AgreementTick(board.agreement, now.mono, actions);
   if (std::holds_alternative<PoolTick>(event)) {
     board.mesh.routing_version = board.agreement.committed.routing().version();
-    OwnershipTick(board, now.mono, actions);
-    JobsTick(board, now.mono, actions);
-    MoveStragglers(board, now.mono, actions);
-    for (auto& [id, worker] : board.workers) {
-      SessionTick(board, worker, now.mono, actions);
-    }
-    board.placement_due = true;  // ejections end by time
+    RunPool(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
-    UpdateLoad(board, now.mono);
     MeshTick(board.mesh, now.mono, actions);
   }
   PlaceWaiting(board, now.mono, actions);
--- a/pool/pool_step.h
+++ b/pool/pool_step.h
@@ -77,6 +77,13 @@
 
 PoolBoard MakePoolBoard(const PoolStart& start, Now now, PoolActions& actions);
 
+// Runs what is due for workers and jobs; the part of a tick that control and
+// entry daemons share.
+void RunPool(PoolBoard& board, Micros now, PoolActions& actions);
+
+// Ends what a pause of the process has broken.
+void NoticePause(PoolBoard& board, Micros now, PoolActions& actions);
+
 void PoolStep(PoolBoard& board,
               const PoolEvent& event,
               Now now,
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -167,15 +167,17 @@
 }
 
 void FakePool::Perform(size_t index, bool is_control, PoolActions actions) {
-  const Mesh& mesh =
-      is_control ? controls_[index].board.mesh : entries_[index].board.mesh;
+  const Mesh& mesh = is_control ? controls_[index].board.mesh
+                                : entries_[index].board.pool.mesh;
   const uint64_t incarnation = mesh.options.incarnation;
   const std::string self = mesh.options.self;
   for (PoolAction& action : actions) {
     if (auto* send = std::get_if<SendPool>(&action)) {
       Deliver(self, std::move(*send), incarnation);
     } else if (auto* order = std::get_if<SendOrder>(&action)) {
-      SendToWorker(index, controls_[index].life, std::move(order->order));
+      const int life =
+          is_control ? controls_[index].life : entries_[index].life;
+      SendToWorker({is_control, index, life}, std::move(order->order));
     } else if (const auto* reply = std::get_if<ReplyJob>(&action)) {
       const auto job = job_of_token_.find(reply->token);
       if (job != job_of_token_.end()) {
@@ -245,15 +247,23 @@
   return nullptr;
 }
 
-void FakePool::SendToWorker(size_t control, int life, WorkerOrder order) {
-  const auto answer_with = [this, control, life](const WorkerAnswer& answer) {
-    if (controls_[control].life == life) {
-      StepControl(control, answer);
-    }
+void FakePool::AnswerTo(const Sender& sender, const WorkerAnswer& answer) {
+  if (sender.is_control && controls_[sender.index].life == sender.life) {
+    StepControl(sender.index, answer);
+  }
+  if (!sender.is_control && entries_[sender.index].life == sender.life) {
+    StepEntry(sender.index, answer);
+  }
+}
+
+void FakePool::SendToWorker(const Sender& sender, WorkerOrder order) {
+  const auto answer_with = [this, sender](const WorkerAnswer& answer) {
+    AnswerTo(sender, answer);
   };
+  const std::string& from = sender.is_control ? controls_[sender.index].address
+                                              : entries_[sender.index].address;
   FakeWorker* worker = FindWorker(order.worker);
-  const bool cut = cuts_.contains(
-      {controls_[control].address, worker->facts.failure_domain()});
+  const bool cut = cuts_.contains({from, worker->facts.failure_domain()});
   std::uniform_real_distribution<double> share(0, 1);
   const bool late = share(random_) < worker->late_share;
   if (cut || !worker->reachable || !worker->up || late) {
@@ -581,6 +591,13 @@
       }
     }
   }
+  for (const FakeEntry& entry : entries_) {
+    for (const auto& [id, worker] : entry.board.pool.workers) {
+      if (entry.running && worker.session == SessionState::kReady) {
+        ready.insert(id);
+      }
+    }
+  }
   return static_cast<int>(ready.size());
 }
 
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -139,7 +139,14 @@
   void StepEntry(size_t index, const EntryEvent& event);
   void Perform(size_t index, bool is_control, PoolActions actions);
   void Deliver(const std::string& from, SendPool send, uint64_t incarnation);
-  void SendToWorker(size_t control, int life, WorkerOrder order);
+  // Who sent an order, and in which of its lives.
+  struct Sender {
+    bool is_control = true;
+    size_t index = 0;
+    int life = 0;
+  };
+  void SendToWorker(const Sender& sender, WorkerOrder order);
+  void AnswerTo(const Sender& sender, const WorkerAnswer& answer);
   WorkerAnswer Execute(FakeWorker& worker, const WorkerOrder& order);
   void Start(FakeWorker& worker,
              const WorkerOrder& order,
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -89,12 +89,31 @@
   return differs;
 }
 
-bool IsControlCandidate(const PoolBoard& board,
-                        const MeshMember& member,
-                        Micros now) {
-  return member.presence.control() && member.incarnation != 0 &&
-         !member.presence.draining() &&
-         IsAlive(board.mesh, member.address, now);
+// Whether a daemon may order workers: a control daemon that lives; where an
+// entry daemon stands in for them, one of its own failure domain.
+bool IsOwnerCandidate(const PoolBoard& board,
+                      const MeshMember& member,
+                      Micros now) {
+  if (member.incarnation == 0 || member.presence.draining()) {
+    return false;
+  }
+  if (member.presence.control()) {
+    return IsAlive(board.mesh, member.address, now);
+  }
+  return board.standby && IsHeard(board.mesh, member.address, now) &&
+         member.presence.failure_domain() == board.mesh.options.failure_domain;
+}
+
+bool MayOrderWorkers(const PoolBoard& board) {
+  return !board.draining && (board.mesh.options.control || board.standby);
+}
+
+// Whether a daemon is to know about a worker: all control daemons, and the
+// entry daemons of its failure domain.
+bool IsInterested(const MeshMember& member, const wire::WorkerNews& worker) {
+  return member.presence.control() ||
+         (member.incarnation != 0 &&
+          member.presence.failure_domain() == worker.failure_domain());
 }
 
 // Keeps the better of two candidates for a worker: one of its own failure
@@ -138,8 +157,7 @@
            PoolActions& actions) {
   const bool foreign =
       worker.facts.failure_domain() != board.mesh.options.failure_domain;
-  if (now < worker.claim_after || worker.facts.leaving() ||
-      now - board.started_at < board.options.claims_after) {
+  if (now < worker.claim_after || worker.facts.leaving()) {
     return;
   }
   if (foreign && now - board.started_at < board.options.foreign_claims_after) {
@@ -147,17 +165,29 @@
   }
   const std::string& owner = worker.facts.owner();
   const bool taken = !owner.empty() && owner != board.mesh.options.self;
-  if ((taken || foreign) && !MayJudgeOthers(board, foreign, now)) {
+  if (board.mesh.options.control && (taken || foreign) &&
+      !MayJudgeOthers(board, foreign, now)) {
+    return;
+  }
+  if (!board.mesh.options.control && foreign) {
     return;
   }
   Settle(board, worker, "claim", now, actions);
 }
 
+int CountReady(const PoolBoard& board) {
+  return static_cast<int>(std::count_if(
+      board.workers.begin(), board.workers.end(), [](const auto& entry) {
+        return entry.second.session == SessionState::kReady;
+      }));
+}
+
 void ForgetIfSilent(PoolBoard& board,
                     PoolWorker& worker,
                     Micros now,
                     PoolActions& actions) {
-  if (worker.session == SessionState::kNone ||
+  // Workers report to control daemons only.
+  if (worker.session == SessionState::kNone || !board.mesh.options.control ||
       now - worker.last_heard < board.options.worker_silence) {
     return;
   }
@@ -228,6 +258,9 @@
     if (newer_owner && row.token() > worker.token) {
       worker.facts.set_owner(row.owner());
       worker.facts.set_token(row.token());
+      if (row.owner().empty()) {
+        board.ownership_due = now;  // it was handed over
+      }
     } else if (newer_owner && worker.session == SessionState::kNone) {
       worker.facts.set_owner(row.owner());
       worker.facts.set_token(row.token());
@@ -246,6 +279,9 @@
     }
     PoolWorker& worker = found->second;
     if (worker.session == SessionState::kReady) {
+      if (!board.waiting.empty() && CountReady(board) == 1) {
+        continue;  // what waits here needs it; it will be asked for again
+      }
       worker.session = SessionState::kReleasing;
       SessionTick(board, worker, now, actions);
     } else if (worker.session == SessionState::kNone) {
@@ -259,7 +295,8 @@
                     Micros now,
                     PoolActions& actions) {
   for (const auto& [address, member] : board.mesh.members) {
-    if (!member.presence.control() || !IsHeard(board.mesh, address, now)) {
+    if (!IsInterested(member, worker.facts) ||
+        !IsHeard(board.mesh, address, now)) {
       continue;
     }
     wire::PoolMessage message;
@@ -272,8 +309,10 @@
                      const std::string& to,
                      PoolActions& actions) {
   wire::PoolMessage message;
+  const auto member = board.mesh.members.find(to);
   for (const auto& [id, worker] : board.workers) {
-    if (IsPresent(worker)) {
+    if (IsPresent(worker) && member != board.mesh.members.end() &&
+        IsInterested(member->second, worker.facts)) {
       *message.mutable_worker_news()->add_workers() = worker.facts;
     }
   }
@@ -298,13 +337,13 @@
                            Micros now) {
   const std::string& domain = worker.facts.failure_domain();
   OwnerChoice choice;
-  if (!board.draining) {
+  if (MayOrderWorkers(board)) {
     choice.Offer(board.mesh.options.self,
                  board.mesh.options.failure_domain == domain,
                  RendezvousWeight(worker.facts.id(), board.mesh.options.self));
   }
   for (const auto& [address, member] : board.mesh.members) {
-    if (IsControlCandidate(board, member, now)) {
+    if (IsOwnerCandidate(board, member, now)) {
       choice.Offer(address, member.presence.failure_domain() == domain,
                    RendezvousWeight(worker.facts.id(), address));
     }
@@ -334,6 +373,9 @@
     return;
   }
   board.ownership_due = now + board.options.ownership_period;
+  if (now - board.started_at < board.options.claims_after) {
+    return;  // others have not had time to say which workers are theirs
+  }
   const std::string& self = board.mesh.options.self;
   std::map<std::string, wire::WorkerRequest> requests;
   int asked = 0;
