Count a taken worker's silence from its claim, and check idle workers

Cause 1, from an incident's log: a worker claimed from a lost daemon was called silent 200 ms later when its first answer was late, since its reports had gone to its owner; it was lost until its next report. Its silence now counts from the claim. Idle workers are asked every 2 s.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -45,6 +45,9 @@
   int64_t hold_wait_ms = 250;
   // An end is acknowledged with the next hold, or after this long.
   Micros acknowledge_after = 150 * kMillisecond;
+  // An idle worker is asked this often whether it is still ours, so that no
+  // job has to find out.
+  Micros idle_check = 2 * kSecond;
   // A worker answers within a few milliseconds. Asking again costs one round
   // trip more, waiting costs the tasks whose fate is open.
   Micros order_timeout = 80 * kMillisecond;
@@ -132,6 +135,7 @@
   int64_t clock_ms = 0;  // the worker's clock at clock_at; 0: not known
   Micros clock_at = 0;
   Micros lease_sent_at = 0;  // when the newest lease was sent
+  Micros last_answer = 0;    // to an order of this daemon
   std::map<TaskName, WorkerRun> runs;
   Need used;
   WorkerHealth health;
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -82,6 +82,23 @@
   RequireNoViolation(pool);
 }
 
+TEST_CASE("A worker that is taken over is not called silent at once") {
+  FakePool pool = CalmPool();
+  Settle(pool);
+  pool.Run(10 * kSecond);  // its reports went to its owner only
+  pool.KillControl(1);
+  for (FakeWorker& worker : pool.workers()) {
+    worker.reachable = worker.facts.failure_domain() != "b";
+  }
+  pool.Run(1500 * kMillisecond);  // claims are not answered for a while
+  for (FakeWorker& worker : pool.workers()) {
+    worker.reachable = true;
+  }
+  pool.Run(1500 * kMillisecond);
+  CHECK(pool.CountLogged("worker_process_gone") == 0);
+  CHECK(pool.ReadyWorkers() == kWorkers);
+}
+
 TEST_CASE("Entry daemons stand in while all control daemons are down") {
   FakePool pool = CalmPool();
   Settle(pool);
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -172,6 +172,8 @@
   if (!board.mesh.options.control && foreign) {
     return;
   }
+  // Its reports went to its owner; its silence is counted from now.
+  worker.last_heard = now;
   Settle(board, worker, "claim", now, actions);
 }
 
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -422,6 +422,7 @@
   TakeClock(worker, answer, now);
   if (answer.outcome == OrderOutcome::kDone) {
     worker.last_heard = now;
+    worker.last_answer = now;
   }
   const bool other_process =
       answer.outcome == OrderOutcome::kOtherIncarnation ||
@@ -494,7 +495,9 @@
   const bool must_acknowledge =
       worker.newest_end > worker.acknowledged_end &&
       now - worker.newest_end_at > board.options.acknowledge_after;
-  if (!runs && !must_acknowledge) {
+  const bool check = worker.runs.empty() &&
+                     now - worker.last_answer > board.options.idle_check;
+  if (!runs && !must_acknowledge && !check) {
     const bool idle =
         worker.runs.empty() && worker.newest_end == worker.acknowledged_end;
     if (idle && worker.session == SessionState::kReleasing) {
