--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -347,24 +347,32 @@
 
 void Take(EntryBoard&, const EntryTick&, Micros, PoolActions&) {}
 
+// Returns why a pending job must be given up; empty when it need not.
+std::string LostReason(const EntryBoard& board,
+                       const PendingJob& job,
+                       Micros now) {
+  const Mesh& mesh = board.pool.mesh;
+  if (now > job.deadline + board.options.answer_slack) {
+    return "time_is_up";
+  }
+  if (job.control == mesh.options.self) {
+    return "";
+  }
+  const auto member = mesh.members.find(job.control);
+  if (member == mesh.members.end() ||
+      member->second.incarnation != job.control_incarnation) {
+    return "control_restarted";
+  }
+  return IsHeard(mesh, job.control, now) ? "" : "control_not_heard";
+}
+
 // Gives up jobs whose control daemon is lost or does not answer in time.
 void GiveUpLost(EntryBoard& board, Micros now, PoolActions& actions) {
   std::vector<std::pair<uint64_t, std::string>> lost;
   for (const auto& [order, job] : board.pending) {
-    const auto member = board.pool.mesh.members.find(job.control);
-    const bool here = job.control == board.pool.mesh.options.self;
-    if (here && now <= job.deadline + board.options.answer_slack) {
-      continue;
-    }
-    if (here) {
-      lost.emplace_back(order, "time_is_up");
-    } else if (member == board.pool.mesh.members.end() ||
-               member->second.incarnation != job.control_incarnation) {
-      lost.emplace_back(order, "control_restarted");
-    } else if (!IsHeard(board.pool.mesh, job.control, now)) {
-      lost.emplace_back(order, "control_not_heard");
-    } else if (now > job.deadline + board.options.answer_slack) {
-      lost.emplace_back(order, "time_is_up");
+    std::string reason = LostReason(board, job, now);
+    if (!reason.empty()) {
+      lost.emplace_back(order, std::move(reason));
     }
   }
   for (const auto& [order, reason] : lost) {
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -540,11 +540,9 @@
              {"never_ran", never_ran ? "1" : "0"},
              {"age_ms", std::to_string((now - run.sent_at) / kMillisecond)}});
   }
-  if (never_ran) {
-    QueueTask(board, *job, name.step, name.index);
-  } else if (end == RunEnd::kDone) {
+  if (!never_ran && end == RunEnd::kDone) {
     OnTaskDone(board, worker, *job, name, run, now, actions);
-  } else if (end == RunEnd::kFailed) {
+  } else if (!never_ran && end == RunEnd::kFailed) {
     OnTaskFailed(board, worker, *job, name, now, actions);
   } else {
     QueueTask(board, *job, name.step, name.index);
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -177,6 +177,33 @@
   return slots;
 }
 
+// Whether a run has taken far longer than expected.
+bool IsOverdue(const WorkerRun& run, Micros now) {
+  const double limit = kStragglerFactor * static_cast<double>(run.expected) +
+                       static_cast<double>(kStragglerSlack);
+  return run.state == RunState::kRunning &&
+         static_cast<double>(now - run.answered_at) >= limit;
+}
+
+// What a run will still take at the pace it has shown.
+Micros TimeLeft(const WorkerRun& run, Micros now) {
+  if (run.progress_percent <= 0) {
+    return kNever;
+  }
+  return (now - run.answered_at) * (100 - run.progress_percent) /
+         run.progress_percent;
+}
+
+// Whether a sound worker other than `not_this` has room for the run.
+bool HasRoomElsewhere(const std::vector<PoolWorker*>& ready,
+                      const PoolWorker* not_this,
+                      const WorkerRun& run) {
+  return std::any_of(ready.begin(), ready.end(), [&](const PoolWorker* other) {
+    return other != not_this && other->health.failures_in_row == 0 &&
+           FreeRoom(*other).cpu_millis >= run.need.cpu_millis;
+  });
+}
+
 }  // namespace
 
 Micros ExpectedRunTime(const PoolBoard& board,
@@ -262,27 +289,16 @@
       continue;
     }
     for (auto& [name, run] : worker.runs) {
-      PoolJob* job = FindPoolJob(board, run.job_key);
-      const Micros elapsed = now - run.answered_at;
-      if (job == nullptr || run.state != RunState::kRunning ||
-          static_cast<double>(elapsed) <
-              kStragglerFactor * static_cast<double>(run.expected) +
-                  static_cast<double>(kStragglerSlack)) {
+      const PoolJob* job = FindPoolJob(board, run.job_key);
+      if (job == nullptr || !IsOverdue(run, now)) {
         continue;
       }
-      const Micros left =
-          run.progress_percent > 0
-              ? elapsed * (100 - run.progress_percent) / run.progress_percent
-              : kNever;
       const Micros anew = job->steps[name.step].expected;
-      const bool room =
-          std::any_of(ready.begin(), ready.end(), [&](const PoolWorker* other) {
-            return other != &worker && other->health.failures_in_row == 0 &&
-                   FreeRoom(*other).cpu_millis >= run.need.cpu_millis;
-          });
-      if (!room || left < 2 * anew || now + anew > job->deadline) {
+      if (!HasRoomElsewhere(ready, &worker, run) ||
+          TimeLeft(run, now) < 2 * anew || now + anew > job->deadline) {
         continue;
       }
+      const Micros elapsed = now - run.answered_at;
       LogPool(actions, LogLevel::kWarning, "straggler_stopped",
               {{"worker", id},
                {"job", name.job_id},
