--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -118,8 +118,7 @@
 }
 
 void ControlDaemon::PerformOne(SendPool& action) {
-  if (action.to == board_.mesh.options.self ||
-      action.to == options_.start.mesh.self) {
+  if (action.to == options_.start.mesh.self) {
     local_events_.emplace_back(PoolReceived{std::move(action.message)});
     return;
   }
--- a/pool/agreement.cc
+++ b/pool/agreement.cc
@@ -474,9 +474,6 @@
   if (peer.store_id != presence.store_id()) {
     agreement.followers.erase(address);  // another disk holds nothing yet
   }
-  if (peer.address.empty()) {
-    peer.first_heard = now;
-  }
   peer.address = address;
   peer.failure_domain = presence.failure_domain();
   peer.store_id = presence.store_id();
--- a/pool/agreement.h
+++ b/pool/agreement.h
@@ -64,7 +64,6 @@
   std::string failure_domain;
   uint64_t store_id = 0;  // 0 while unknown
   Micros last_heard = 0;  // by any message
-  Micros first_heard = 0;
 };
 
 // A follower as the leader sees it.
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -237,10 +237,9 @@
   board.wall_ms = now.wall_ms;
   board.started_at = now.mono;
   board.last_step = now.mono;
-  std::vector<std::string> seeds = start.mesh.seeds;
   board.agreement =
-      MakeAgreement(start.agreement, start.stored, start.first_start, seeds,
-                    start.random_seed, now.mono, actions);
+      MakeAgreement(start.agreement, start.stored, start.first_start,
+                    start.mesh.seeds, start.random_seed, now.mono, actions);
   board.mesh.store_id = board.agreement.stored.store_id();
   return board;
 }
