Exchange presences with far entry daemons the slower the more there are

Cause: without work a control daemon of the large deployment took 0.23 of a core, and 126 MB crossed failure domains in 32 s. Each of 147 entry daemons exchanged ten presences a second with all six control daemons: 17,640 messages a second. Each answer with witnesses hashed all entry daemons. Each event walked all workers to find those that this daemon orders.

Change: entry daemons of other failure domains exchange presences at a rate that falls with their number (8 ms for each, 100 ms to 2 s), so small deployments stay as they were. Two daemons that share a job, and an entry daemon that does not hear its own domain, use the full rate. A silence is judged by the rate; what is told to others ("hears") only at the full rate. Any message of a known life counts as hearing it. A job from afar is taken with its arrival as proof of life; from its agreement on, the first ask is. Owners are kept with the worker until the candidates change; workers with a session have an index; a presence names each control daemon once.

Ruled out: one rate for all (a dead control daemon would be noticed later, or the full rate stays); hearsay that counts for longer (workers of a dead daemon would be taken a second later).

--- a/pool/choose_worker.cc
+++ b/pool/choose_worker.cc
@@ -7,12 +7,6 @@
 namespace goldcrest {
 namespace {
 
-bool Fits(const Need& need, const Need& free) {
-  return need.cpu_millis <= free.cpu_millis &&
-         need.memory_mb <= free.memory_mb &&
-         need.accelerators <= free.accelerators;
-}
-
 // Less is better.
 auto Rank(const WorkerOffer& offer, const Need& need) {
   return std::make_tuple(!offer.near_data, offer.suspect, offer.factor,
@@ -35,6 +29,12 @@
 
 }  // namespace
 
+bool Fits(const Need& need, const Need& free) {
+  return need.cpu_millis <= free.cpu_millis &&
+         need.memory_mb <= free.memory_mb &&
+         need.accelerators <= free.accelerators;
+}
+
 std::optional<size_t> ChooseWorker(const std::vector<WorkerOffer>& offers,
                                    const Need& need) {
   std::optional<size_t> best;
--- a/pool/choose_worker.h
+++ b/pool/choose_worker.h
@@ -23,6 +23,9 @@
   double factor = 1.0;    // run time there over that on an ordinary worker
 };
 
+// Says whether `need` fits into `free`.
+bool Fits(const Need& need, const Need& free);
+
 // Returns the place in `offers` of the worker for a task: near its data, then
 // not suspect, then the fastest, then the one with the least room left over,
 // which keeps whole workers free for wide tasks. Nothing when none has room.
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -137,6 +137,7 @@
       found == board.pool.mesh.members.end() ? MeshMember() : found->second;
   const int64_t left_ms =
       std::max<int64_t>((pending.deadline - now) / kMillisecond, 0);
+  StayClose(board.pool.mesh, control, now, actions);
   pending.control = control;
   pending.control_incarnation = member.incarnation;
   pending.message.set_seen_sequence(NewestSequence(board.pool.mesh, control));
@@ -275,10 +276,14 @@
   board.pool.mesh.routing_source.clear();
 }
 
-void TakeMoved(EntryBoard& board, const wire::JobMoved& moved) {
+void TakeMoved(EntryBoard& board,
+               const wire::JobMoved& moved,
+               Micros now,
+               PoolActions& actions) {
   const auto found = board.pending.find(moved.order());
   const auto member = board.pool.mesh.members.find(moved.to());
   if (found != board.pending.end() && member != board.pool.mesh.members.end()) {
+    StayClose(board.pool.mesh, moved.to(), now, actions);
     found->second.control = moved.to();
     found->second.control_incarnation = member->second.incarnation;
   }
@@ -383,6 +388,7 @@
           Micros now,
           PoolActions& actions) {
   const wire::PoolMessage& message = event.message;
+  NoteHeard(board.pool.mesh, message.from(), message.incarnation(), now);
   if (message.has_presence()) {
     const MemberChange change =
         OnPresence(board.pool.mesh, message.from(), message.incarnation(),
@@ -413,7 +419,7 @@
   } else if (message.has_job_go()) {
     OnJobGo(board.pool, message.from(), message.job_go());
   } else if (message.has_job_moved()) {
-    TakeMoved(board, message.job_moved());
+    TakeMoved(board, message.job_moved(), now, actions);
   } else if (message.has_job_end()) {
     TakeEnd(board, message.job_end(), now, actions);
   }
@@ -462,6 +468,18 @@
   return IsHeard(mesh, job.control, now) ? "" : "control_not_heard";
 }
 
+// Exchanges presences at the full rate with all daemons that have jobs of
+// callers here.
+void StayCloseWithJobs(EntryBoard& board, Micros now, PoolActions& actions) {
+  std::set<std::string> controls;
+  for (const auto& [order, job] : board.pending) {
+    controls.insert(job.control);
+  }
+  for (const std::string& control : controls) {
+    StayClose(board.pool.mesh, control, now, actions);
+  }
+}
+
 // Gives up jobs whose control daemon is lost or does not answer in time.
 void GiveUpLost(EntryBoard& board, Micros now, PoolActions& actions) {
   std::vector<std::pair<uint64_t, std::string>> lost;
@@ -535,6 +553,7 @@
     GiveUpLost(board, now.mono, actions);
     RepeatCancels(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
+    StayCloseWithJobs(board, now.mono, actions);
     StandbyTick(board.pool, now.mono, actions);
     RunPool(board.pool, now.mono, actions);
     MeshTick(board.pool.mesh, now.mono, actions);
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "goldcrest/digest.h"
 #include "pool/standby.h"
 
 namespace goldcrest {
@@ -12,6 +13,89 @@
 constexpr uint64_t kWitnessesEvery = 8;
 // What a daemon said of its load is of use for this long.
 constexpr Micros kFreshFor = 350 * kMillisecond;
+// An entry daemon whose own domain's control daemons were not heard for this
+// long changes to the full rate with all others.
+constexpr Micros kNearInDoubt = 250 * kMillisecond;
+// Presences stay at the full rate for this long after the last shared job.
+constexpr Micros kCloseAfterJob = kSecond;
+
+bool IsNear(const Mesh& mesh, const MeshMember& member) {
+  return member.presence.failure_domain() == mesh.options.failure_domain;
+}
+
+bool WasHeardWithin(const MeshMember& member, Micros silence, Micros now) {
+  return member.last_heard != 0 && now - member.last_heard < silence;
+}
+
+// Whether presences between this daemon and the member may go at the far rate.
+bool IsFarPair(const Mesh& mesh, const MeshMember& member) {
+  return mesh.options.control != member.presence.control() &&
+         !IsNear(mesh, member) && mesh.far_period > mesh.options.rates.period;
+}
+
+// Returns the silence after which the member counts as lost. An entry daemon
+// that has changed to the full rate gives it time to answer once.
+Micros SilenceOf(const Mesh& mesh, const MeshMember& member, Micros now) {
+  const PresenceRates& rates = mesh.options.rates;
+  const bool close =
+      member.close_since != 0 && now - member.close_since >= rates.silence;
+  return close || !IsFarPair(mesh, member) ? rates.silence
+                                           : FarSilence(rates, mesh.far_period);
+}
+
+// Whether an entry daemon hears a control daemon of its own domain.
+bool HearsNear(const Mesh& mesh, Micros now) {
+  return std::any_of(
+      mesh.members.begin(), mesh.members.end(), [&](const auto& entry) {
+        const MeshMember& member = entry.second;
+        return member.presence.control() && IsNear(mesh, member) &&
+               WasHeardWithin(member, kNearInDoubt, now);
+      });
+}
+
+uint32_t CountEntryDaemons(const Mesh& mesh) {
+  return static_cast<uint32_t>(std::count_if(
+      mesh.members.begin(), mesh.members.end(),
+      [](const auto& entry) { return !entry.second.presence.control(); }));
+}
+
+// Entry daemons go by what the control daemons that they hear have counted.
+void UpdateFarPeriod(Mesh& mesh, Micros now) {
+  uint32_t entries = mesh.options.control ? CountEntryDaemons(mesh) : 0;
+  for (const auto& [address, member] : mesh.members) {
+    if (!mesh.options.control && IsHeard(mesh, address, now)) {
+      entries = std::max(entries, member.presence.entry_daemons());
+    }
+  }
+  mesh.entry_daemons = entries;
+  mesh.far_period = FarPeriod(mesh.options.rates, entries);
+}
+
+// Whether a presence to a control daemon is due in this round.
+bool IsPresenceDue(Mesh& mesh,
+                   MeshMember& member,
+                   bool hears_near,
+                   Micros now) {
+  const bool close = mesh.options.control || member.last_heard == 0 ||
+                     !IsFarPair(mesh, member) || !hears_near ||
+                     now < member.close_until;
+  if (close) {
+    member.close_since = member.close_since == 0 ? now : member.close_since;
+    return true;
+  }
+  member.close_since = 0;
+  const bool asks =
+      mesh.routing_ask_due && member.address == mesh.routing_source;
+  if (now < member.far_due && !asks) {
+    return false;
+  }
+  // Entry daemons that start together do not all send in the same round.
+  const auto period = static_cast<uint64_t>(mesh.far_period);
+  const auto offset = static_cast<Micros>(
+      RendezvousWeight(mesh.options.self, member.address) % period);
+  member.far_due = now + (member.far_due == 0 ? offset : mesh.far_period);
+  return true;
+}
 
 wire::PoolMessage MakePresence(Mesh& mesh,
                                const std::string& to,
@@ -32,16 +116,19 @@
   presence.set_wants_routing(mesh.routing_ask_due && !is_answer &&
                              to == mesh.routing_source);
   for (const auto& [address, member] : mesh.members) {
-    if (!member.presence.control()) {
+    if (!member.presence.control() || address == to) {
       continue;
     }
-    presence.add_knows(address);
-    if (IsHeard(mesh, address, now)) {
+    // Others decide by it whether a daemon is lost: only what is certain.
+    if (WasHeardWithin(member, mesh.options.rates.silence, now)) {
       presence.add_hears(address);
+    } else {
+      presence.add_knows(address);
     }
   }
   if (mesh.options.control) {
     *presence.mutable_load() = mesh.load;
+    presence.set_entry_daemons(mesh.entry_daemons);
   }
   if (mesh.options.control && is_answer &&
       mesh.sequence % kWitnessesEvery == 0) {
@@ -111,6 +198,17 @@
   }
 }
 
+// Takes in that another daemon knows a control daemon.
+void AddKnown(Mesh& mesh, const std::string& address, Micros now) {
+  if (address == mesh.options.self || mesh.members.contains(address)) {
+    return;
+  }
+  MeshMember& known = mesh.members[address];
+  known.address = address;
+  known.presence.set_control(true);
+  known.heard_by_others = now;
+}
+
 void ForgetSilent(Mesh& mesh, Micros now) {
   std::erase_if(mesh.members, [&](const auto& entry) {
     const MeshMember& member = entry.second;
@@ -163,42 +261,67 @@
   member.presence_at = now;
   member.presence = presence;
   for (const std::string& address : presence.knows()) {
-    if (address != mesh.options.self && !mesh.members.contains(address)) {
-      MeshMember& known = mesh.members[address];
-      known.address = address;
-      known.presence.set_control(true);
-      known.heard_by_others = now;
-    }
-  }
-  if (presence.witnesses_size() > 0) {
-    mesh.witnesses.assign(presence.witnesses().begin(),
-                          presence.witnesses().end());
+    AddKnown(mesh, address, now);
   }
   for (const std::string& address : presence.hears()) {
+    AddKnown(mesh, address, now);
     const auto heard = mesh.members.find(address);
     if (heard != mesh.members.end()) {
       heard->second.heard_by_others = now;
     }
   }
+  if (presence.witnesses_size() > 0) {
+    mesh.witnesses.assign(presence.witnesses().begin(),
+                          presence.witnesses().end());
+  }
   if (!presence.control() && !presence.is_answer()) {
     SendTo(actions, from, MakePresence(mesh, from, now, true));
   }
   return change;
 }
 
+void NoteHeard(Mesh& mesh,
+               const std::string& from,
+               uint64_t incarnation,
+               Micros now) {
+  const auto member = mesh.members.find(from);
+  if (member != mesh.members.end() && member->second.last_heard != 0 &&
+      member->second.incarnation == incarnation) {
+    member->second.last_heard = now;
+  }
+}
+
+void StayClose(Mesh& mesh,
+               const std::string& address,
+               Micros now,
+               PoolActions& actions) {
+  const auto member = mesh.members.find(address);
+  if (member == mesh.members.end() || mesh.options.control) {
+    return;
+  }
+  member->second.close_until = now + kCloseAfterJob;
+  if (member->second.close_since == 0) {
+    member->second.close_since = now;
+    SendTo(actions, address, MakePresence(mesh, address, now, false));
+  }
+}
+
 void MeshTick(Mesh& mesh, Micros now, PoolActions& actions) {
   if (now < mesh.presence_due) {
     return;
   }
-  mesh.presence_due = now + mesh.options.presence_period;
+  mesh.presence_due = now + mesh.options.rates.period;
   CountPresence(mesh, now);
+  UpdateFarPeriod(mesh, now);
   LogLostAndBack(mesh, now, actions);
   if (!mesh.options.control) {
     ChooseRoutingSource(mesh, now);
   }
   ForgetSilent(mesh, now);
-  for (const auto& [address, member] : mesh.members) {
-    if (member.presence.control()) {
+  const bool hears_near = HearsNear(mesh, now);
+  for (auto& [address, member] : mesh.members) {
+    if (member.presence.control() &&
+        IsPresenceDue(mesh, member, hears_near, now)) {
       SendTo(actions, address, MakePresence(mesh, address, now, false));
     }
   }
@@ -217,10 +340,17 @@
   }
 }
 
+Micros SilenceOf(const Mesh& mesh, const std::string& address, Micros now) {
+  const auto found = mesh.members.find(address);
+  return found == mesh.members.end() ? mesh.options.rates.silence
+                                     : SilenceOf(mesh, found->second, now);
+}
+
 bool IsHeard(const Mesh& mesh, const std::string& address, Micros now) {
   const auto found = mesh.members.find(address);
-  return found != mesh.members.end() && found->second.last_heard != 0 &&
-         now - found->second.last_heard < mesh.options.silence;
+  return found != mesh.members.end() &&
+         WasHeardWithin(found->second, SilenceOf(mesh, found->second, now),
+                        now);
 }
 
 bool IsAlive(const Mesh& mesh, const std::string& address, Micros now) {
@@ -237,12 +367,11 @@
 }
 
 Micros SentAt(const Mesh& mesh, uint64_t sequence) {
-  for (const auto& [number, at] : mesh.sent) {
-    if (number == sequence) {
-      return at;
-    }
-  }
-  return 0;
+  // The numbers follow each other.
+  const uint64_t first = mesh.sent.empty() ? 0 : mesh.sent.front().first;
+  const bool kept =
+      !mesh.sent.empty() && sequence >= first && sequence <= mesh.sequence;
+  return kept ? mesh.sent[sequence - first].second : 0;
 }
 
 uint64_t NewestSequence(const Mesh& mesh, const std::string& address) {
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -3,11 +3,12 @@
 
 // Which daemons there are, and which of them can be reached.
 //
-// Every daemon sends a presence to all control daemons that it knows, a few
-// times a second; control daemons answer those of entry daemons. A presence
-// names the control daemons that its sender knows and those it hears, so that
-// a list of seeds is enough to find all of them, and so that a daemon that is
-// cut off from one control daemon can still learn from others that it lives.
+// Every daemon sends presences to all control daemons that it knows, at the
+// rates of presence_rate.h; control daemons answer those of entry daemons. A
+// presence names the control daemons that its sender hears and the others that
+// it knows, so that a list of seeds is enough to find all of them, and so that
+// a daemon that is cut off from one control daemon can still learn from others
+// that it lives.
 //
 // A presence carries a sequence number and the newest number received from the
 // other side. An order that repeats a number says how fresh its sender's view
@@ -23,6 +24,7 @@
 
 #include "goldcrest/time_units.h"
 #include "pool/pool_action.h"
+#include "pool/presence_rate.h"
 #include "proto/pool.pb.h"
 
 namespace goldcrest {
@@ -34,9 +36,7 @@
   std::string failure_domain;
   std::string control_address;
   std::vector<std::string> seeds;  // mesh addresses of control daemons
-  Micros presence_period = 100 * kMillisecond;
-  // A daemon that was not heard for this long counts as lost.
-  Micros silence = 450 * kMillisecond;
+  PresenceRates rates;
   // What others say of a control daemon counts for this long.
   Micros hearsay = 700 * kMillisecond;
   // A configuration that was asked for and has not come is asked for
@@ -52,8 +52,13 @@
   Micros last_heard = 0;       // 0: never
   Micros presence_at = 0;      // when `presence` came; pauses count
   Micros heard_by_others = 0;  // newest time another daemon said it hears it
-  wire::Presence presence;     // the newest one
-  bool counted_lost = false;   // was told in the log
+  // Since when an entry daemon exchanges presences with it at the full rate; 0:
+  // at the far rate.
+  Micros close_since = 0;
+  Micros close_until = 0;     // jobs are shared with it until then at least
+  Micros far_due = 0;         // the next presence at the far rate
+  wire::Presence presence;    // the newest one
+  bool counted_lost = false;  // was told in the log
 };
 
 struct Mesh {
@@ -62,6 +67,8 @@
   std::deque<std::pair<uint64_t, Micros>> sent;  // sequence, when
   std::map<std::string, MeshMember> members;     // by address
   Micros presence_due = 0;
+  uint32_t entry_daemons = 0;  // as far as is known
+  Micros far_period = 0;  // period at the far rate; 0: not known, full rate
   bool draining = false;
   uint64_t routing_version = 0;
   // The control daemon that an entry daemon asked for a newer configuration.
@@ -94,13 +101,30 @@
                         Micros now,
                         PoolActions& actions);
 
+// Takes in that any other message came from a known life of a daemon.
+void NoteHeard(Mesh& mesh,
+               const std::string& from,
+               uint64_t incarnation,
+               Micros now);
+
+// Changes to the full rate with the daemon at `address`, with which an entry
+// daemon shares a job.
+void StayClose(Mesh& mesh,
+               const std::string& address,
+               Micros now,
+               PoolActions& actions);
+
 // Sends presences when they are due.
 void MeshTick(Mesh& mesh, Micros now, PoolActions& actions);
 
 // Does not count a pause of this process as silence of the others.
 void ForgivePause(Mesh& mesh, Micros pause);
 
-// Says whether the daemon at `address` was heard of late.
+// Returns the silence after which the daemon at `address` counts as lost.
+Micros SilenceOf(const Mesh& mesh, const std::string& address, Micros now);
+
+// Says whether the daemon at `address` was heard of late, by the rate at which
+// presences are exchanged with it.
 bool IsHeard(const Mesh& mesh, const std::string& address, Micros now);
 
 // Says whether this daemon, or one that it hears, has heard the control daemon
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -39,8 +39,9 @@
   Micros entry_silence = 400 * kMillisecond;
   // So has one that has not heard this daemon for this long.
   Micros entry_deafness = 700 * kMillisecond;
-  // An order whose sender last heard this daemon longer ago is not taken.
-  Micros stale_order = 500 * kMillisecond;
+  // An order is not taken whose sender last heard this daemon this much longer
+  // ago than the silence after which it would have called it lost.
+  Micros stale_order_slack = 50 * kMillisecond;
   // How long an answer to a hold may wait for the end of a run.
   int64_t hold_wait_ms = 250;
   // An end is acknowledged with the next hold, or after this long.
@@ -143,6 +144,26 @@
   Micros claim_after = 0;  // not claimed before
   // When the worker refused this daemon's token; 0 once its owner is known.
   Micros fenced_at = 0;
+  // The daemon that is to order the worker, worked out among the candidates of
+  // that number; 0: not yet.
+  std::string preferred_owner;
+  uint64_t preferred_among = 0;
+};
+
+// A daemon that may order workers.
+struct OwnerCandidate {
+  std::string address;
+  std::string failure_domain;
+
+  friend bool operator==(const OwnerCandidate&,
+                         const OwnerCandidate&) = default;
+};
+
+// The daemons that may order workers now, by address, and how often that set
+// has changed.
+struct OwnerCandidates {
+  std::vector<OwnerCandidate> all;
+  uint64_t number = 1;
 };
 
 // ------------------------------------------------------------ jobs
@@ -191,9 +212,14 @@
   std::vector<PoolStep> steps;
   size_t open = 0;
   JobHope hope = JobHope::kInTime;
-  // Whether its entry daemon has agreed to its start, and when it was asked.
+  // Whether its entry daemon has agreed to its start, when it was asked first
+  // and last.
   bool may_start = false;
-  Micros asked_at = 0;  // 0: not yet
+  Micros first_asked_at = 0;  // 0: not yet
+  Micros asked_at = 0;
+  // The entry daemon is known to have heard this one at that time, and to have
+  // lived then: by the job's arrival, later by its agreement to the start.
+  Micros contact_at = 0;
   // Whether a start was sent for any of its tasks.
   bool started = false;
   Micros first_start = 0;
@@ -228,6 +254,8 @@
   Mesh mesh;
   Agreement agreement;
   std::map<std::string, PoolWorker> workers;
+  // Those with a session here, by id: most workers are other daemons'.
+  std::map<std::string, PoolWorker*> ordered;
   std::unordered_map<std::string, std::unique_ptr<PoolJob>> jobs;  // by key
   std::unordered_map<std::string, std::string> job_keys;           // by job id
   std::map<WaitingKey, WaitingTask> waiting;
@@ -237,6 +265,7 @@
   Micros started_at = 0;
   Micros last_step = 0;
   Micros ownership_due = 0;
+  OwnerCandidates owner_candidates;
   uint64_t next_sequence = 1;
   uint64_t next_session = 1;
   bool placement_due = false;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -67,21 +67,37 @@
   SendEnd(order, fate, reason, retry_after_ms, try_elsewhere, actions);
 }
 
-bool IsEntryHeard(const PoolBoard& board,
-                  const wire::JobOrder& order,
-                  Micros now) {
+// Says whether the entry daemon that sent the order is in its known life, so
+// that it can be asked whether the job may start.
+bool KnowsEntry(const PoolBoard& board,
+                const wire::JobOrder& order,
+                Micros now) {
   if (order.entry() == board.mesh.options.self) {
     return true;
   }
   const auto found = board.mesh.members.find(order.entry());
+  return found != board.mesh.members.end() &&
+         found->second.incarnation == order.entry_incarnation() &&
+         IsHeard(board.mesh, order.entry(), now);
+}
+
+// Says whether the job's entry daemon hears this daemon and is heard by it.
+bool IsEntryHeard(const PoolBoard& board, const PoolJob& job, Micros now) {
+  const std::string& entry = job.order.entry();
+  if (entry == board.mesh.options.self) {
+    return true;
+  }
+  const auto found = board.mesh.members.find(entry);
   if (found == board.mesh.members.end() ||
-      found->second.incarnation != order.entry_incarnation()) {
+      found->second.incarnation != job.order.entry_incarnation()) {
     return false;
   }
-  const MeshMember& entry = found->second;
-  const Micros heard_us = SentAt(board.mesh, entry.presence.echoed_sequence());
-  return now - entry.last_heard < board.options.entry_silence &&
-         heard_us != 0 && now - heard_us < board.options.entry_deafness;
+  const MeshMember& member = found->second;
+  const Micros heard_us = std::max(
+      SentAt(board.mesh, member.presence.echoed_sequence()), job.contact_at);
+  const Micros heard = std::max(member.last_heard, job.contact_at);
+  return now - heard < board.options.entry_silence &&
+         now - heard_us < board.options.entry_deafness;
 }
 
 WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
@@ -96,6 +112,7 @@
   job->order = order;
   job->sequence = board.next_sequence++;
   job->received = now;
+  job->contact_at = now;
   job->deadline = now + order.budget_ms() * kMillisecond;
   Micros chain = 0;
   for (const wire::JobStep& step : order.steps()) {
@@ -212,12 +229,14 @@
   // The new entry daemon has agreed to nothing yet. If the job has begun, it
   // must know at once.
   job->may_start = false;
+  job->first_asked_at = 0;
   job->asked_at = 0;
+  job->contact_at = now;
   if (job->started) {
     AskToStart(*job, now, actions);
   }
-  for (auto& [id, worker] : board.workers) {
-    for (auto& [name, run] : worker.runs) {
+  for (auto& [id, worker] : board.ordered) {
+    for (auto& [name, run] : worker->runs) {
       if (run.job_key == old_key) {
         run.job_key = job->key;
       }
@@ -327,12 +346,14 @@
   const Micros seen_at = order.entry() == board.mesh.options.self
                              ? now
                              : SentAt(board.mesh, order.seen_sequence());
-  if (seen_at == 0 || now - seen_at > board.options.stale_order) {
+  const Micros stale_after = SilenceOf(board.mesh, order.entry(), now) +
+                             board.options.stale_order_slack;
+  if (seen_at == 0 || now - seen_at > stale_after) {
     Refuse(board, order, wire::JOB_REFUSED, "order_out_of_date",
            kShortestRetryAfterMs, true, actions);
     return;
   }
-  if (!IsEntryHeard(board, order, now)) {
+  if (!KnowsEntry(board, order, now)) {
     Refuse(board, order, wire::JOB_REFUSED, "entry_not_heard",
            kShortestRetryAfterMs, true, actions);
     return;
@@ -398,6 +419,7 @@
     return;
   }
   job.asked_at = now;
+  job.first_asked_at = job.first_asked_at == 0 ? now : job.first_asked_at;
   wire::PoolMessage message;
   message.mutable_job_ask()->set_order(job.order.order());
   message.mutable_job_ask()->set_job_id(job.order.job_id());
@@ -416,6 +438,7 @@
     return;  // it has ended here, or is another daemon's now
   }
   job->may_start = true;
+  job->contact_at = job->first_asked_at;
   board.placement_due = true;
 }
 
@@ -506,7 +529,7 @@
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions) {
   std::vector<std::pair<std::string, bool>> ending;  // key, entry lost
   for (const auto& [key, job] : board.jobs) {
-    const bool lost = !IsEntryHeard(board, job->order, now);
+    const bool lost = !IsEntryHeard(board, *job, now);
     if (lost || now > job->deadline) {
       ending.emplace_back(key, lost);
       continue;
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -36,8 +36,9 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-std::string KindOf(const PoolWorker& worker) {
-  return worker.facts.labels_size() > 0 ? worker.facts.labels(0) : "";
+const std::string& KindOf(const PoolWorker& worker) {
+  static const std::string kNoKind;
+  return worker.facts.labels_size() > 0 ? worker.facts.labels(0) : kNoKind;
 }
 
 double KindFactor(const PoolBoard& board, const PoolWorker& worker) {
@@ -81,8 +82,13 @@
                  const WaitingKey& key) {
   const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
   const PoolTask& task = job.steps[key.step].tasks[key.index];
+  const Need need = NeedOf(step);
   Offers result;
   for (PoolWorker* worker : ready) {
+    // On the heaviest days most workers are full, and the rest costs more.
+    if (!Fits(need, FreeRoom(*worker))) {
+      continue;
+    }
     const bool full = step.most_per_worker() > 0 &&
                       CountOfStep(*worker, job.order.job_id(), key.step) >=
                           step.most_per_worker();
@@ -102,11 +108,11 @@
   return result;
 }
 
-std::vector<PoolWorker*> ReadyWorkers(PoolBoard& board, Micros now) {
+std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
   std::vector<PoolWorker*> ready;
-  for (auto& [id, worker] : board.workers) {
-    if (TakesStarts(worker, now)) {
-      ready.push_back(&worker);
+  for (const auto& [id, worker] : board.ordered) {
+    if (TakesStarts(*worker, now)) {
+      ready.push_back(worker);
     }
   }
   return ready;
@@ -162,16 +168,16 @@
                               Micros now) {
   const Need need = NeedOf(step);
   std::vector<Micros> slots;
-  for (const auto& [id, worker] : board.workers) {
-    if (!TakesStarts(worker, now) || !Matches(worker, order, step)) {
+  for (const auto& [id, worker] : board.ordered) {
+    if (!TakesStarts(*worker, now) || !Matches(*worker, order, step)) {
       continue;
     }
-    int64_t free = worker.facts.cpu_millis() - worker.used.cpu_millis;
+    int64_t free = FreeRoom(*worker).cpu_millis;
     const int64_t cpu = std::max<int64_t>(need.cpu_millis, 1);
     for (; free >= cpu; free -= cpu) {
       slots.push_back(0);
     }
-    for (const auto& [name, run] : worker.runs) {
+    for (const auto& [name, run] : worker->runs) {
       const Micros end = run.sent_at + run.expected - now;
       free += run.need.cpu_millis;
       if (free >= cpu) {
@@ -253,7 +259,7 @@
 }
 
 void PlaceWaiting(PoolBoard& board, Micros now, PoolActions& actions) {
-  if (!board.placement_due) {
+  if (!board.placement_due || board.waiting.empty()) {
     return;
   }
   board.placement_due = false;
@@ -299,31 +305,31 @@
     return;  // no room to spare
   }
   const std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
-  for (auto& [id, worker] : board.workers) {
-    if (worker.session != SessionState::kReady) {
+  for (PoolWorker* worker : OrderedWorkers(board)) {
+    if (worker->session != SessionState::kReady) {
       continue;
     }
-    for (auto& [name, run] : worker.runs) {
+    for (const auto& [name, run] : worker->runs) {
       const PoolJob* job = FindPoolJob(board, run.job_key);
       if (job == nullptr || !IsOverdue(run, now)) {
         continue;
       }
       const Micros anew = job->steps[name.step].expected;
-      if (!HasRoomElsewhere(ready, &worker, run) ||
+      if (!HasRoomElsewhere(ready, worker, run) ||
           TimeLeft(run, now) < 2 * anew || now + anew > job->deadline) {
         continue;
       }
       const Micros elapsed = now - run.answered_at;
       LogPool(actions, LogLevel::kWarning, "straggler_stopped",
-              {{"worker", id},
+              {{"worker", worker->facts.id()},
                {"job", name.job_id},
                {"task", ToText(name)},
                {"run", std::to_string(run.run)},
                {"elapsed_ms", std::to_string(elapsed / kMillisecond)},
                {"expected_ms", std::to_string(run.expected / kMillisecond)},
                {"progress_percent", std::to_string(run.progress_percent)}});
-      RecordFailure(worker, now);
-      StopRun(board, worker, name, false, now, actions);
+      RecordFailure(*worker, now);
+      StopRun(board, *worker, name, false, now, actions);
     }
   }
 }
@@ -350,13 +356,10 @@
   wire::PoolLoad load;
   int64_t free = 0;
   int64_t capacity = 0;
-  for (const auto& [id, worker] : board.workers) {
-    if (!TakesStarts(worker, now)) {
-      continue;
-    }
+  for (const PoolWorker* worker : ReadyWorkers(board, now)) {
     load.set_workers(load.workers() + 1);
-    capacity += worker.facts.cpu_millis();
-    free += std::max<int64_t>(FreeRoom(worker).cpu_millis, 0);
+    capacity += worker->facts.cpu_millis();
+    free += std::max<int64_t>(FreeRoom(*worker).cpu_millis, 0);
   }
   int64_t cpu_ms = 0;  // of all that waits
   for (const auto& [key, waiting] : board.waiting) {
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -59,6 +59,7 @@
           PoolActions& actions) {
   const wire::PoolMessage& message = event.message;
   const std::string& from = message.from();
+  NoteHeard(board.mesh, from, message.incarnation(), now);
   switch (message.body_case()) {
     case wire::PoolMessage::kPresence:
       TakePresence(board, message, now, actions);
@@ -175,15 +176,13 @@
   if (!board.draining || board.drained) {
     return;
   }
-  bool holds = false;
-  for (auto& [id, worker] : board.workers) {
-    if (board.waiting.empty() && worker.session == SessionState::kReady) {
-      worker.session = SessionState::kReleasing;
-      SessionTick(board, worker, now, actions);
+  for (PoolWorker* worker : OrderedWorkers(board)) {
+    if (board.waiting.empty() && worker->session == SessionState::kReady) {
+      worker->session = SessionState::kReleasing;
+      SessionTick(board, *worker, now, actions);
     }
-    holds = holds || worker.session != SessionState::kNone;
   }
-  const bool done = board.jobs.empty() && !holds;
+  const bool done = board.jobs.empty() && board.ordered.empty();
   if (done || now - board.drain_started > kLongestDrain) {
     board.drained = true;
     LogPool(actions, LogLevel::kInfo, "drain_ended",
@@ -228,8 +227,8 @@
   OwnershipTick(board, now, actions);
   JobsTick(board, now, actions);
   MoveStragglers(board, now, actions);
-  for (auto& [id, worker] : board.workers) {
-    SessionTick(board, worker, now, actions);
+  for (PoolWorker* worker : OrderedWorkers(board)) {
+    SessionTick(board, *worker, now, actions);
   }
   board.placement_due = true;  // ejections end by time
   UpdateLoad(board, now);
--- a/pool/standby.cc
+++ b/pool/standby.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <string>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 #include "goldcrest/digest.h"
@@ -30,6 +30,29 @@
   return !mesh.witnesses.empty() && 2 * heard >= mesh.witnesses.size();
 }
 
+// Returns up to `most` of the addresses, those of the least rendezvous weight
+// for `to`, so that each daemon keeps its witnesses.
+std::vector<std::string> LightestFor(const std::string& to,
+                                     const std::vector<std::string>& addresses,
+                                     size_t most) {
+  if (most == 0) {
+    return {};
+  }
+  std::vector<std::pair<uint64_t, std::string>> ranked;
+  ranked.reserve(addresses.size());
+  for (const std::string& address : addresses) {
+    ranked.emplace_back(RendezvousWeight(to, address), address);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> lightest;
+  for (auto& [weight, address] : ranked) {
+    if (lightest.size() < most) {
+      lightest.push_back(std::move(address));
+    }
+  }
+  return lightest;
+}
+
 void LogStandby(const PoolBoard& board,
                 const char* event,
                 PoolActions& actions) {
@@ -73,30 +96,27 @@
     return {};
   }
   const std::string& domain = receiver->second.presence.failure_domain();
-  // Near ones first, then by weight, so that each daemon keeps its witnesses.
-  std::vector<std::tuple<bool, uint64_t, std::string>> ranked;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
   for (const auto& [address, member] : mesh.members) {
     if (address == to || member.presence.control() || member.incarnation == 0 ||
         !IsHeard(mesh, address, now)) {
       continue;
     }
-    ranked.emplace_back(member.presence.failure_domain() != domain,
-                        RendezvousWeight(to, address), address);
-  }
-  std::sort(ranked.begin(), ranked.end());
-  std::vector<std::string> witnesses;
-  for (const auto& [far, weight, address] : ranked) {
-    if (witnesses.size() < kMaxWitnesses) {
-      witnesses.push_back(address);
-    }
+    const bool is_near = member.presence.failure_domain() == domain;
+    (is_near ? near : far).push_back(address);
   }
+  std::vector<std::string> witnesses = LightestFor(to, near, kMaxWitnesses);
+  const std::vector<std::string> others =
+      LightestFor(to, far, kMaxWitnesses - witnesses.size());
+  witnesses.insert(witnesses.end(), others.begin(), others.end());
   return witnesses;
 }
 
 bool HasReadyWorkers(const PoolBoard& board) {
-  return std::any_of(board.workers.begin(), board.workers.end(),
+  return std::any_of(board.ordered.begin(), board.ordered.end(),
                      [](const auto& entry) {
-                       return entry.second.session == SessionState::kReady;
+                       return entry.second->session == SessionState::kReady;
                      });
 }
 
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -37,12 +37,14 @@
     FakeControl& control = controls_.emplace_back();
     control.address = "control-" + options.domains[i];
     control.domain = options.domains[i];
+    domains_[control.address] = control.domain;
   }
   for (const std::string& domain : options.domains) {
     for (int i = 0; i < options.entries_per_domain; ++i) {
       FakeEntry& entry = entries_.emplace_back();
       entry.address = "entry-" + domain + std::to_string(i);
       entry.domain = domain;
+      domains_[entry.address] = domain;
     }
     for (int i = 0; i < options.workers_per_domain; ++i) {
       FakeWorker& worker = workers_.all.emplace_back();
@@ -76,6 +78,7 @@
   control.running = true;
   control.frozen = false;
   PoolStart start;
+  start.mesh.rates = options_.rates;
   start.mesh.self = control.address;
   start.mesh.incarnation = static_cast<uint64_t>(Clock().wall_ms);
   start.mesh.control = true;
@@ -111,6 +114,7 @@
   entry.running = true;
   entry.frozen = false;
   MeshOptions mesh;
+  mesh.rates = options_.rates;
   mesh.self = entry.address;
   mesh.incarnation = static_cast<uint64_t>(Clock().wall_ms);
   mesh.failure_domain = entry.domain;
@@ -217,6 +221,12 @@
   send.message.set_from(from);
   send.message.set_incarnation(incarnation);
   routings_sent_ += send.message.has_routing() ? 1 : 0;
+  const bool between_roles =
+      from.starts_with("entry") != send.to.starts_with("entry");
+  if (send.message.has_presence() && between_roles &&
+      domains_[from] != domains_[send.to]) {
+    ++far_presences_;
+  }
   At(now_ + options_.delay, [this, from, send = std::move(send)] {
     if (cuts_.contains({from, send.to})) {
       return;
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -35,6 +35,7 @@
   // Whether a worker that is told no address reports to the first control
   // daemon that answers, not to any.
   bool sticky_reports = false;
+  PresenceRates rates;
   Micros delay = kMillisecond;
   Micros sync = 9 * kMillisecond;
 };
@@ -110,6 +111,9 @@
   uint64_t NewestVersion() const;
   // Configurations sent to entry daemons since the start.
   int routings_sent() const { return routings_sent_; }
+  // Presences that entry daemons and control daemons of different failure
+  // domains have sent each other since the start.
+  int far_presences() const { return far_presences_; }
 
   // Lines logged with this event name.
   int CountLogged(const std::string& event) const;
@@ -160,6 +164,8 @@
   ReplyToken next_token_ = 1;
   std::map<ReplyToken, ChangeResult*> changes_;
   int routings_sent_ = 0;
+  int far_presences_ = 0;
+  std::map<std::string, std::string> domains_;  // by address
   std::map<std::string, int> logged_;
 };
 
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/testing/fake_pool.h"
+#include "pool/testing/pool_load.h"
 
 namespace goldcrest {
 namespace {
@@ -10,46 +10,10 @@
 constexpr int kWorkers = 12;                 // of the default deployment
 constexpr Micros kStep = 25 * kMillisecond;  // of an entry daemon
 
-// A deployment that has settled and has a configuration.
 FakePool CalmPool(const FakePoolOptions& options = {}) {
   return FakePool(options);
 }
 
-void Settle(FakePool& pool) {
-  pool.Run(3 * kSecond);
-  ChangeResult result = ChangeResult::kUnknown;
-  pool.Change(0, 5, &result);
-  pool.Run(kSecond);
-  REQUIRE(result == ChangeResult::kDurable);
-}
-
-// A steady load for a while: each entry daemon gets a job every `gap`.
-void Load(FakePool& pool, Micros duration, Micros gap) {
-  const Micros until = pool.now() + duration;
-  size_t entry = 0;
-  while (pool.now() < until) {
-    pool.Submit(entry++ % pool.entries().size(), 4, 60, 2000);
-    pool.Run(gap);
-  }
-}
-
-// Returns which control daemon leads the agreement.
-size_t LeaderOf(FakePool& pool) {
-  size_t leader = 0;
-  for (size_t i = 0; i < pool.controls().size(); ++i) {
-    const Agreement& agreement = pool.controls()[i].board.agreement;
-    leader = agreement.role == AgreementRole::kLeader ? i : leader;
-  }
-  return leader;
-}
-
-void RequireNoViolation(const FakePool& pool) {
-  for (const std::string& violation : pool.violations()) {
-    FAIL(violation);
-  }
-  CHECK(pool.RefusedThatRan() == 0);
-}
-
 TEST_CASE("Every worker is ordered and a job is answered whole") {
   FakePool pool = CalmPool();
   Settle(pool);
@@ -355,7 +319,7 @@
     }
     CHECK(pool.NewestVersion() == 5);
     // One presence tells that there is one; it is asked for without delay.
-    pool.Run(MeshOptions().presence_period + 2 * kStep);
+    pool.Run(PresenceRates().period + 2 * kStep);
     for (const FakeEntry& entry : pool.entries()) {
       CHECK(entry.board.routing.version() == 5);
     }
@@ -492,81 +456,98 @@
 
 // Kills, freezes, cuts and late orders at random; what must never happen is
 // checked all along, and after a calm time everything is served again.
+void PlayRandomFaults(const FakePoolOptions& options) {
+  const uint64_t seed = options.seed;
+  FakePool pool(options);
+  Settle(pool);
+  std::mt19937_64 random(seed);
+  uint64_t acknowledged = 5;
+  uint64_t version = 6;
+  for (int round = 0; round < 12; ++round) {
+    const size_t victim = random() % 3;
+    FakeControl& control = pool.controls()[victim];
+    switch (random() % 8) {
+      case 0:
+        pool.KillControl(victim);
+        break;
+      case 1:
+        control.frozen = true;
+        break;
+      case 2:
+        pool.CutDomain(control.domain);
+        break;
+      case 3:
+        pool.workers()[random() % kWorkers].reachable = false;
+        break;
+      case 4:
+        pool.workers()[random() % kWorkers].late_share = 0.2;
+        break;
+      case 5:
+        pool.KillEntry(victim);
+        break;
+      case 6:
+        for (size_t i = 0; i < 3; ++i) {
+          pool.KillControl(i);
+        }
+        break;
+      default:
+        control.disk_refuses = true;
+        break;
+    }
+    ChangeResult result = ChangeResult::kUnknown;
+    pool.Change(random() % 3, version, &result);
+    Load(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
+         15 * kMillisecond);
+    pool.Run(1500 * kMillisecond);
+    acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
+    ++version;
+    pool.HealMesh();
+    for (size_t i = 0; i < 3; ++i) {
+      pool.controls()[i].frozen = false;
+      pool.controls()[i].disk_refuses = false;
+      if (!pool.controls()[i].running) {
+        pool.StartControl(i);
+      }
+      if (!pool.entries()[i].running) {
+        pool.StartEntry(i);
+      }
+    }
+    for (FakeWorker& worker : pool.workers()) {
+      worker.reachable = true;
+      worker.late_share = 0;
+    }
+    // After a restart of all, what was acknowledged is known again when a
+    // leader is elected.
+    pool.Run(static_cast<Micros>(2500 + random() % 3000) * kMillisecond);
+    CHECK(pool.NewestVersion() >= acknowledged);
+  }
+  pool.Run(10 * kSecond);
+  RequireNoViolation(pool);
+  CHECK(pool.ReadyWorkers() == kWorkers);
+  const int completed = pool.CountAnswers(wire::JOB_COMPLETED);
+  Load(pool, kSecond, 20 * kMillisecond);
+  pool.Run(kSecond);
+  CHECK(pool.CountAnswers(wire::JOB_COMPLETED) - completed == 50);
+}
+
 TEST_CASE("Random faults break no promise") {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     CAPTURE(seed);
     FakePoolOptions options;
     options.seed = seed;
-    FakePool pool(options);
-    Settle(pool);
-    std::mt19937_64 random(seed);
-    uint64_t acknowledged = 5;
-    uint64_t version = 6;
-    for (int round = 0; round < 12; ++round) {
-      const size_t victim = random() % 3;
-      FakeControl& control = pool.controls()[victim];
-      switch (random() % 8) {
-        case 0:
-          pool.KillControl(victim);
-          break;
-        case 1:
-          control.frozen = true;
-          break;
-        case 2:
-          pool.CutDomain(control.domain);
-          break;
-        case 3:
-          pool.workers()[random() % kWorkers].reachable = false;
-          break;
-        case 4:
-          pool.workers()[random() % kWorkers].late_share = 0.2;
-          break;
-        case 5:
-          pool.KillEntry(victim);
-          break;
-        case 6:
-          for (size_t i = 0; i < 3; ++i) {
-            pool.KillControl(i);
-          }
-          break;
-        default:
-          control.disk_refuses = true;
-          break;
-      }
-      ChangeResult result = ChangeResult::kUnknown;
-      pool.Change(random() % 3, version, &result);
-      Load(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
-           15 * kMillisecond);
-      pool.Run(1500 * kMillisecond);
-      acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
-      ++version;
-      pool.HealMesh();
-      for (size_t i = 0; i < 3; ++i) {
-        pool.controls()[i].frozen = false;
-        pool.controls()[i].disk_refuses = false;
-        if (!pool.controls()[i].running) {
-          pool.StartControl(i);
-        }
-        if (!pool.entries()[i].running) {
-          pool.StartEntry(i);
-        }
-      }
-      for (FakeWorker& worker : pool.workers()) {
-        worker.reachable = true;
-        worker.late_share = 0;
-      }
-      // After a restart of all, what was acknowledged is known again when a
-      // leader is elected.
-      pool.Run(static_cast<Micros>(2500 + random() % 3000) * kMillisecond);
-      CHECK(pool.NewestVersion() >= acknowledged);
-    }
-    pool.Run(10 * kSecond);
-    RequireNoViolation(pool);
-    CHECK(pool.ReadyWorkers() == kWorkers);
-    const int completed = pool.CountAnswers(wire::JOB_COMPLETED);
-    Load(pool, kSecond, 20 * kMillisecond);
-    pool.Run(kSecond);
-    CHECK(pool.CountAnswers(wire::JOB_COMPLETED) - completed == 50);
+    PlayRandomFaults(options);
+  }
+}
+
+// The same where failure domains exchange presences at the far rate, as with
+// 150 entry daemons.
+TEST_CASE("Random faults break no promise at the far rate") {
+  for (uint64_t seed = 101; seed <= 120; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.rates.far_period_per_entry = 400 * kMillisecond;
+    PlayRandomFaults(options);
   }
 }
 
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -67,6 +67,9 @@
   const bool differs = is_new || DiffersInSubstance(report, worker.facts);
   const bool restarted = !is_new && report.born_ms() > worker.facts.born_ms();
   const bool moved = !is_new && report.address() != worker.facts.address();
+  if (report.failure_domain() != worker.facts.failure_domain()) {
+    worker.preferred_among = 0;
+  }
   CopyReport(report, worker.facts);
   worker.last_heard = now;
   if (restarted || moved || report.gone()) {
@@ -132,23 +135,39 @@
   }
 };
 
+// Whether this daemon hears an entry daemon: of its own failure domain where
+// that has any, since those are heard at the full rate.
+bool HearsEntry(const PoolBoard& board, Micros now) {
+  bool knows_near = false;
+  bool hears_near = false;
+  bool hears_far = false;
+  for (const auto& [address, member] : board.mesh.members) {
+    if (member.presence.control()) {
+      continue;
+    }
+    const bool near =
+        member.presence.failure_domain() == board.mesh.options.failure_domain;
+    const bool heard = IsHeard(board.mesh, address, now);
+    knows_near = knows_near || near;
+    hears_near = hears_near || (near && heard);
+    hears_far = hears_far || (!near && heard);
+  }
+  return knows_near ? hears_near : hears_far;
+}
+
 // Whether this daemon may believe that another one is lost: one that is itself
 // cut off from callers, or from most others, must not take workers that others
 // are using.
 bool MayJudgeOthers(const PoolBoard& board, bool foreign, Micros now) {
   size_t controls = 1;
   size_t controls_heard = 1;
-  bool hears_entry = false;
   for (const auto& [address, member] : board.mesh.members) {
-    const bool heard = IsHeard(board.mesh, address, now);
     if (member.presence.control()) {
       controls += 1;
-      controls_heard += heard ? 1 : 0;
-    } else {
-      hears_entry = hears_entry || heard;
+      controls_heard += IsHeard(board.mesh, address, now) ? 1 : 0;
     }
   }
-  return hears_entry && (!foreign || 2 * controls_heard >= controls);
+  return HearsEntry(board, now) && (!foreign || 2 * controls_heard >= controls);
 }
 
 void Claim(PoolBoard& board,
@@ -179,8 +198,8 @@
 
 int CountReady(const PoolBoard& board) {
   return static_cast<int>(std::count_if(
-      board.workers.begin(), board.workers.end(), [](const auto& entry) {
-        return entry.second.session == SessionState::kReady;
+      board.ordered.begin(), board.ordered.end(), [](const auto& entry) {
+        return entry.second->session == SessionState::kReady;
       }));
 }
 
@@ -266,7 +285,7 @@
     return;
   }
   const std::string owner = worker.facts.owner().empty()
-                                ? PreferredOwner(board, worker, now)
+                                ? PreferredOwner(board, worker)
                                 : worker.facts.owner();
   if (!owner.empty() && owner != board.mesh.options.self) {
     wire::PoolMessage message;
@@ -378,23 +397,35 @@
   AnnounceWorker(board, worker, now, actions);
 }
 
-std::string PreferredOwner(const PoolBoard& board,
-                           const PoolWorker& worker,
-                           Micros now) {
-  const std::string& domain = worker.facts.failure_domain();
-  OwnerChoice choice;
+void UpdateOwnerCandidates(PoolBoard& board, Micros now) {
+  std::vector<OwnerCandidate> all;
   if (MayOrderWorkers(board)) {
-    choice.Offer(board.mesh.options.self,
-                 board.mesh.options.failure_domain == domain,
-                 RendezvousWeight(worker.facts.id(), board.mesh.options.self));
+    all.push_back({board.mesh.options.self, board.mesh.options.failure_domain});
   }
   for (const auto& [address, member] : board.mesh.members) {
     if (IsOwnerCandidate(board, member, now)) {
-      choice.Offer(address, member.presence.failure_domain() == domain,
-                   RendezvousWeight(worker.facts.id(), address));
+      all.push_back({address, member.presence.failure_domain()});
     }
   }
-  return choice.address;
+  if (all != board.owner_candidates.all) {
+    board.owner_candidates.all = std::move(all);
+    ++board.owner_candidates.number;
+  }
+}
+
+const std::string& PreferredOwner(const PoolBoard& board, PoolWorker& worker) {
+  if (worker.preferred_among == board.owner_candidates.number) {
+    return worker.preferred_owner;
+  }
+  OwnerChoice choice;
+  for (const OwnerCandidate& candidate : board.owner_candidates.all) {
+    choice.Offer(candidate.address,
+                 candidate.failure_domain == worker.facts.failure_domain(),
+                 RendezvousWeight(worker.facts.id(), candidate.address));
+  }
+  worker.preferred_owner = choice.address;
+  worker.preferred_among = board.owner_candidates.number;
+  return worker.preferred_owner;
 }
 
 std::string ReportAddress(const PoolBoard& board,
@@ -422,6 +453,7 @@
   if (now - board.started_at < board.options.claims_after) {
     return;  // others have not had time to say which workers are theirs
   }
+  UpdateOwnerCandidates(board, now);
   const std::string& self = board.mesh.options.self;
   std::map<std::string, wire::WorkerRequest> requests;
   int asked = 0;
@@ -433,7 +465,7 @@
     if (worker.session != SessionState::kNone || !IsPresent(worker)) {
       continue;
     }
-    if (PreferredOwner(board, worker, now) != self) {
+    if (PreferredOwner(board, worker) != self) {
       continue;
     }
     const std::string& owner = worker.facts.owner();
--- a/pool/worker_roster.h
+++ b/pool/worker_roster.h
@@ -63,10 +63,13 @@
 // Claims workers, asks for hand-overs and forgets silent workers.
 void OwnershipTick(PoolBoard& board, Micros now, PoolActions& actions);
 
-// Returns the control daemon that is to order the worker.
-std::string PreferredOwner(const PoolBoard& board,
-                           const PoolWorker& worker,
-                           Micros now);
+// Finds out which daemons may order workers now.
+void UpdateOwnerCandidates(PoolBoard& board, Micros now);
+
+// Returns the daemon that is to order the worker, of the candidates last found;
+// empty when there is none. The choice is kept with the worker until the
+// candidates change, since each weight costs a hash.
+const std::string& PreferredOwner(const PoolBoard& board, PoolWorker& worker);
 
 // Returns the control address that the worker should report to: its owner's.
 std::string ReportAddress(const PoolBoard& board,
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -290,7 +290,8 @@
 }
 
 // Leaves a worker without a session and, where this daemon was it, an owner.
-void CloseSession(const PoolBoard& board, PoolWorker& worker) {
+void CloseSession(PoolBoard& board, PoolWorker& worker) {
+  board.ordered.erase(worker.facts.id());
   worker.session = SessionState::kNone;
   worker.session_number = 0;
   worker.hold_in_flight = false;
@@ -317,6 +318,7 @@
       worker.session == SessionState::kReleasing ||
       (worker.session == SessionState::kSettling && worker.verifying);
   worker.session = SessionState::kSettling;
+  board.ordered[worker.facts.id()] = &worker;
   worker.session_number = board.next_session++;
   worker.settle_due = now;
   worker.settle_in_flight = false;
@@ -461,6 +463,15 @@
   SessionTick(board, worker, now, actions);
 }
 
+std::vector<PoolWorker*> OrderedWorkers(const PoolBoard& board) {
+  std::vector<PoolWorker*> workers;
+  workers.reserve(board.ordered.size());
+  for (const auto& [id, worker] : board.ordered) {
+    workers.push_back(worker);
+  }
+  return workers;
+}
+
 void SessionTick(PoolBoard& board,
                  PoolWorker& worker,
                  Micros now,
--- a/pool/worker_session.h
+++ b/pool/worker_session.h
@@ -17,6 +17,7 @@
 // extends the lease and its answer brings the ends of runs.
 
 #include <string>
+#include <vector>
 
 #include "pool/pool_board.h"
 
@@ -70,6 +71,10 @@
                     Micros now,
                     PoolActions& actions);
 
+// Returns the workers with a session here, by id. The list is a copy: sessions
+// may begin and end while it is walked.
+std::vector<PoolWorker*> OrderedWorkers(const PoolBoard& board);
+
 // Sends the holds and settling orders that are due.
 void SessionTick(PoolBoard& board,
                  PoolWorker& worker,
