--- a/edge/testing/daemon_faults_test.cc
+++ b/edge/testing/daemon_faults_test.cc
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE("Killed owner: the neighbour finishes or tells the truth") {
-  LoopbackDeployment deployment({.name = "daemon_faults_kill"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   const std::string repeatable = SubmissionBody({.submission_id = "kill-peal",
                                                  .kind = "peal",
@@ -99,7 +99,7 @@
 }
 
 TEST_CASE("Restarted VM: earlier submissions never run again") {
-  LoopbackDeployment deployment({.name = "daemon_faults_restart"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   std::vector<std::string> bodies;
   for (int i = 0; i < 10; ++i) {
@@ -124,8 +124,8 @@
 }
 
 TEST_CASE("Cut-off domain: each side serves its own, none runs twice") {
-  LoopbackDeployment deployment({.failure_domains = {"north", "south", "west"},
-                                 .name = "daemon_faults_cut"});
+  LoopbackDeployment deployment(
+      {.failure_domains = {"north", "south", "west"}});
   REQUIRE(deployment.WaitUntilServing());
   deployment.CutDomain("south");
   const auto submit = [&](const std::string& vm, const std::string& home,
@@ -162,7 +162,7 @@
 }
 
 TEST_CASE("Isolated owner: its job is finished once by its neighbour") {
-  LoopbackDeployment deployment({.name = "daemon_faults_isolated"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   const std::string body =
       SubmissionBody({.submission_id = "isolated", .tasks = 6, .run_ms = 150});
@@ -185,7 +185,7 @@
 }
 
 TEST_CASE("Drain: in-flight requests are answered, new work goes elsewhere") {
-  LoopbackDeployment deployment({.name = "daemon_faults_drain"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   std::vector<std::future<AskAnswer>> answers;
   for (int i = 0; i < 12; ++i) {
@@ -219,7 +219,6 @@
 TEST_CASE("Configuration: a minority refuses, and nothing reverts") {
   LoopbackDeployment deployment({.failure_domains = {"north", "south", "west"},
                                  .vms_per_domain = 1,
-                                 .name = "daemon_faults_configuration",
                                  .disks = true});
   REQUIRE(deployment.WaitUntilServing());
   AskOptions show;
--- a/edge/testing/daemon_test.cc
+++ b/edge/testing/daemon_test.cc
@@ -43,7 +43,7 @@
 }
 
 TEST_CASE("A job through each of three VMs of two domains is answered whole") {
-  LoopbackDeployment deployment({.name = "daemon_test_path"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   for (const char* vm : {"north1", "north2", "south1"}) {
     for (const char* home : {"north", "south"}) {
@@ -63,7 +63,7 @@
 }
 
 TEST_CASE("The same submission through all VMs at once starts each task once") {
-  LoopbackDeployment deployment({.name = "daemon_test_same"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   constexpr int kRounds = 10;
   constexpr int kTasks = 5;
@@ -100,9 +100,8 @@
   limit.rlim_cur = limit.rlim_max;
   REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
   REQUIRE(limit.rlim_cur > 3 * kIdle);
-  LoopbackDeployment deployment({.failure_domains = {"north"},
-                                 .vms_per_domain = 1,
-                                 .name = "daemon_test_idle"});
+  LoopbackDeployment deployment(
+      {.failure_domains = {"north"}, .vms_per_domain = 1});
   REQUIRE(deployment.WaitUntilServing());
   const Poco::Net::SocketAddress address(deployment.AddressOf("north1"));
   const std::string half = "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Le";
@@ -126,7 +125,6 @@
   LoopbackOptions options;
   options.failure_domains = {"north"};
   options.vms_per_domain = 1;
-  options.name = "daemon_test_bound";
   options.http.max_connections = 50;
   LoopbackDeployment deployment(options);
   REQUIRE(deployment.WaitUntilServing());
@@ -141,9 +139,8 @@
 }
 
 TEST_CASE("Hostile requests get an error or a closed connection, no start") {
-  LoopbackDeployment deployment({.failure_domains = {"north"},
-                                 .vms_per_domain = 1,
-                                 .name = "daemon_test_hostile"});
+  LoopbackDeployment deployment(
+      {.failure_domains = {"north"}, .vms_per_domain = 1});
   REQUIRE(deployment.WaitUntilServing());
   const std::string address = deployment.AddressOf("north1");
   const std::string good = SubmissionBody({.submission_id = "hostile"});
@@ -198,7 +195,7 @@
 }
 
 TEST_CASE("A caller that goes away leaves its answer for its resubmission") {
-  LoopbackDeployment deployment({.name = "daemon_test_gone"});
+  LoopbackDeployment deployment(LoopbackOptions{});
   REQUIRE(deployment.WaitUntilServing());
   const std::string body =
       SubmissionBody({.submission_id = "gone", .tasks = 3, .run_ms = 100});
--- a/edge/testing/fault_measure.cc
+++ b/edge/testing/fault_measure.cc
@@ -166,7 +166,7 @@
 
 int MeasureFault(const Fault& fault) {
   LoopbackDeployment deployment(
-      {.failure_domains = {"north", "south", "west"}, .name = "fault_measure"});
+      {.failure_domains = {"north", "south", "west"}});
   if (!deployment.WaitUntilServing()) {
     std::fprintf(stderr, "fault_measure: the deployment did not start\n");
     return 1;
@@ -208,7 +208,6 @@
     LoopbackOptions options;
     options.failure_domains = {"north"};
     options.vms_per_domain = 3;
-    options.name = "fault_measure";
     options.disks = true;
     options.relays = false;
     options.tuning.synced_claims = synced;
--- a/edge/testing/loopback_deployment.cc
+++ b/edge/testing/loopback_deployment.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 
@@ -61,8 +60,7 @@
     : options_(std::move(options)) {
   static const bool logging = StartLogging("error", {});
   static_cast<void>(logging);
-  std::filesystem::remove_all(options_.name);
-  std::filesystem::create_directories(options_.name);
+  folder_.createDirectories();
   log_.Open(LogPath());
   for (const std::string& domain : options_.failure_domains) {
     for (int i = 1; i <= options_.vms_per_domain; ++i) {
@@ -87,7 +85,7 @@
 }
 
 std::string LoopbackDeployment::LogPath() const {
-  return options_.name + "/starts.log";
+  return folder_.path() + "/starts.log";
 }
 
 // Each VM sees its peers through relays of its own.
@@ -115,7 +113,7 @@
   daemon.http = options_.http;
   daemon.first_document = ConfigurationJson(DefaultConfiguration());
   if (options_.disks) {
-    daemon.data_dir = options_.name + "/" + name;
+    daemon.data_dir = folder_.path() + "/" + name;
   }
   vm.daemon = std::make_unique<Daemon>(daemon);
   const auto started = vm.daemon->Start();
--- a/edge/testing/loopback_deployment.h
+++ b/edge/testing/loopback_deployment.h
@@ -5,7 +5,8 @@
 //
 // Each daemon runs on a thread of its own with real sockets between them; the
 // peers' connections pass through relays that can be cut. Stand-in workers
-// share one thread. The start log is the witness of what ran.
+// share one thread. The start log is the witness of what ran. It lies, with the
+// data folders, in a temporary folder that goes with the deployment.
 
 #include <atomic>
 #include <map>
@@ -14,6 +15,8 @@
 #include <thread>
 #include <vector>
 
+#include <Poco/TemporaryFile.h>
+
 #include "edge/daemon.h"
 #include "edge/http_ask.h"
 #include "edge/stand_in_worker.h"
@@ -26,8 +29,6 @@
   int vms_per_domain = 2;
   int workers_per_domain = 2;
   int slots = 8;
-  // Names the folder of the start log and of the data folders.
-  std::string name = "loopback";
   bool disks = false;
   // Whether peers talk through relays, which can be cut and add latency.
   bool relays = true;
@@ -105,6 +106,7 @@
   std::string LogPath() const;
 
   LoopbackOptions options_;
+  Poco::TemporaryFile folder_;
   Relays relays_;
   std::vector<std::string> names_;
   std::map<std::string, Vm> vms_;
