Give each part of the blackboard a header of its own, and split the fake world

The parts of the blackboard (job_record, task_queue, worker_record, membership_state, claim_records, configuration_board) are headers of their own, each of which names the controllers that write it; the fake world is four files (world, workers, callers, checks). Moved only; random_faults_test and fault_trace_test pass as before.

--- /dev/null
+++ b/goldcrest/testing/fake_world_parts.h
@@ -0,0 +1,49 @@
+#ifndef GOLDCREST_TESTING_FAKE_WORLD_PARTS_H_
+#define GOLDCREST_TESTING_FAKE_WORLD_PARTS_H_
+
+// What a FakeWorld keeps of each VM and each worker. For its own files only.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "goldcrest/testing/fake_world.h"
+
+namespace goldcrest {
+
+struct FakeWorld::Vm {
+  std::string name;
+  std::string domain;
+  std::optional<Blackboard> board;
+  uint64_t incarnation = 0;
+  int64_t skew_ms = 0;
+  bool has_disk = false;
+  std::vector<wire::JournalRecord> disk;
+  uint64_t highest_version = 0;
+  // The highest version that this VM answered an operator with.
+  uint64_t acknowledged = 0;
+  // When the last append that was asked for is synced: appends keep their
+  // order.
+  Micros disk_busy_until = 0;
+  Micros tick_at = 0;
+};
+
+struct FakeWorld::Worker {
+  std::string name;
+  std::string domain;
+  std::string address;
+  uint64_t incarnation = 1;
+  uint64_t lease_epoch = 0;
+  std::string entry;
+  bool up = true;
+  bool leaving = false;
+  Micros left_at = 0;
+  std::map<std::string, StartTask> running;
+  std::map<std::string, std::string> done;
+};
+
+}  // namespace goldcrest
+
+#endif  // GOLDCREST_TESTING_FAKE_WORLD_PARTS_H_
--- /dev/null
+++ b/goldcrest/testing/fake_world_workers.cc
@@ -0,0 +1,298 @@
+// The workers of a FakeWorld: leases, starts, answers, crashes and leaving.
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrest/testing/fake_world_parts.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kStopAfterLeaving = 2 * kSecond;
+constexpr Micros kRestartAfterCrash = kSecond;
+constexpr Micros kConnectTimeout = kSecond;
+
+}  // namespace
+
+FakeWorld::Worker* FakeWorld::WorkerAt(const std::string& address) {
+  for (auto& [name, worker] : workers_) {
+    if (worker->address == address) {
+      return worker.get();
+    }
+  }
+  return nullptr;
+}
+
+void FakeWorld::Announce(Worker& worker) {
+  Worker* announcing = &worker;
+  At(now_ + options_.tuning.worker_renew,
+     [this, announcing] { Announce(*announcing); });
+  if (!worker.up) {
+    return;
+  }
+  const std::vector<std::string> entries = VmsOf(worker.domain);
+  std::string entry = worker.entry;
+  if (entry.empty()) {
+    std::uniform_int_distribution<size_t> pick(0, entries.size() - 1);
+    entry = entries[pick(random_)];
+  }
+  const bool reachable = IsUp(entry) && !IsCut(worker.name, entry);
+  if (!reachable) {
+    worker.entry.clear();
+    return;
+  }
+  AnnounceRequest request;
+  request.token = next_token_++;
+  WorkerAnnouncement& body = request.announcement;
+  body.name = worker.name;
+  body.address = worker.address;
+  body.failure_domain = worker.domain;
+  body.rack = "rack";
+  body.slots = options_.slots;
+  body.memory_mb = 1000;
+  body.incarnation = worker.incarnation;
+  body.leaving = worker.leaving;
+  body.lease_epoch = worker.lease_epoch;
+  std::string running;
+  for (const auto& [id, start] : worker.running) {
+    body.running.push_back(id);
+    running += (running.empty() ? "" : ",") + JsonQuote(id);
+  }
+  request.json = "{\"name\":" + JsonQuote(body.name) +
+                 ",\"address\":" + JsonQuote(body.address) +
+                 ",\"failure_domain\":" + JsonQuote(body.failure_domain) +
+                 ",\"slots\":" + std::to_string(body.slots) +
+                 ",\"memory_mb\":1000,\"incarnation\":" +
+                 std::to_string(body.incarnation) + ",\"state\":\"" +
+                 (body.leaving ? "leaving" : "serving") +
+                 "\",\"lease_epoch\":" + std::to_string(body.lease_epoch) +
+                 ",\"running\":[" + running + "]}";
+  const uint64_t incarnation = worker.incarnation;
+  const std::string vm = entry;
+  waiting_[request.token] = [this, announcing, incarnation,
+                             vm](const Action& action) {
+    const auto* reply = std::get_if<ReplyJson>(&action);
+    if (reply == nullptr || IsCut(vm, announcing->name)) {
+      return;
+    }
+    const ReplyJson copy = *reply;
+    At(now_ + Delay(), [this, announcing, incarnation, copy] {
+      OnLeaseReply(*announcing, incarnation, copy);
+    });
+  };
+  const uint64_t vm_incarnation = vms_.at(entry)->incarnation;
+  At(now_ + Delay(), [this, vm, vm_incarnation, request] {
+    DeliverTo(vm, vm_incarnation, request);
+  });
+}
+
+void FakeWorld::OnLeaseReply(Worker& worker,
+                             uint64_t incarnation,
+                             const ReplyJson& reply) {
+  if (worker.incarnation != incarnation || !worker.up) {
+    return;
+  }
+  if (reply.status != 200) {
+    worker.entry.clear();
+    return;
+  }
+  const auto json = ParseJson(reply.body);
+  FieldErrors errors;
+  ObjectReader reader(*json, "", errors);
+  const auto epoch =
+      static_cast<uint64_t>(reader.Integer("lease_epoch", {0, INT64_MAX}));
+  worker.lease_epoch = std::max(worker.lease_epoch, epoch);
+  if (worker.leaving && worker.left_at == 0) {
+    worker.left_at = now_;  // the announcement has arrived
+  }
+  worker.entry = reader.Text("entry", {0, 100});
+}
+
+void FakeWorld::AnswerVm(const Worker& worker,
+                         const std::string& vm,
+                         uint64_t vm_incarnation,
+                         TaskAnswer answer) {
+  const std::string from = worker.name;
+  answer.worker = from;
+  At(now_ + Delay(), [this, from, vm, vm_incarnation, answer] {
+    TaskAnswer arrived = answer;
+    if (IsCut(from, vm)) {
+      // The connection breaks and the VM learns nothing else.
+      arrived.outcome =
+          arrived.is_lookup ? TaskOutcome::kLookupFailed : TaskOutcome::kLost;
+      At(now_ + kConnectTimeout, [this, vm, vm_incarnation, arrived] {
+        DeliverTo(vm, vm_incarnation, arrived);
+      });
+      return;
+    }
+    DeliverTo(vm, vm_incarnation, arrived);
+  });
+}
+
+void FakeWorld::PerformOne(Vm& vm, const StartTask& action) {
+  const Job* job = FindJob(*vm.board, action.submission_id);
+  uint64_t& highest_ballot = ballots_[action.submission_id];
+  if (job != nullptr && job->ballot < highest_ballot) {
+    faults.push_back(action.submission_id +
+                     " was started by a former owner after a later one");
+  }
+  if (job != nullptr) {
+    highest_ballot = std::max(highest_ballot, job->ballot);
+  }
+  Worker* worker = WorkerAt(action.address);
+  const std::string name = vm.name;
+  const uint64_t incarnation = vm.incarnation;
+  TaskAnswer answer;
+  answer.submission_id = action.submission_id;
+  answer.index = action.index;
+  answer.attempt = action.attempt;
+  answer.worker = action.worker;
+  if (worker == nullptr || !worker->up || IsCut(name, worker->name)) {
+    answer.outcome = TaskOutcome::kNotSent;
+    At(now_ + Delay(), [this, name, incarnation, answer] {
+      DeliverTo(name, incarnation, answer);
+    });
+    return;
+  }
+  // Now and then the connection breaks and the start arrives all the same,
+  // long after the VM was told that it is lost.
+  const bool breaks = Chance(0.02);
+  std::uniform_int_distribution<Micros> late(100 * kMillisecond,
+                                             1500 * kMillisecond);
+  const Micros delay = breaks ? late(random_) : Delay();
+  if (breaks) {
+    answer.outcome = TaskOutcome::kLost;
+    At(now_ + Delay(), [this, name, incarnation, answer] {
+      DeliverTo(name, incarnation, answer);
+    });
+  }
+  At(now_ + delay, [this, worker, name, incarnation, action] {
+    ReceiveStart(*worker, name, incarnation, action);
+  });
+}
+
+void FakeWorld::ReceiveStart(Worker& worker,
+                             const std::string& vm,
+                             uint64_t vm_incarnation,
+                             const StartTask& start) {
+  TaskAnswer answer;
+  answer.submission_id = start.submission_id;
+  answer.index = start.index;
+  answer.attempt = start.attempt;
+  if (!worker.up) {
+    answer.outcome = TaskOutcome::kLost;
+    AnswerVm(worker, vm, vm_incarnation, answer);
+    return;
+  }
+  const std::string id = TaskKey(start.submission_id, start.index);
+  if (worker.lease_epoch == 0 || start.lease_epoch < worker.lease_epoch) {
+    answer.outcome = TaskOutcome::kStaleEpoch;
+  } else if (worker.leaving) {
+    answer.outcome = TaskOutcome::kLeaving;
+    if (worker.left_at != 0 && now_ - worker.left_at > kStopAfterLeaving) {
+      faults.push_back("a leaving worker got " + id + " after 2 s");
+    }
+  } else if (worker.running.contains(id) ||
+             worker.running.size() >= static_cast<size_t>(options_.slots)) {
+    answer.outcome = TaskOutcome::kNoSlot;
+  } else {
+    worker.running[id] = start;
+    CheckStart({start.submission_id, start.index, now_, worker.name,
+                start.lease_epoch});
+    const uint64_t incarnation = worker.incarnation;
+    Worker* runner = &worker;
+    At(now_ + static_cast<Micros>(start.run_ms) * kMillisecond,
+       [this, runner, incarnation, id, vm, vm_incarnation, answer] {
+         TaskAnswer end = answer;
+         if (runner->incarnation != incarnation ||
+             runner->running.erase(id) == 0) {
+           end.outcome = TaskOutcome::kLost;
+         } else {
+           end.outcome = TaskOutcome::kDone;
+           end.output = ExpectedOutput(end.submission_id, end.index);
+           runner->done[id] = end.output;
+         }
+         AnswerVm(*runner, vm, vm_incarnation, end);
+       });
+    return;
+  }
+  AnswerVm(worker, vm, vm_incarnation, answer);
+}
+
+void FakeWorld::PerformOne(Vm& vm, const StopTask& action) {
+  Worker* worker = WorkerAt(action.address);
+  if (worker == nullptr || IsCut(vm.name, worker->name)) {
+    return;
+  }
+  const std::string id = TaskKey(action.submission_id, action.index);
+  At(now_ + Delay(), [worker, id] { worker->running.erase(id); });
+}
+
+void FakeWorld::PerformOne(Vm& vm, const LookupTask& action) {
+  Worker* worker = WorkerAt(action.address);
+  const std::string name = vm.name;
+  const uint64_t incarnation = vm.incarnation;
+  TaskAnswer answer;
+  answer.is_lookup = true;
+  answer.submission_id = action.submission_id;
+  answer.index = action.index;
+  answer.attempt = action.attempt;
+  answer.outcome = TaskOutcome::kLookupFailed;
+  if (worker == nullptr || !worker->up || IsCut(name, worker->name)) {
+    At(now_ + Delay(), [this, name, incarnation, answer] {
+      DeliverTo(name, incarnation, answer);
+    });
+    return;
+  }
+  At(now_ + Delay(), [this, worker, name, incarnation, answer] {
+    TaskAnswer found = answer;
+    const std::string id = TaskKey(answer.submission_id, answer.index);
+    found.lease_epoch = worker->lease_epoch;
+    found.worker_incarnation = worker->incarnation;
+    found.outcome = TaskOutcome::kNeverSeen;
+    if (worker->running.contains(id)) {
+      found.outcome = TaskOutcome::kRunning;
+    } else if (worker->done.contains(id)) {
+      found.outcome = TaskOutcome::kDone;
+      found.output = worker->done[id];
+    }
+    AnswerVm(*worker, name, incarnation, found);
+  });
+}
+
+void FakeWorld::CrashWorker(const std::string& name) {
+  Record(TraceVerb::kCrashWorker, name);
+  EndWorker(name);
+}
+
+void FakeWorld::EndWorker(const std::string& name) {
+  Worker& worker = *workers_.at(name);
+  if (!worker.up) {
+    return;
+  }
+  worker.up = false;
+  worker.running.clear();
+  worker.done.clear();
+  worker.lease_epoch = 0;
+  worker.entry.clear();
+  ++worker.incarnation;
+  At(now_ + kRestartAfterCrash, [&worker] { worker.up = true; });
+}
+
+void FakeWorld::LeaveWorker(const std::string& name) {
+  Record(TraceVerb::kLeaveWorker, name);
+  Worker& worker = *workers_.at(name);
+  worker.leaving = true;
+  worker.left_at = 0;
+}
+
+void FakeWorld::ReturnWorker(const std::string& name) {
+  Record(TraceVerb::kReturnWorker, name);
+  Worker& worker = *workers_.at(name);
+  if (worker.leaving) {
+    EndWorker(name);
+    worker.leaving = false;
+  }
+}
+
+}  // namespace goldcrest
