Shorten leases, and judge slow workers by the progress that they tell

Callers of a knell wait 1.5 s. Slow workers (6x) and those that stood still got new tasks until a run was twice and 100 ms over its time; then every job that met one was late.

Change: a lease is half of the longest expected run on the worker, 450 to 850 ms, and is not sent while a worker is in doubt; holds wait 150 ms (250). A run is judged by the progress that its worker told, at the time it was told (it was taken for current before, up to 250 ms too late). A worker with a straggler gets tasks last until a run is done there in good time. A straggler moves when a new run is clearly better. The estimate of a job's end counts 64 places a worker at most.

Tests: stragglers_test. With two of twelve workers six times slower 97% of jobs of a steady load are in time; tasks of 0.9 s on three workers that are cut off are done within 1.5 s, also when sent after the cut; a daemon that stands still for 250 ms loses no run.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -28,13 +28,18 @@
 namespace goldcrest {
 
 struct PoolOptions {
-  // Length of the lease that orders give to everything on a worker. A job that
-  // its entry daemon lost must have ended on all workers before its caller
-  // sends it again: entry_silence + lease + clock drift stay below that.
-  int64_t lease_ms = 850;
-  // Longest lease that a worker accepts, and how slow its clock may be: what
-  // was started is over after this without an order.
-  Micros lease_over = 880 * kMillisecond;
+  // Bounds of the lease that orders give to everything on a worker: half of the
+  // longest expected run time there. What was lost with a worker runs again
+  // when its lease is over, so short tasks get short leases; what has run for
+  // seconds outlives a worker that is silent for a moment. A job that its entry
+  // daemon lost must have ended on all workers before its caller sends it
+  // again: entry_silence + lease + clock drift stay below that.
+  Micros shortest_lease = 450 * kMillisecond;
+  Micros longest_lease = 850 * kMillisecond;
+  // A worker's clock may be this much slower, in percent.
+  int64_t clock_drift_percent = 2;
+  // Added to a lease before it counts as over.
+  Micros lease_slack = 15 * kMillisecond;
   // An entry daemon that was not heard for this long has lost its callers.
   Micros entry_silence = 400 * kMillisecond;
   // So has one that has not heard this daemon for this long.
@@ -43,7 +48,7 @@
   // ago than the silence after which it would have called it lost.
   Micros stale_order_slack = 50 * kMillisecond;
   // How long an answer to a hold may wait for the end of a run.
-  int64_t hold_wait_ms = 250;
+  int64_t hold_wait_ms = 150;
   // An end is acknowledged with the next hold, or after this long.
   Micros acknowledge_after = 150 * kMillisecond;
   // An idle worker is asked this often whether it is still ours, so that no
@@ -53,9 +58,11 @@
   // trip more, waiting costs the tasks whose fate is open.
   Micros order_timeout = 80 * kMillisecond;
   // Pause between two tries to reach a worker that does not answer.
-  Micros settle_retry = 150 * kMillisecond;
-  // A worker that has not settled for this long is no longer given leases.
-  Micros settle_with_lease = 300 * kMillisecond;
+  Micros settle_retry = 60 * kMillisecond;
+  // What ran on a worker that does not settle is over with its lease, but not
+  // before the worker was asked for this long: it may be this daemon that was
+  // slow, and the worker may tell how the runs ended.
+  Micros settle_patience = 220 * kMillisecond;
   Micros settle_retry_max = 1000 * kMillisecond;
   // Workers that were not heard for this long are forgotten.
   Micros worker_silence = 6 * kSecond;
@@ -104,7 +111,9 @@
   Micros sent_at = 0;
   Micros answered_at = 0;
   Micros expected = 0;  // run time
+  // As the worker last told it, and when.
   int progress_percent = 0;
+  Micros progress_at = 0;
 };
 
 // A worker's record of failures.
@@ -114,6 +123,9 @@
   Micros ejected_until = 0;
   // After an ejection: one task at a time until one is done.
   bool probation = false;
+  // A run has taken far longer there than was expected, and none has been done
+  // in good time since.
+  bool slow = false;
 };
 
 struct PoolWorker {
@@ -135,7 +147,7 @@
   bool hold_in_flight = false;
   int64_t clock_ms = 0;  // the worker's clock at clock_at; 0: not known
   Micros clock_at = 0;
-  Micros lease_sent_at = 0;  // when the newest lease was sent
+  Micros lease_over_at = 0;  // nothing runs on after this without an order
   Micros last_answer = 0;    // to an order of this daemon
   std::map<TaskName, WorkerRun> runs;
   Need used;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pool/job_forwarding.h"
+#include "pool/job_order_check.h"
 #include "pool/pool_placement.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
@@ -294,9 +295,10 @@
                 const WorkerRun& run,
                 Micros now,
                 PoolActions& actions) {
-  RecordSuccess(worker);
-  if (run.answered_at != 0) {
-    LearnRunTime(board, job, name.step, worker, now - run.answered_at);
+  const Micros took = run.answered_at != 0 ? now - run.answered_at : 0;
+  RecordSuccess(worker, took, run.expected);
+  if (took != 0) {
+    LearnRunTime(board, job, name.step, worker, took);
   }
   job.steps[name.step].tasks[name.index].phase = TaskPhase::kDone;
   --job.steps[name.step].open;
@@ -343,6 +345,12 @@
                 Micros now,
                 PoolActions& actions) {
   ++board.counters.jobs_received;
+  const std::string fault = JobOrderFault(order);
+  if (!fault.empty()) {
+    Refuse(board, order, wire::JOB_REFUSED, fault, kShortestRetryAfterMs, false,
+           actions);
+    return;
+  }
   const Micros seen_at = order.entry() == board.mesh.options.self
                              ? now
                              : SentAt(board.mesh, order.seen_sequence());
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -18,10 +18,8 @@
 // Tasks without an answer that are passed over before the rest of the queue is
 // left for later.
 constexpr int kMaxNotAgreed = 200;
-// A run is a straggler when it has taken this many times its expected run
-// time, and this much more.
-constexpr double kStragglerFactor = 2.0;
-constexpr Micros kStragglerSlack = 100 * kMillisecond;
+// Places that are counted on one worker: a task may need next to nothing.
+constexpr int64_t kMostPlaces = 64;
 // Weight of one run in the learned run times.
 constexpr double kLearnWeight = 0.05;
 constexpr double kMinRatio = 0.4;
@@ -99,8 +97,8 @@
     offer.free = FreeRoom(*worker);
     offer.near_data =
         step.data_rack().empty() || HasLabel(*worker, step.data_rack());
-    offer.suspect = worker->health.failures_in_row > 0 ||
-                    worker->facts.id() == task.last_worker;
+    offer.suspect =
+        IsSuspect(*worker) || worker->facts.id() == task.last_worker;
     offer.factor = KindFactor(board, *worker);
     result.workers.push_back(worker);
     result.offers.push_back(offer);
@@ -108,16 +106,6 @@
   return result;
 }
 
-std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
-  std::vector<PoolWorker*> ready;
-  for (const auto& [id, worker] : board.ordered) {
-    if (TakesStarts(*worker, now)) {
-      ready.push_back(worker);
-    }
-  }
-  return ready;
-}
-
 void StartTaskOn(PoolBoard& board,
                  PoolWorker& worker,
                  PoolJob& job,
@@ -174,9 +162,9 @@
     }
     int64_t free = FreeRoom(*worker).cpu_millis;
     const int64_t cpu = std::max<int64_t>(need.cpu_millis, 1);
-    for (; free >= cpu; free -= cpu) {
-      slots.push_back(0);
-    }
+    const int64_t places = std::clamp<int64_t>(free / cpu, 0, kMostPlaces);
+    slots.insert(slots.end(), static_cast<size_t>(places), 0);
+    free -= places * cpu;
     for (const auto& [name, run] : worker->runs) {
       const Micros end = run.sent_at + run.expected - now;
       free += run.need.cpu_millis;
@@ -189,35 +177,18 @@
   return slots;
 }
 
-// Whether a run has taken far longer than expected.
-bool IsOverdue(const WorkerRun& run, Micros now) {
-  const double limit = kStragglerFactor * static_cast<double>(run.expected) +
-                       static_cast<double>(kStragglerSlack);
-  return run.state == RunState::kRunning &&
-         static_cast<double>(now - run.answered_at) >= limit;
-}
+}  // namespace
 
-// What a run will still take at the pace it has shown.
-Micros TimeLeft(const WorkerRun& run, Micros now) {
-  if (run.progress_percent <= 0) {
-    return kNever;
+std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
+  std::vector<PoolWorker*> ready;
+  for (const auto& [id, worker] : board.ordered) {
+    if (TakesStarts(*worker, now)) {
+      ready.push_back(worker);
+    }
   }
-  return (now - run.answered_at) * (100 - run.progress_percent) /
-         run.progress_percent;
-}
-
-// Whether a sound worker other than `not_this` has room for the run.
-bool HasRoomElsewhere(const std::vector<PoolWorker*>& ready,
-                      const PoolWorker* not_this,
-                      const WorkerRun& run) {
-  return std::any_of(ready.begin(), ready.end(), [&](const PoolWorker* other) {
-    return other != not_this && other->health.failures_in_row == 0 &&
-           FreeRoom(*other).cpu_millis >= run.need.cpu_millis;
-  });
+  return ready;
 }
 
-}  // namespace
-
 Micros ExpectedRunTime(const PoolBoard& board,
                        const wire::JobOrder& order,
                        const wire::JobStep& step) {
@@ -300,40 +271,6 @@
   }
 }
 
-void MoveStragglers(PoolBoard& board, Micros now, PoolActions& actions) {
-  if (!board.waiting.empty()) {
-    return;  // no room to spare
-  }
-  const std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
-  for (PoolWorker* worker : OrderedWorkers(board)) {
-    if (worker->session != SessionState::kReady) {
-      continue;
-    }
-    for (const auto& [name, run] : worker->runs) {
-      const PoolJob* job = FindPoolJob(board, run.job_key);
-      if (job == nullptr || !IsOverdue(run, now)) {
-        continue;
-      }
-      const Micros anew = job->steps[name.step].expected;
-      if (!HasRoomElsewhere(ready, worker, run) ||
-          TimeLeft(run, now) < 2 * anew || now + anew > job->deadline) {
-        continue;
-      }
-      const Micros elapsed = now - run.answered_at;
-      LogPool(actions, LogLevel::kWarning, "straggler_stopped",
-              {{"worker", worker->facts.id()},
-               {"job", name.job_id},
-               {"task", ToText(name)},
-               {"run", std::to_string(run.run)},
-               {"elapsed_ms", std::to_string(elapsed / kMillisecond)},
-               {"expected_ms", std::to_string(run.expected / kMillisecond)},
-               {"progress_percent", std::to_string(run.progress_percent)}});
-      RecordFailure(*worker, now);
-      StopRun(board, *worker, name, false, now, actions);
-    }
-  }
-}
-
 Micros EstimateEnd(const PoolBoard& board, const PoolJob& job, Micros now) {
   const wire::JobStep& step = job.order.steps(0);
   std::vector<TaskGroup> ahead;
--- a/pool/pool_placement.h
+++ b/pool/pool_placement.h
@@ -3,6 +3,9 @@
 
 // Puts waiting tasks on workers, and judges what the pool can take.
 
+#include <string>
+#include <vector>
+
 #include "pool/choose_worker.h"
 #include "pool/pool_board.h"
 
@@ -11,8 +14,8 @@
 // Starts what waits and has room, the most pressing first.
 void PlaceWaiting(PoolBoard& board, Micros now, PoolActions& actions);
 
-// Moves tasks that take far longer than expected to other workers.
-void MoveStragglers(PoolBoard& board, Micros now, PoolActions& actions);
+// Returns the workers that may get a task now, by id.
+std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now);
 
 // Returns when a job that arrives now would end, from now.
 Micros EstimateEnd(const PoolBoard& board, const PoolJob& job, Micros now);
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -2,6 +2,7 @@
 
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
+#include "pool/stragglers.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
 
--- a/pool/testing/choose_worker_test.cc
+++ b/pool/testing/choose_worker_test.cc
@@ -117,7 +117,7 @@
   CHECK(RecordFailure(worker, kSecond));
   CHECK_FALSE(MayTakeTask(worker, 2900 * kMillisecond));
   CHECK(MayTakeTask(worker, 3 * kSecond));
-  RecordSuccess(worker);
+  RecordSuccess(worker, 0, 0);
   CHECK(MayTakeTask(worker, 0));
   CHECK(worker.health.failures_in_row == 0);
 }
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -73,7 +73,7 @@
   run.number = order.run;
   run.begun = now;
   run.cpu = workers.task_cpu;
-  run.ends = now + SpecRunMs(order.spec) * kMillisecond;
+  run.ends = now + worker.slow_factor * SpecRunMs(order.spec) * kMillisecond;
   if (worker.fails_all) {
     run.ends = now + kFailsAfter;
   } else if (worker.hangs) {
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -35,6 +35,7 @@
   bool reachable = true;
   bool fails_all = false;
   bool hangs = false;
+  int slow_factor = 1;    // run times are so many times as long
   double late_share = 0;  // of the orders that are carried out late, unanswered
   Micros clock_offset = 0;  // of its own clock against the model's
   uint64_t highest_token = 0;
--- a/pool/worker_health.cc
+++ b/pool/worker_health.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace goldcrest {
+namespace {
+
+// A run that took less than this many times its expected run time was done in
+// good time, as far as estimates can tell.
+constexpr int kGoodTimeFactor = 2;
+
+}  // namespace
 
 bool RecordFailure(PoolWorker& worker,
                    Micros now,
@@ -23,13 +30,20 @@
   return true;
 }
 
-void RecordSuccess(PoolWorker& worker) {
+void RecordSuccess(PoolWorker& worker, Micros took, Micros expected) {
+  if (took != 0 && took < kGoodTimeFactor * expected) {
+    worker.health.slow = false;
+  }
   worker.health.failures_in_row = 0;
   worker.health.ejections = 0;
   worker.health.probation = false;
   worker.health.ejected_until = 0;
 }
 
+bool IsSuspect(const PoolWorker& worker) {
+  return worker.health.failures_in_row > 0 || worker.health.slow;
+}
+
 bool MayTakeTask(const PoolWorker& worker, Micros now) {
   if (now < worker.health.ejected_until) {
     return false;
--- a/pool/worker_health.h
+++ b/pool/worker_health.h
@@ -24,7 +24,13 @@
                    Micros now,
                    const HealthOptions& options = {});
 
-void RecordSuccess(PoolWorker& worker);
+// Takes in that a run was done in `took`, where `expected` was expected; 0: not
+// known how long it took.
+void RecordSuccess(PoolWorker& worker, Micros took, Micros expected);
+
+// Says whether the worker's last run failed, or a run takes too long there:
+// others get tasks first.
+bool IsSuspect(const PoolWorker& worker);
 
 // Says whether the worker may get another task.
 bool MayTakeTask(const PoolWorker& worker, Micros now);
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -21,14 +21,29 @@
   return std::max(used + 1, static_cast<uint64_t>(board.wall_ms));
 }
 
-int64_t LeaseUntil(const PoolBoard& board,
-                   const PoolWorker& worker,
-                   Micros now) {
+Micros LeaseFor(const PoolOptions& options, const PoolWorker& worker) {
+  Micros longest = 0;
+  for (const auto& [name, run] : worker.runs) {
+    longest = std::max(longest, run.expected);
+  }
+  return std::clamp(longest / 2, options.shortest_lease, options.longest_lease);
+}
+
+// Gives an order a lease for everything on the worker, and notes when that is
+// over by any clock.
+void AddLease(const PoolOptions& options,
+              PoolWorker& worker,
+              WorkerOrder& order,
+              Micros now) {
   if (worker.clock_ms == 0) {
-    return 0;
+    return;
   }
-  return worker.clock_ms + (now - worker.clock_at) / kMillisecond +
-         board.options.lease_ms;
+  const Micros lease = LeaseFor(options, worker);
+  order.lease_until_ms =
+      worker.clock_ms + (now - worker.clock_at + lease) / kMillisecond;
+  const Micros drift = lease * options.clock_drift_percent / 100;
+  worker.lease_over_at =
+      std::max(worker.lease_over_at, now + lease + drift + options.lease_slack);
 }
 
 WorkerOrder MakeOrder(const PoolBoard& board,
@@ -54,13 +69,9 @@
   order.acknowledged_end = worker.newest_end;
   order.wait_ms = wait_ms;
   order.timeout += wait_ms * kMillisecond;
-  // A worker that does not settle must lose its runs some time.
-  const bool gives_up =
-      worker.session == SessionState::kSettling &&
-      now - worker.settling_since > board.options.settle_with_lease;
-  if (!worker.runs.empty() && !gives_up) {
-    order.lease_until_ms = LeaseUntil(board, worker, now);
-    worker.lease_sent_at = now;
+  // A worker that does not settle must lose its runs.
+  if (!worker.runs.empty() && worker.session != SessionState::kSettling) {
+    AddLease(board.options, worker, order, now);
   }
   return order;
 }
@@ -168,6 +179,7 @@
     }
     WorkerRun& run = found->second;
     run.progress_percent = row.progress_percent;
+    run.progress_at = now;
     if (run.state == RunState::kSent &&
         worker.session == SessionState::kSettling) {
       run.state = RunState::kRunning;
@@ -377,10 +389,9 @@
   order.task = name;
   order.run = run.run;
   order.spec = spec;
-  order.lease_until_ms = LeaseUntil(board, worker, now);
-  worker.lease_sent_at = now;
   worker.runs[name] = run;
   AddUse(worker, run.need, 1);
+  AddLease(board.options, worker, order, now);
   ++board.counters.starts;
   actions.emplace_back(SendOrder{std::move(order)});
 }
@@ -480,9 +491,9 @@
     return;
   }
   if (worker.session == SessionState::kSettling) {
-    const bool lapsed = !worker.runs.empty() &&
-                        now - worker.lease_sent_at > board.options.lease_over &&
-                        now - worker.settling_since > board.options.lease_over;
+    const bool lapsed =
+        !worker.runs.empty() && now > worker.lease_over_at &&
+        now - worker.settling_since > board.options.settle_patience;
     if (lapsed) {
       RemoveRunsIf(board, worker, RunEnd::kLapsed, false, now, actions,
                    [](const TaskName&, const WorkerRun&) { return true; });
