--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -79,7 +79,12 @@
 
 void ControlDaemon::OnHttpRequest(RequestToken token,
                                   const HttpRequest& request) {
-  ControlRequest decoded = control_.Decode(request);
+  ControlRequest decoded = HttpReply{};
+  try {
+    decoded = control_.Decode(request);
+  } catch (const std::exception& error) {
+    decoded = UndecodedRequest(request.path, error);
+  }
   if (const auto* reply = std::get_if<HttpReply>(&decoded)) {
     WriteLog({LogLevel::kWarning,
               "request_refused",
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -80,7 +80,13 @@
 
 void EntryDaemon::OnCallerRequest(RequestToken token,
                                   const HttpRequest& request) {
-  CallerRequest decoded = callers_.Decode(request, board_.routing);
+  CallerRequest decoded = CallerMistake{};
+  try {
+    decoded = callers_.Decode(request, board_.routing);
+  } catch (const std::exception& error) {
+    decoded = CallerMistake{UndecodedRequest(request.path, error),
+                            {"", "request_not_decoded"}};
+  }
   if (const auto* mistake = std::get_if<CallerMistake>(&decoded)) {
     server_->Respond(token, mistake->reply);
     StepWith(mistake->why);
--- a/edge/pool_loop.h
+++ b/edge/pool_loop.h
@@ -9,6 +9,7 @@
 // `Received`, a message of the mesh. Only Put() may be called from other
 // threads. Cost: one turn for each wake-up of the sockets, or each tick.
 
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -82,7 +83,7 @@
     const HttpCall call = workers_.Encode(send.order);
     client_.Call(call, [this, order = std::move(send.order)](
                            CallEnd end, const HttpResponse& response) {
-      local_.emplace_back(workers_.Decode(order, end, response));
+      local_.emplace_back(DecodeAnswer(order, end, response));
     });
   }
 
@@ -115,6 +116,22 @@
  private:
   static constexpr Micros kCloseStalePeriod = 50 * kMillisecond;
 
+  // An answer that the decoder fails on says nothing about the order.
+  WorkerAnswer DecodeAnswer(const WorkerOrder& order,
+                            CallEnd end,
+                            const HttpResponse& response) {
+    try {
+      return workers_.Decode(order, end, response);
+    } catch (const std::exception& error) {
+      WriteLog({LogLevel::kError,
+                "answer_not_decoded",
+                {{"worker", order.worker}, {"error", error.what()}}});
+      WorkerAnswer unknown;
+      unknown.order = order;
+      return unknown;
+    }
+  }
+
   // Waits for sockets until `until` at most, and serves all events.
   void Turn(Micros until, const PoolLoopHandlers<Event>& handlers) {
     sockets_.Poll(local_.empty() ? until - MonotonicMicros() : 0);
--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -7,6 +7,7 @@
 // The daemons speak in the product's types; an implementation only encodes
 // and decodes. It holds no state, decides nothing and never waits.
 
+#include <exception>
 #include <string>
 #include <variant>
 
@@ -97,6 +98,11 @@
                               const HttpResponse& response) const = 0;
 };
 
+// Returns the reply to a request that a decoder failed on, and logs the error:
+// libraries throw, and one request must not end the daemon.
+HttpReply UndecodedRequest(const std::string& path,
+                           const std::exception& error);
+
 }  // namespace goldcrest
 
 #endif  // EDGE_POOL_PROTOCOL_H_
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -420,6 +420,22 @@
   StepControl(control, change);
 }
 
+uint64_t FakePool::Read(size_t control) {
+  PoolActions actions;
+  PoolBoard& board = controls_[control].board;
+  const ReplyToken token = next_token_++;
+  PoolStep(board, RoutingAsked{token}, Clock(), actions);
+  uint64_t told = 0;
+  for (const PoolAction& action : actions) {
+    const auto* reply = std::get_if<ReplyRead>(&action);
+    if (reply != nullptr && reply->token == token && reply->newest) {
+      told = board.agreement.committed.routing().version();
+    }
+  }
+  Perform(control, true, std::move(actions));
+  return told;
+}
+
 void FakePool::KillControl(size_t control) {
   controls_[control].running = false;
   ++controls_[control].life;
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -81,6 +81,10 @@
   // Sends a configuration to a control daemon; `answer` is set later.
   void Change(size_t control, uint64_t version, ChangeResult* answer);
 
+  // Asks a control daemon for the newest configuration and returns the version
+  // that it tells at once; 0 when it tells none.
+  uint64_t Read(size_t control);
+
   void KillControl(size_t control);
   void StartControl(size_t control);
   void WipeDisk(size_t control);
