--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -67,8 +67,8 @@
   std::deque<std::pair<uint64_t, Micros>> sent;  // sequence, when
   std::map<std::string, MeshMember> members;     // by address
   Micros presence_due = 0;
-  uint32_t entry_daemons = 0;  // as far as is known
   Micros far_period = 0;  // period at the far rate; 0: not known, full rate
+  uint32_t entry_daemons = 0;  // as far as is known
   bool draining = false;
   uint64_t routing_version = 0;
   // The control daemon that an entry daemon asked for a newer configuration.
