--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -35,8 +35,8 @@
 }
 
 const std::string& KindOf(const PoolWorker& worker) {
-  static const std::string kNoKind;
-  return worker.facts.labels_size() > 0 ? worker.facts.labels(0) : kNoKind;
+  static const std::string no_kind;
+  return worker.facts.labels_size() > 0 ? worker.facts.labels(0) : no_kind;
 }
 
 double KindFactor(const PoolBoard& board, const PoolWorker& worker) {
