--- /dev/null
+++ b/pool/entry_choices.cc
@@ -0,0 +1,47 @@
+// What an entry daemon chooses without state of its own: the queue of a request
+// and the control daemon of a job.
+
+#include <tuple>
+
+#include "pool/entry.h"
+
+namespace goldcrest {
+
+const wire::Queue* FindQueue(const wire::Routing& routing,
+                             const std::string& host,
+                             const std::string& path) {
+  const wire::Queue* best = nullptr;
+  for (const wire::Queue& queue : routing.queues()) {
+    const bool matches =
+        queue.host() == host && path.starts_with(queue.path_prefix());
+    if (matches && (best == nullptr ||
+                    queue.path_prefix().size() > best->path_prefix().size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+std::optional<std::string> ChooseControl(const Mesh& mesh,
+                                         Micros now,
+                                         const std::set<std::string>& tried) {
+  std::optional<std::string> best;
+  std::tuple<bool, bool, int64_t> best_rank;
+  for (const auto& [address, member] : mesh.members) {
+    const wire::Presence& presence = member.presence;
+    if (!presence.control() || presence.draining() || tried.contains(address) ||
+        !IsHeard(mesh, address, now)) {
+      continue;
+    }
+    const bool has_workers = presence.load().workers() > 0;
+    const bool near = presence.failure_domain() == mesh.options.failure_domain;
+    const std::tuple rank(has_workers, near, presence.load().free_cpu_millis());
+    if (!best || rank > best_rank) {
+      best = address;
+      best_rank = rank;
+    }
+  }
+  return best && std::get<0>(best_rank) ? best : std::nullopt;
+}
+
+}  // namespace goldcrest
