Keep one bound of logged paths, and drop a copy of addresses on each tick

kLoggedPathBytes stood in two files; StayCloseWithJobs copied each job's control address into a set at each tick, although StayClose may be called again at no cost. Behaviour is as before: entry_test, presence_rate_test, wire_test and pool_promises_test pass, the linter is clean on the three files.

--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -13,7 +13,6 @@
 
 // Replies that are on their way when the daemon ends get this long to leave.
 constexpr Micros kLastReplies = 100 * kMillisecond;
-constexpr size_t kLoggedPathBytes = 200;
 
 HttpServerOptions ServerOptions(const ControlDaemonOptions& options) {
   HttpServerOptions server;
--- a/edge/pool_protocol.cc
+++ b/edge/pool_protocol.cc
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr int kBadRequest = 400;
-constexpr size_t kLoggedPathBytes = 200;
 
 }  // namespace
 
--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -7,6 +7,7 @@
 // The daemons speak in the product's types; an implementation only encodes
 // and decodes. It holds no state, decides nothing and never waits.
 
+#include <cstddef>
 #include <exception>
 #include <string>
 #include <variant>
@@ -98,6 +99,9 @@
                               const HttpResponse& response) const = 0;
 };
 
+// Paths of refused requests are logged up to this length.
+inline constexpr size_t kLoggedPathBytes = 200;
+
 // Returns the reply to a request that a decoder failed on, and logs the error:
 // libraries throw, and one request must not end the daemon.
 HttpReply UndecodedRequest(const std::string& path,
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -470,12 +470,8 @@
 // Exchanges presences at the full rate with all daemons that have jobs of
 // callers here.
 void StayCloseWithJobs(EntryBoard& board, Micros now, PoolActions& actions) {
-  std::set<std::string> controls;
   for (const auto& [order, job] : board.pending) {
-    controls.insert(job.control);
-  }
-  for (const std::string& control : controls) {
-    StayClose(board.pool.mesh, control, now, actions);
+    StayClose(board.pool.mesh, job.control, now, actions);
   }
 }
 
