Split admission, run times, requirements and estimates from jobs and placement

Change: functions moved without a change of behaviour; KindFactor() is RunTimeFactor(), SendEnd() is SendJobEnd().

--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "pool/job_forwarding.h"
-#include "pool/job_order_check.h"
-#include "pool/pool_placement.h"
+#include "pool/run_times.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
 
@@ -15,79 +13,8 @@
 // An answer has little value for its caller after this many times the latency
 // objective.
 constexpr int kLateObjectiveFactor = 3;
-// For this long after its start, a daemon may not know all workers yet.
-constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
 // A request for a start permission is repeated after this long without answer.
 constexpr Micros kPermissionRetryDelay = 100 * kMillisecond;
-constexpr int64_t kShortestRetryAfterMs = 1000;
-constexpr int64_t kLongestRetryAfterMs = 10'000;
-
-int64_t RetryAfterMs(Micros time_to_end, Micros budget) {
-  return std::clamp((time_to_end - budget) / kMillisecond,
-                    kShortestRetryAfterMs, kLongestRetryAfterMs);
-}
-
-// Returns the key that identifies the order: entry daemon, its incarnation and
-// the order number.
-std::string JobKeyOf(const wire::JobOrder& order) {
-  return order.entry() + '/' + std::to_string(order.entry_incarnation()) + '/' +
-         std::to_string(order.order());
-}
-
-// Sends the outcome of the order to its entry daemon.
-void SendEnd(const wire::JobOrder& order,
-             wire::JobFate outcome,
-             const std::string& reason,
-             int64_t retry_after_ms,
-             bool try_elsewhere,
-             PoolActions& actions) {
-  wire::PoolMessage message;
-  wire::JobEnd& end = *message.mutable_job_end();
-  end.set_order(order.order());
-  end.set_job_id(order.job_id());
-  end.set_fate(outcome);
-  end.set_reason(reason);
-  end.set_retry_after_ms(static_cast<uint32_t>(retry_after_ms));
-  end.set_try_elsewhere(try_elsewhere);
-  SendTo(actions, order.entry(), std::move(message));
-}
-
-// Answers an order for which no job is created: it is refused, or the job has
-// failed because no worker could ever run it.
-void EndWithoutJob(PoolBoard& board,
-                   const wire::JobOrder& order,
-                   wire::JobFate outcome,
-                   const std::string& reason,
-                   int64_t retry_after_ms,
-                   bool try_elsewhere,
-                   PoolActions& actions) {
-  ++board.counters.jobs_ended[std::string(ToString(outcome))];
-  LogPoolEvent(actions, LogLevel::kWarning, "job_not_taken",
-               {{"job", order.job_id()},
-                {"queue", order.queue()},
-                {"fate", std::string(ToString(outcome))},
-                {"reason", reason},
-                {"entry", order.entry()},
-                {"budget_ms", std::to_string(order.budget_ms())},
-                {"waiting", std::to_string(board.waiting.size())},
-                {"retry_after_ms", std::to_string(retry_after_ms)}});
-  SendEnd(order, outcome, reason, retry_after_ms, try_elsewhere, actions);
-}
-
-// Returns true if the entry daemon that sent the order is reachable and in the
-// incarnation known here, so that a start permission can be requested from it.
-bool IsKnownEntry(const PoolBoard& board,
-                  const wire::JobOrder& order,
-                  Micros now) {
-  if (order.entry() == board.mesh.options.self) {
-    return true;
-  }
-  const auto found = board.mesh.members.find(order.entry());
-  return found != board.mesh.members.end() &&
-         found->second.incarnation == order.entry_incarnation() &&
-         IsPeerReachable(board.mesh, order.entry(), now);
-}
-
 // Returns true if messages were recently received from the job's entry daemon,
 // and it recently received messages of this daemon.
 bool IsEntryReachable(const PoolBoard& board, const PoolJob& job, Micros now) {
@@ -119,33 +46,6 @@
           index};
 }
 
-std::unique_ptr<PoolJob> MakeJob(PoolBoard& board,
-                                 const wire::JobOrder& order,
-                                 Micros now) {
-  auto job = std::make_unique<PoolJob>();
-  job->key = JobKeyOf(order);
-  job->order = order;
-  job->sequence = board.next_sequence++;
-  job->received_at = now;
-  job->last_contact_at = now;
-  job->deadline = now + order.budget_ms() * kMillisecond;
-  Micros sequential_run_time = 0;
-  for (const wire::JobStep& step : order.steps()) {
-    PoolJobStep& new_step = job->steps.emplace_back();
-    new_step.tasks.resize(step.tasks());
-    new_step.open_tasks = step.tasks();
-    new_step.expected_run_time = ExpectedRunTime(board, order, step);
-    job->open_tasks += step.tasks();
-    sequential_run_time += new_step.expected_run_time;
-  }
-  job->objective_at =
-      now +
-      static_cast<Micros>(order.stretch() *
-                          static_cast<double>(sequential_run_time)) +
-      order.target_ms() * kMillisecond;
-  return job;
-}
-
 bool IsUnblocked(const PoolJob& job, uint32_t step) {
   const auto& after = job.order.steps(static_cast<int>(step)).after();
   return std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
@@ -153,20 +53,6 @@
   });
 }
 
-// Adds the tasks of all steps that can start now to the queue.
-void QueueUnblocked(PoolBoard& board, PoolJob& job) {
-  for (uint32_t step = 0; step < job.steps.size(); ++step) {
-    if (!IsUnblocked(job, step)) {
-      continue;
-    }
-    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
-      if (job.steps[step].tasks[i].phase == TaskPhase::kBlocked) {
-        QueueTask(board, job, step, i);
-      }
-    }
-  }
-}
-
 // Removes the job's waiting tasks from the queue.
 void RemoveFromQueue(PoolBoard& board, PoolJob& job) {
   for (uint32_t step = 0; step < job.steps.size(); ++step) {
@@ -214,84 +100,6 @@
   }
 }
 
-// Returns true if for each step there is a worker that could run its tasks.
-bool CanEverRun(const PoolBoard& board, const wire::JobOrder& order) {
-  return std::all_of(order.steps().begin(), order.steps().end(),
-                     [&](const wire::JobStep& step) {
-                       return std::any_of(
-                           board.workers.begin(), board.workers.end(),
-                           [&](const auto& entry) {
-                             return CouldEverRun(entry.second, order, step);
-                           });
-                     });
-}
-
-// Attaches the order to the job that already exists here for the same job id.
-// Returns true if the order needs no new job: it was attached, or it repeats
-// the order of that job.
-bool AttachToExistingJob(PoolBoard& board,
-                         const wire::JobOrder& order,
-                         Micros now,
-                         PoolActions& actions) {
-  const auto known = board.job_keys.find(order.job_id());
-  if (known == board.job_keys.end()) {
-    return false;
-  }
-  const std::string old_key = known->second;
-  const auto found = board.jobs.find(old_key);
-  if (found == board.jobs.end() || old_key == JobKeyOf(order)) {
-    return true;
-  }
-  std::unique_ptr<PoolJob> job = std::move(found->second);
-  board.jobs.erase(found);
-  // The earlier order is answered, so that its entry daemon does not send the
-  // job to another control daemon.
-  SendEnd(job->order, wire::JOB_UNKNOWN, "sent_again", 0, false, actions);
-  job->key = JobKeyOf(order);
-  job->order = order;
-  job->deadline = now + order.budget_ms() * kMillisecond;
-  // The new entry daemon has not given a start permission yet. If the job has
-  // started, the permission is requested at once, so that the entry daemon does
-  // not assume that the job has not run.
-  job->start_permitted = false;
-  job->first_permission_request_at = 0;
-  job->last_permission_request_at = 0;
-  job->last_contact_at = now;
-  if (job->started) {
-    RequestStartPermission(*job, now, actions);
-  }
-  for (auto& [id, worker] : board.owned) {
-    for (auto& [name, attempt] : worker->attempts) {
-      if (attempt.job_key == old_key) {
-        attempt.job_key = job->key;
-      }
-    }
-  }
-  LogPoolEvent(
-      actions, LogLevel::kInfo, "job_attached",
-      {{"job", order.job_id()}, {"entry", order.entry()}, {"before", old_key}});
-  known->second = job->key;
-  const std::string key = job->key;
-  board.jobs[key] = std::move(job);
-  return true;
-}
-
-void LogAccepted(const PoolBoard& board,
-                 const PoolJob& job,
-                 Micros estimate,
-                 PoolActions& actions) {
-  LogPoolEvent(actions, LogLevel::kInfo, "job_accepted",
-               {{"job", job.order.job_id()},
-                {"queue", job.order.queue()},
-                {"entry", job.order.entry()},
-                {"tasks", std::to_string(job.open_tasks)},
-                {"budget_ms", std::to_string(job.order.budget_ms())},
-                {"due_ms", std::to_string((job.objective_at - job.received_at) /
-                                          kMillisecond)},
-                {"expected_ms", std::to_string(estimate / kMillisecond)},
-                {"waiting", std::to_string(board.waiting.size())}});
-}
-
 // Counts the failure of an attempt against its worker, unless the job has
 // already failed on another worker and thus is likely to be at fault itself.
 void CountWorkerFailure(PoolBoard& board,
@@ -333,7 +141,7 @@
   if (job.open_tasks == 0) {
     EndJob(board, job.key, wire::JOB_COMPLETED, "", now, actions);
   } else if (job.steps[name.step].open_tasks == 0) {
-    QueueUnblocked(board, job);
+    QueueUnblockedTasks(board, job);
   }
 }
 
@@ -356,6 +164,36 @@
 
 }  // namespace
 
+void SendJobEnd(const wire::JobOrder& order,
+                wire::JobFate outcome,
+                const std::string& reason,
+                int64_t retry_after_ms,
+                bool try_elsewhere,
+                PoolActions& actions) {
+  wire::PoolMessage message;
+  wire::JobEnd& end = *message.mutable_job_end();
+  end.set_order(order.order());
+  end.set_job_id(order.job_id());
+  end.set_fate(outcome);
+  end.set_reason(reason);
+  end.set_retry_after_ms(static_cast<uint32_t>(retry_after_ms));
+  end.set_try_elsewhere(try_elsewhere);
+  SendTo(actions, order.entry(), std::move(message));
+}
+
+void QueueUnblockedTasks(PoolBoard& board, PoolJob& job) {
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    if (!IsUnblocked(job, step)) {
+      continue;
+    }
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      if (job.steps[step].tasks[i].phase == TaskPhase::kBlocked) {
+        QueueTask(board, job, step, i);
+      }
+    }
+  }
+}
+
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key) {
   const auto found = board.jobs.find(key);
   return found == board.jobs.end() ? nullptr : found->second.get();
@@ -367,79 +205,6 @@
   board.placement_due = true;
 }
 
-void OnJobOrder(PoolBoard& board,
-                const wire::JobOrder& order,
-                Micros now,
-                PoolActions& actions) {
-  ++board.counters.jobs_received;
-  const std::string error = ValidateJobOrder(order);
-  if (!error.empty()) {
-    EndWithoutJob(board, order, wire::JOB_REFUSED, error, kShortestRetryAfterMs,
-                  false, actions);
-    return;
-  }
-  // When this daemon sent the newest of its heartbeats that the sender had
-  // received.
-  const Micros heartbeat_sent_at =
-      order.entry() == board.mesh.options.self
-          ? now
-          : HeartbeatSentAt(board.mesh, order.seen_sequence());
-  const Micros stale_after = ContactTimeout(board.mesh, order.entry(), now) +
-                             board.options.stale_order_slack;
-  if (heartbeat_sent_at == 0 || now - heartbeat_sent_at > stale_after) {
-    EndWithoutJob(board, order, wire::JOB_REFUSED, "order_out_of_date",
-                  kShortestRetryAfterMs, true, actions);
-    return;
-  }
-  if (!IsKnownEntry(board, order, now)) {
-    EndWithoutJob(board, order, wire::JOB_REFUSED, "entry_not_heard",
-                  kShortestRetryAfterMs, true, actions);
-    return;
-  }
-  if (AttachToExistingJob(board, order, now, actions)) {
-    return;
-  }
-  // An entry daemon that is a standby knows the workers of its own failure
-  // domain only.
-  if (board.mesh.options.control &&
-      now - board.started_at > kWorkerDiscoveryTime &&
-      !CanEverRun(board, order)) {
-    EndWithoutJob(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0,
-                  false, actions);
-    return;
-  }
-  std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
-  // A draining daemon accepts no new jobs: it forwards them, or refuses them
-  // with "no_workers".
-  const Micros estimate =
-      board.draining ? kNever : EstimateTimeToEnd(board, *job, now);
-  const Micros first_step_run_time = job->steps[0].expected_run_time;
-  // The estimate covers all steps, and is compared with the run time of the
-  // first step: above 5/4 of it, another control daemon is tried.
-  if (!order.forwarded() &&
-      (estimate > first_step_run_time * 5 / 4 || board.draining)) {
-    if (ForwardJob(board, order, now, actions)) {
-      return;
-    }
-  }
-  const Micros budget = order.budget_ms() * kMillisecond;
-  if (estimate >= kNever) {
-    EndWithoutJob(board, order, wire::JOB_REFUSED, "no_workers",
-                  kShortestRetryAfterMs, true, actions);
-    return;
-  }
-  if (estimate > budget) {
-    EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
-                  RetryAfterMs(estimate, budget), false, actions);
-    return;
-  }
-  LogAccepted(board, *job, estimate, actions);
-  board.job_keys[order.job_id()] = job->key;
-  PoolJob& stored_job = *job;
-  board.jobs[stored_job.key] = std::move(job);
-  QueueUnblocked(board, stored_job);
-}
-
 void OnJobCancel(PoolBoard& board,
                  const wire::JobCancel& cancel,
                  Micros now,
@@ -527,8 +292,8 @@
   const bool refused = fate == wire::JOB_REFUSED;
   const bool try_elsewhere =
       refused && now + RemainingSequentialRunTime(*job) < job->deadline;
-  SendEnd(job->order, fate, reason, refused ? kShortestRetryAfterMs : 0,
-          try_elsewhere, actions);
+  SendJobEnd(job->order, fate, reason, refused ? kShortestRetryAfterMs : 0,
+             try_elsewhere, actions);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -20,11 +20,8 @@
 
 namespace goldcrest {
 
-// Handles a job order: accepts, forwards or refuses it.
-void OnJobOrder(PoolBoard& board,
-                const wire::JobOrder& order,
-                Micros now,
-                PoolActions& actions);
+// The shortest time after which a refused caller is told to come back.
+inline constexpr int64_t kShortestRetryAfterMs = 1000;
 
 // Ends a job whose cancellation was requested.
 void OnJobCancel(PoolBoard& board,
@@ -75,6 +72,17 @@
 // Ends jobs whose deadline has passed or whose entry daemon is unreachable.
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions);
 
+// Sends the outcome of the order to its entry daemon.
+void SendJobEnd(const wire::JobOrder& order,
+                wire::JobFate outcome,
+                const std::string& reason,
+                int64_t retry_after_ms,
+                bool try_elsewhere,
+                PoolActions& actions);
+
+// Adds the tasks of all steps that can start now to the queue.
+void QueueUnblockedTasks(PoolBoard& board, PoolJob& job);
+
 // Adds a task to the queue of waiting tasks.
 void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index);
 
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -1,9 +1,11 @@
 #include "pool/pool_placement.h"
 
 #include <algorithm>
-#include <tuple>
 
+#include "pool/choose_worker.h"
 #include "pool/pool_jobs.h"
+#include "pool/run_times.h"
+#include "pool/task_requirements.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
 
@@ -19,52 +21,6 @@
 // Placement stops after this many waiting tasks without a start permission; the
 // rest of the queue waits for the next placement.
 constexpr int kMaxUnpermittedTasks = 200;
-// Maximum number of slots that are counted on one worker: a task may require
-// almost no resources.
-constexpr int64_t kMaxSlotsPerWorker = 64;
-// Weight of a new attempt in the exponential averages of the run times.
-constexpr double kNewSampleWeight = 0.05;
-// Measured ratios are clamped to these bounds before they enter the averages.
-constexpr double kMinRatio = 0.4;
-constexpr double kMaxRatio = 2.5;
-
-Resources ResourcesOf(const wire::JobStep& step) {
-  return {step.cpu_millis(), step.memory_mb(), step.accelerators()};
-}
-
-bool HasLabel(const PoolWorker& worker, const std::string& label) {
-  const auto& labels = worker.status.labels();
-  return std::find(labels.begin(), labels.end(), label) != labels.end();
-}
-
-// Returns the worker's kind: its first label.
-const std::string& KindOf(const PoolWorker& worker) {
-  static const std::string no_kind;
-  return worker.status.labels_size() > 0 ? worker.status.labels(0) : no_kind;
-}
-
-double KindFactor(const PoolBoard& board, const PoolWorker& worker) {
-  const auto found = board.run_times.kind_factor.find(KindOf(worker));
-  return found == board.run_times.kind_factor.end() ? 1.0 : found->second;
-}
-
-// Returns true if starts may be sent to the worker.
-bool AcceptsStarts(const PoolWorker& worker, Micros now) {
-  return IsInPool(worker) && worker.session == SessionState::kReady &&
-         !worker.status.leaving() && worker.clock_ms != 0 &&
-         MayTakeTask(worker, now);
-}
-
-// Returns true if the worker runs the order's service and has the label that
-// the step requires.
-bool Matches(const PoolWorker& worker,
-             const wire::JobOrder& order,
-             const wire::JobStep& step) {
-  return worker.status.service() == order.service() &&
-         (step.required_label().empty() ||
-          HasLabel(worker, step.required_label()));
-}
-
 // Returns the number of attempts of the step on the worker.
 uint32_t CountAttemptsOfStep(const PoolWorker& worker,
                              const std::string& job_id,
@@ -110,7 +66,7 @@
         step.data_rack().empty() || HasLabel(*worker, step.data_rack());
     offer.suspect =
         IsSuspect(*worker) || worker->status.id() == task.last_worker;
-    offer.run_time_factor = KindFactor(board, *worker);
+    offer.run_time_factor = RunTimeFactor(board, *worker);
     result.workers.push_back(worker);
     result.offers.push_back(offer);
   }
@@ -138,7 +94,7 @@
   attempt.sent_at = now;
   attempt.expected_run_time = static_cast<Micros>(
       static_cast<double>(job.steps[key.step].expected_run_time) *
-      KindFactor(board, worker));
+      RunTimeFactor(board, worker));
   LogPoolEvent(
       actions, LogLevel::kInfo, "task_started",
       {{"job", job.order.job_id()},
@@ -163,94 +119,8 @@
   return now + job.steps[step].expected_run_time / 2 > job.deadline;
 }
 
-// Estimates the time from now until each slot becomes free. A slot is the CPU
-// for one task of `step`; other resources and the maximum number of tasks per
-// worker are ignored. Attempts are taken in the order of their names, not of
-// their ends.
-std::vector<Micros> SlotTimes(const PoolBoard& board,
-                              const wire::JobOrder& order,
-                              const wire::JobStep& step,
-                              Micros now) {
-  const Resources required = ResourcesOf(step);
-  std::vector<Micros> slots;
-  for (const auto& [id, worker] : board.owned) {
-    if (!AcceptsStarts(*worker, now) || !Matches(*worker, order, step)) {
-      continue;
-    }
-    int64_t free = FreeCapacity(*worker).cpu_millis;
-    const int64_t cpu = std::max<int64_t>(required.cpu_millis, 1);
-    const int64_t slot_count =
-        std::clamp<int64_t>(free / cpu, 0, kMaxSlotsPerWorker);
-    slots.insert(slots.end(), static_cast<size_t>(slot_count), 0);
-    free -= slot_count * cpu;
-    for (const auto& [name, attempt] : worker->attempts) {
-      const Micros end = attempt.sent_at + attempt.expected_run_time - now;
-      free += attempt.resources.cpu_millis;
-      if (free >= cpu) {
-        free -= cpu;
-        // The slot of an overdue attempt is not free yet, so its time is not 0.
-        slots.push_back(std::max<Micros>(end, kMillisecond));
-      }
-    }
-  }
-  return slots;
-}
-
 }  // namespace
 
-std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
-  std::vector<PoolWorker*> ready;
-  for (const auto& [id, worker] : board.owned) {
-    if (AcceptsStarts(*worker, now)) {
-      ready.push_back(worker);
-    }
-  }
-  return ready;
-}
-
-Micros ExpectedRunTime(const PoolBoard& board,
-                       const wire::JobOrder& order,
-                       const wire::JobStep& step) {
-  const auto found = board.run_times.queue_ratio.find(order.queue());
-  const double ratio =
-      found == board.run_times.queue_ratio.end() ? 1.0 : found->second;
-  return static_cast<Micros>(ratio * step.estimate_ms() * kMillisecond);
-}
-
-void LearnRunTime(PoolBoard& board,
-                  const PoolJob& job,
-                  uint32_t step,
-                  const PoolWorker& worker,
-                  Micros took) {
-  const Micros estimate =
-      job.order.steps(static_cast<int>(step)).estimate_ms() * kMillisecond;
-  if (estimate == 0) {
-    return;
-  }
-  double& ratio =
-      board.run_times.queue_ratio.try_emplace(job.order.queue(), 1.0)
-          .first->second;
-  double& factor = board.run_times.kind_factor.try_emplace(KindOf(worker), 1.0)
-                       .first->second;
-  const double measured =
-      static_cast<double>(took) / static_cast<double>(estimate);
-  const double queue_measured =
-      std::clamp(measured / factor, kMinRatio, kMaxRatio);
-  const double kind_measured =
-      std::clamp(measured / ratio, kMinRatio, kMaxRatio);
-  ratio += kNewSampleWeight * (queue_measured - ratio);
-  factor += kNewSampleWeight * (kind_measured - factor);
-}
-
-bool CouldEverRun(const PoolWorker& worker,
-                  const wire::JobOrder& order,
-                  const wire::JobStep& step) {
-  return IsInPool(worker) && Matches(worker, order, step) &&
-         step.cpu_millis() <= worker.status.cpu_millis() &&
-         step.memory_mb() <= worker.status.memory_mb() &&
-         step.accelerators() <= worker.status.accelerators();
-}
-
 void PlaceWaitingTasks(PoolBoard& board, Micros now, PoolActions& actions) {
   if (!board.placement_due || board.waiting.empty()) {
     return;
@@ -298,49 +168,4 @@
   }
 }
 
-Micros EstimateTimeToEnd(const PoolBoard& board,
-                         const PoolJob& job,
-                         Micros now) {
-  const wire::JobStep& step = job.order.steps(0);
-  std::vector<TaskGroup> ahead;
-  for (const auto& [key, waiting] : board.waiting) {
-    if (std::tie(key.expected_lateness, key.priority, key.objective_at) >
-        std::make_tuple(ExpectedLateness::kOnTime, job.order.priority(),
-                        job.objective_at)) {
-      break;
-    }
-    ahead.push_back({1, waiting.job->steps[key.step].expected_run_time});
-  }
-  Micros time_to_end =
-      ExpectedEnd(SlotTimes(board, job.order, step, now), ahead,
-                  {step.tasks(), job.steps[0].expected_run_time});
-  // Later steps are assumed to run one after another without waiting.
-  for (size_t i = 1; i < job.steps.size() && time_to_end < kNever; ++i) {
-    time_to_end += job.steps[i].expected_run_time;
-  }
-  return time_to_end;
-}
-
-void UpdateLoad(PoolBoard& board, Micros now) {
-  wire::PoolLoad load;
-  int64_t free = 0;
-  int64_t capacity = 0;
-  for (const PoolWorker* worker : ReadyWorkers(board, now)) {
-    load.set_workers(load.workers() + 1);
-    capacity += worker->status.cpu_millis();
-    free += std::max<int64_t>(FreeCapacity(*worker).cpu_millis, 0);
-  }
-  // Of all waiting tasks, in thousandths of a core times milliseconds.
-  int64_t cpu_demand = 0;
-  for (const auto& [key, waiting] : board.waiting) {
-    const PoolJob& job = *waiting.job;
-    cpu_demand += job.order.steps(static_cast<int>(key.step)).cpu_millis() *
-                  (job.steps[key.step].expected_run_time / kMillisecond);
-  }
-  load.set_free_cpu_millis(free);
-  load.set_capacity_cpu_millis(capacity);
-  load.set_wait_ms(cpu_demand / std::max<int64_t>(capacity, 1));
-  board.mesh.load = load;
-}
-
 }  // namespace goldcrest
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -1,5 +1,7 @@
 #include "pool/pool_step.h"
 
+#include "pool/job_admission.h"
+#include "pool/load_report.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/stragglers.h"
--- /dev/null
+++ b/pool/run_times.h
@@ -0,0 +1,28 @@
+#ifndef POOL_RUN_TIMES_H_
+#define POOL_RUN_TIMES_H_
+
+// Expected run times, learned from completed attempts.
+
+#include "pool/pool_board.h"
+
+namespace goldcrest {
+
+// Returns the expected run time of a task of `step` on an average worker.
+Micros ExpectedRunTime(const PoolBoard& board,
+                       const wire::JobOrder& order,
+                       const wire::JobStep& step);
+
+// Returns the expected run time on the worker divided by that on an average
+// worker.
+double RunTimeFactor(const PoolBoard& board, const PoolWorker& worker);
+
+// Updates the run time statistics with a completed attempt that took `took`.
+void LearnRunTime(PoolBoard& board,
+                  const PoolJob& job,
+                  uint32_t step,
+                  const PoolWorker& worker,
+                  Micros took);
+
+}  // namespace goldcrest
+
+#endif  // POOL_RUN_TIMES_H_
--- a/pool/stragglers.cc
+++ b/pool/stragglers.cc
@@ -4,7 +4,7 @@
 
 #include "pool/choose_worker.h"
 #include "pool/pool_jobs.h"
-#include "pool/pool_placement.h"
+#include "pool/task_requirements.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
 
--- /dev/null
+++ b/pool/task_requirements.cc
@@ -0,0 +1,51 @@
+#include "pool/task_requirements.h"
+
+#include <algorithm>
+
+#include "pool/worker_health.h"
+
+namespace goldcrest {
+
+Resources ResourcesOf(const wire::JobStep& step) {
+  return {step.cpu_millis(), step.memory_mb(), step.accelerators()};
+}
+
+bool HasLabel(const PoolWorker& worker, const std::string& label) {
+  const auto& labels = worker.status.labels();
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool AcceptsStarts(const PoolWorker& worker, Micros now) {
+  return IsInPool(worker) && worker.session == SessionState::kReady &&
+         !worker.status.leaving() && worker.clock_ms != 0 &&
+         MayTakeTask(worker, now);
+}
+
+bool Matches(const PoolWorker& worker,
+             const wire::JobOrder& order,
+             const wire::JobStep& step) {
+  return worker.status.service() == order.service() &&
+         (step.required_label().empty() ||
+          HasLabel(worker, step.required_label()));
+}
+
+bool CouldEverRun(const PoolWorker& worker,
+                  const wire::JobOrder& order,
+                  const wire::JobStep& step) {
+  return IsInPool(worker) && Matches(worker, order, step) &&
+         step.cpu_millis() <= worker.status.cpu_millis() &&
+         step.memory_mb() <= worker.status.memory_mb() &&
+         step.accelerators() <= worker.status.accelerators();
+}
+
+std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
+  std::vector<PoolWorker*> ready;
+  for (const auto& [id, worker] : board.owned) {
+    if (AcceptsStarts(*worker, now)) {
+      ready.push_back(worker);
+    }
+  }
+  return ready;
+}
+
+}  // namespace goldcrest
--- a/pool/testing/operator_troubles_test.cc
+++ b/pool/testing/operator_troubles_test.cc
@@ -6,7 +6,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/pool_placement.h"
+#include "pool/end_estimate.h"
 #include "pool/testing/pool_load.h"
 #include "pool/worker_roster.h"
 
