--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -62,6 +62,30 @@
     1,
     "Number of control VMs, with their disks, whose simultaneous loss is "
     "tolerated.");
+DEFINE_bool(placement_lookahead,
+            false,
+            "Placement reserves capacity for tasks that wait long, and fills "
+            "the remaining capacity of workers with tasks that fit.");
+DEFINE_bool(overload_control,
+            false,
+            "Under overload, capacity is divided by priority and shares, and "
+            "jobs that cannot be served any more are refused at once.");
+DEFINE_int32(queue_floor_percent,
+             0,
+             "Part of the capacity, in percent, that --overload_control "
+             "divides among the queues by demand; 0 to 50.");
+DEFINE_bool(move_waiting_jobs,
+            false,
+            "Waiting jobs move to pools that can start them earlier.");
+DEFINE_int32(standby_after_ms,
+             0,
+             "Time without a message of any control daemon after which an "
+             "entry daemon prepares to order workers itself; 0 for the "
+             "default timeouts, or 200 to 5000.");
+DEFINE_bool(run_times_by_worker,
+            false,
+            "Run times are learned for each worker, not only for each kind "
+            "of worker.");
 DEFINE_uint64(metrics_port, 0, "Port that serves the metrics page; 0: none.");
 DEFINE_string(log, "info", "Lowest level logged: debug, info, warning, error.");
 
@@ -71,6 +95,9 @@
 constexpr Micros kReloadPeriod = 1 * kSecond;
 constexpr int32_t kMaxToleratedLosses = 10;
 constexpr uint64_t kMaxPort = 65535;
+constexpr int32_t kMaxQueueFloorPercent = 50;
+constexpr int32_t kMinStandbyAfterMs = 200;
+constexpr int32_t kMaxStandbyAfterMs = 5000;
 
 // Returns the description of a program whose flags are those of this file.
 ProgramInfo MakeProgramInfo(const std::string& name,
@@ -167,6 +194,27 @@
   return mesh;
 }
 
+// Returns the optional features from the flags.
+PoolFeatures ReadFeatures(const ProgramInfo& program) {
+  if (FLAGS_queue_floor_percent < 0 ||
+      FLAGS_queue_floor_percent > kMaxQueueFloorPercent) {
+    FailUsage(program, "--queue_floor_percent: not in 0 to 50");
+  }
+  if (FLAGS_standby_after_ms != 0 &&
+      (FLAGS_standby_after_ms < kMinStandbyAfterMs ||
+       FLAGS_standby_after_ms > kMaxStandbyAfterMs)) {
+    FailUsage(program, "--standby_after_ms: not 0 or in 200 to 5000");
+  }
+  PoolFeatures features;
+  features.placement_lookahead = FLAGS_placement_lookahead;
+  features.overload_control = FLAGS_overload_control;
+  features.queue_floor_percent = FLAGS_queue_floor_percent;
+  features.move_waiting_jobs = FLAGS_move_waiting_jobs;
+  features.standby_after = FLAGS_standby_after_ms * kMillisecond;
+  features.run_times_by_worker = FLAGS_run_times_by_worker;
+  return features;
+}
+
 std::string ReadMeshBind(const ProgramInfo& program) {
   return FLAGS_mesh_bind.empty()
              ? ""
@@ -305,6 +353,7 @@
       AddressOrFail(program, "readiness_address", FLAGS_readiness_address);
   options.metrics_address = MetricsAddress();
   options.mesh = ReadMeshOptions(program);
+  options.entry.features = ReadFeatures(program);
   options.mesh_bind = ReadMeshBind(program);
   BlockStopSignals();
   // Settings are reloaded by polling; a SIGHUP must not end the daemon.
@@ -337,6 +386,7 @@
   options.data_dir = FLAGS_disk;
   PoolStartParams& start = options.start;
   start.mesh = ReadMeshOptions(program);
+  start.options.features = ReadFeatures(program);
   options.mesh_bind = ReadMeshBind(program);
   start.mesh.control = true;
   start.mesh.control_address = options.control_address;
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/job_admission.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_step.h"
@@ -558,6 +559,7 @@
                           const MeshOptions& mesh) {
   EntryBoard board;
   board.options = options;
+  board.pool.options.features = options.features;
   board.pool.mesh = MakeMesh(mesh);
   return board;
 }
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -57,6 +57,8 @@
   // have waited in the sockets for an unknown time.
   Micros refuse_after_pause = 100 * kMillisecond;
   int64_t retry_after_ms = 1000;
+  // Used while this daemon orders workers as a standby.
+  PoolFeatures features;
 };
 
 // A caller's job, as decoded by the edge.
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -28,7 +28,30 @@
 
 namespace goldcrest {
 
+// Optional features; all are off by default.
+struct PoolFeatures {
+  // Placement reserves capacity for tasks that wait long and fills holes with
+  // tasks that fit (placement_plan.h).
+  bool placement_lookahead = false;
+  // Under overload, capacity is divided by priority and shares, and jobs that
+  // cannot be served any more are refused at once (overload_control.h).
+  bool overload_control = false;
+  // Part of the pool's capacity, in percent, that overload control divides
+  // among the queues by demand, whatever their priority.
+  int queue_floor_percent = 0;
+  // Waiting jobs move to pools that can start them earlier (pool_balance.h).
+  bool move_waiting_jobs = false;
+  // An entry daemon that has received nothing from any control daemon for this
+  // long probes them, and orders workers if its probe peers agree; 0: the
+  // default timeouts apply (standby.h).
+  Micros standby_after = 0;
+  // Run times are learned for each worker, not only for each kind of worker
+  // (worker_profile.h).
+  bool run_times_by_worker = false;
+};
+
 struct PoolOptions {
+  PoolFeatures features;
   // All attempts on a worker share one lease, granted by orders: half of the
   // longest expected run time there, within these bounds. Tasks of a failed
   // worker are started again only after its lease has expired, so short tasks
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -79,6 +79,7 @@
   control.running = true;
   control.paused = false;
   PoolStartParams start;
+  start.options.features = options_.features;
   start.mesh.rates = options_.rates;
   start.mesh.self = control.address;
   start.mesh.incarnation = static_cast<uint64_t>(Clock().wall_ms);
@@ -122,7 +123,9 @@
   for (size_t i = 0; i < std::min<size_t>(controls_.size(), 3); ++i) {
     mesh.seeds.push_back(controls_[i].address);
   }
-  entry.board = MakeEntryBoard(EntryOptions(), mesh);
+  EntryOptions entry_options;
+  entry_options.features = options_.features;
+  entry.board = MakeEntryBoard(entry_options, mesh);
   auto tick = std::make_shared<std::function<void()>>();
   *tick = [this, index, life, tick] {
     FakeEntry& daemon = entries_[index];
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -37,6 +37,7 @@
   // reachable control daemon, instead of to a random one.
   bool report_to_first_control = false;
   HeartbeatRates rates;
+  PoolFeatures features;                      // of all daemons
   Micros message_delay = kMillisecond;        // of each message
   Micros disk_write_time = 9 * kMillisecond;  // duration of a disk write
 };
