Split the voter from the agreement on the configuration

Change: the voter's functions are in configuration_voter.cc, what it shares with the proposer in configuration_detail.h. No change of behaviour.

--- a/goldcrest/configuration_agreement.cc
+++ b/goldcrest/configuration_agreement.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "goldcrest/claim_owner.h"
+#include "goldcrest/configuration_detail.h"
 #include "goldcrest/digest.h"
 #include "goldcrest/membership.h"
 #include "goldcrest/placement.h"
@@ -12,24 +13,19 @@
 namespace goldcrest {
 namespace {
 
+using detail::AdoptState;
+using detail::IsVoter;
+using detail::VoteAndReply;
+using detail::Voters;
+
 // The number of versions whose digests the state contains.
 constexpr int kHistoryVersions = 512;
 constexpr size_t kMaxProposals = 64;
 constexpr Micros kFetchPeriod = 300 * kMillisecond;
-constexpr Micros kRecoveryPeriod = 300 * kMillisecond;
 // VMs other than the first voter propose the first document after this delay.
 constexpr Micros kBootstrapDelay = 3 * kSecond;
 constexpr int64_t kMaxBackoffMs = 40;
 
-const std::vector<std::string>& Voters(const Blackboard& bb) {
-  return bb.deployment.configuration_voters;
-}
-
-bool IsVoter(const Blackboard& bb, const std::string& vm) {
-  const auto& voters = Voters(bb);
-  return std::find(voters.begin(), voters.end(), vm) != voters.end();
-}
-
 // Returns the body of a successful reply.
 std::string VersionJson(const wire::ConfigurationState& state) {
   return "{\"version\":" + std::to_string(state.version()) +
@@ -55,35 +51,6 @@
   }
 }
 
-// Puts `state` into force at this VM if it is newer than the version in force.
-void AdoptState(Blackboard& bb,
-                const wire::ConfigurationState& state,
-                Actions& actions) {
-  ConfigurationBoard& board = bb.configuration;
-  if (state.version() <= board.in_force.version()) {
-    return;
-  }
-  auto parsed = ParseConfiguration(state.document());
-  if (!CheckInvariant(
-          bb,
-          parsed.has_value() && Sha256Hex(state.document()) == state.digest(),
-          "an agreed configuration is a valid document", actions)) {
-    return;
-  }
-  board.in_force = state;
-  board.active = std::move(*parsed);
-  UpdateReadyLanes(bb);
-  bb.placement_due = true;
-  AppendJournal append;
-  append.token = bb.deployment.has_disk ? NextId(bb) : 0;
-  board.unsynced_in_force_token = append.token;
-  *append.record.mutable_configuration_in_force() = state;
-  actions.emplace_back(std::move(append));
-  Log(actions, LogLevel::kInfo, "configuration_in_force",
-      {{"version", std::to_string(state.version())},
-       {"digest", state.digest().substr(0, 16)}});
-}
-
 wire::PeerMessage InForceMessage(const Blackboard& bb) {
   wire::PeerMessage message;
   *message.mutable_configuration_in_force()->mutable_state() =
@@ -101,95 +68,6 @@
   }
 }
 
-// ------------------------------------------------------------ the voter
-
-// Applies `request` to this voter's vote and returns the reply.
-wire::ConfigurationReply Vote(Blackboard& bb,
-                              const wire::ConfigurationRequest& request) {
-  wire::ConfigurationVote& vote = bb.configuration.vote;
-  wire::ConfigurationReply reply;
-  reply.set_phase(request.phase());
-  reply.set_ballot(request.ballot());
-  if (bb.configuration.recovering) {
-    reply.set_status(wire::CLAIM_ABSTAIN);
-    return reply;
-  }
-  const bool newer = request.phase() == wire::CLAIM_PREPARE
-                         ? request.ballot() > vote.promised()
-                         : request.ballot() >= vote.promised();
-  if (!newer) {
-    reply.set_status(wire::CLAIM_STALE);
-    reply.set_promised(vote.promised());
-    return reply;
-  }
-  vote.set_promised(request.ballot());
-  if (request.phase() == wire::CLAIM_ACCEPT) {
-    vote.set_accepted(request.ballot());
-    *vote.mutable_state() = request.state();
-  } else {
-    reply.set_accepted(vote.accepted());
-    *reply.mutable_state() = vote.state();
-  }
-  reply.set_status(wire::CLAIM_GRANTED);
-  return reply;
-}
-
-// Sends a vote, or handles it directly when this VM is the proposer.
-void DeliverReply(Blackboard& bb,
-                  SendPeer reply,
-                  StepTime now,
-                  Actions& actions) {
-  if (reply.vm == bb.deployment.self) {
-    OnConfigurationReply(bb, bb.deployment.self,
-                         reply.message.configuration_reply(), now, actions);
-    return;
-  }
-  SendToPeer(bb, reply.vm, std::move(reply.message), actions);
-}
-
-// Votes and replies. With a disk, a granting reply waits until the vote is
-// synced.
-void VoteAndReply(Blackboard& bb,
-                  const std::string& to,
-                  const wire::ConfigurationRequest& request,
-                  StepTime now,
-                  Actions& actions) {
-  SendPeer reply;
-  reply.vm = to;
-  *reply.message.mutable_configuration_reply() = Vote(bb, request);
-  const bool granted =
-      reply.message.configuration_reply().status() == wire::CLAIM_GRANTED;
-  if (!granted || !bb.deployment.has_disk) {
-    DeliverReply(bb, std::move(reply), now, actions);
-    return;
-  }
-  AppendJournal append;
-  append.token = NextId(bb);
-  *append.record.mutable_configuration_vote() = bb.configuration.vote;
-  bb.configuration.unsynced_replies[append.token] = std::move(reply);
-  actions.emplace_back(std::move(append));
-}
-
-void FinishRecovery(Blackboard& bb, std::string_view reason, Actions& actions) {
-  bb.configuration.recovering = false;
-  bb.configuration.recovered.clear();
-  Log(actions, LogLevel::kInfo, "configuration_voter_ready",
-      {{"reason", std::string(reason)}});
-}
-
-// Returns whether every other voter confirmed that it knows of no earlier
-// incarnation of this VM.
-bool IsFirstStart(const Blackboard& bb) {
-  return std::all_of(Voters(bb).begin(), Voters(bb).end(),
-                     [&](const std::string& voter) {
-                       const auto peer = bb.membership.peers.find(voter);
-                       return peer == bb.membership.peers.end() ||
-                              peer->second.confirmed_first_start;
-                     });
-}
-
-// ------------------------------------------------------------ the proposer
-
 // Returns the state that follows `newest` when the document of `proposal` is
 // accepted.
 wire::ConfigurationState NextState(const ConfigurationProposal& proposal,
@@ -369,6 +247,47 @@
 
 }  // namespace
 
+namespace detail {
+
+const std::vector<std::string>& Voters(const Blackboard& bb) {
+  return bb.deployment.configuration_voters;
+}
+
+bool IsVoter(const Blackboard& bb, const std::string& vm) {
+  const auto& voters = Voters(bb);
+  return std::find(voters.begin(), voters.end(), vm) != voters.end();
+}
+
+void AdoptState(Blackboard& bb,
+                const wire::ConfigurationState& state,
+                Actions& actions) {
+  ConfigurationBoard& board = bb.configuration;
+  if (state.version() <= board.in_force.version()) {
+    return;
+  }
+  auto parsed = ParseConfiguration(state.document());
+  if (!CheckInvariant(
+          bb,
+          parsed.has_value() && Sha256Hex(state.document()) == state.digest(),
+          "an agreed configuration is a valid document", actions)) {
+    return;
+  }
+  board.in_force = state;
+  board.active = std::move(*parsed);
+  UpdateReadyLanes(bb);
+  bb.placement_due = true;
+  AppendJournal append;
+  append.token = bb.deployment.has_disk ? NextId(bb) : 0;
+  board.unsynced_in_force_token = append.token;
+  *append.record.mutable_configuration_in_force() = state;
+  actions.emplace_back(std::move(append));
+  Log(actions, LogLevel::kInfo, "configuration_in_force",
+      {{"version", std::to_string(state.version())},
+       {"digest", state.digest().substr(0, 16)}});
+}
+
+}  // namespace detail
+
 std::string DigestOfVersion(const wire::ConfigurationState& state,
                             uint64_t version) {
   const auto size = static_cast<uint64_t>(state.history_size());
@@ -426,16 +345,6 @@
   }
 }
 
-void OnConfigurationRequest(Blackboard& bb,
-                            const std::string& from,
-                            const wire::ConfigurationRequest& request,
-                            StepTime now,
-                            Actions& actions) {
-  if (IsVoter(bb, bb.deployment.self)) {
-    VoteAndReply(bb, from, request, now, actions);
-  }
-}
-
 void OnConfigurationReply(Blackboard& bb,
                           const std::string& from,
                           const wire::ConfigurationReply& reply,
@@ -525,56 +434,6 @@
   AdoptState(bb, message.state(), actions);
 }
 
-// A decision in which this voter's lost vote counted is stored at a majority
-// minus one of the other voters. The votes of a majority of all voters, read
-// from the others, include at least one that contains it.
-void OnConfigurationRecoverReply(Blackboard& bb,
-                                 const std::string& from,
-                                 const wire::ConfigurationRecoverReply& reply,
-                                 Actions& actions) {
-  ConfigurationBoard& board = bb.configuration;
-  AdoptState(bb, reply.in_force(), actions);
-  if (!board.recovering || reply.recovering()) {
-    return;
-  }
-  board.recovered[from] = reply;
-  if (board.recovered.size() < MajorityOf(Voters(bb).size())) {
-    return;
-  }
-  for (const auto& [voter, answer] : board.recovered) {
-    const wire::ConfigurationVote& vote = answer.vote();
-    board.vote.set_promised(std::max(board.vote.promised(), vote.promised()));
-    if (vote.accepted() > board.vote.accepted()) {
-      board.vote.set_accepted(vote.accepted());
-      *board.vote.mutable_state() = vote.state();
-    }
-  }
-  AppendJournal append;
-  *append.record.mutable_configuration_vote() = board.vote;
-  actions.emplace_back(std::move(append));
-  FinishRecovery(bb, "read_other_votes", actions);
-}
-
-void OnConfigurationRecoveryTimer(Blackboard& bb,
-                                  StepTime now,
-                                  Actions& actions) {
-  if (!bb.configuration.recovering) {
-    return;
-  }
-  if (IsFirstStart(bb)) {
-    FinishRecovery(bb, "first_start", actions);
-    return;
-  }
-  for (const std::string& voter : Voters(bb)) {
-    if (voter != bb.deployment.self) {
-      wire::PeerMessage message;
-      message.mutable_configuration_fetch()->set_recover(true);
-      SendToPeer(bb, voter, std::move(message), actions);
-    }
-  }
-  bb.timers.Set(now.mono + kRecoveryPeriod, TimerKind::kConfigurationRecovery);
-}
-
 void FetchNewerConfiguration(Blackboard& bb,
                              const std::string& from,
                              uint64_t version,
@@ -613,19 +472,8 @@
                                bool ok,
                                StepTime now,
                                Actions& actions) {
-  ConfigurationBoard& board = bb.configuration;
   SendSyncedAnswers(bb, token, ok, actions);
-  const auto found = board.unsynced_replies.find(token);
-  if (found == board.unsynced_replies.end()) {
-    return;
-  }
-  SendPeer reply = std::move(found->second);
-  board.unsynced_replies.erase(found);
-  if (!ok) {
-    Log(actions, LogLevel::kError, "vote_not_durable", {});
-    return;
-  }
-  DeliverReply(bb, std::move(reply), now, actions);
+  detail::DeliverSyncedVote(bb, token, ok, now, actions);
 }
 
 }  // namespace goldcrest
