Hold requests at the beginning of an outage instead of refusing them

Control daemons answer the appearance of another one with a heartbeat at once, so that an election need not wait for the next period.

--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include "edge/entry_daemon.h"
 
+#include <string>
 #include <utility>
 
 #include <Poco/Exception.h>
@@ -36,7 +37,9 @@
           OnCallerRequest(token, request);
         },
         [this](RequestToken token) {
-          loop_.AddLocalEvent(CallerDisconnected{token});
+          if (!held_.Remove(token)) {
+            loop_.AddLocalEvent(CallerDisconnected{token});
+          }
         });
     readiness_server_ = std::make_unique<HttpServer>(
         loop_.sockets(), Poco::Net::SocketAddress(options_.readiness_address),
@@ -84,6 +87,36 @@
 
 void EntryDaemon::OnCallerRequest(RequestToken token,
                                   const HttpRequest& request) {
+  const Micros now = ReadBootClock().mono;
+  UpdateOutage(outage_, board_, now);
+  if (ShouldHold(outage_, board_, now, now) &&
+      held_.Add({token, request, now})) {
+    ++board_.counters.held;
+    return;
+  }
+  ServeCallerRequest(token, request, 0);
+}
+
+void EntryDaemon::ReleaseHeldRequests() {
+  const Micros now = ReadBootClock().mono;
+  UpdateOutage(outage_, board_, now);
+  held_.Release(
+      [&](const HeldRequest& held) {
+        return ShouldHold(outage_, board_, held.received_at, now);
+      },
+      [&](const HeldRequest& held) {
+        WriteLog({LogLevel::kInfo,
+                  "held_request_released",
+                  {{"held_ms",
+                    std::to_string((now - held.received_at) / kMillisecond)},
+                   {"can_serve", outage_.began_at == 0 ? "1" : "0"}}});
+        ServeCallerRequest(held.token, held.request, now - held.received_at);
+      });
+}
+
+void EntryDaemon::ServeCallerRequest(RequestToken token,
+                                     const HttpRequest& request,
+                                     Micros held_for) {
   CallerRequest decoded = RejectedCallerRequest{};
   try {
     decoded = callers_.Decode(request, board_.routing);
@@ -97,6 +130,7 @@
     RunStep(rejected->rejection);
   } else if (auto* job = std::get_if<CallerJob>(&decoded)) {
     job->token = token;
+    job->held_for = held_for;
     RunStep(*job);
   } else if (auto* cancel = std::get_if<CancelRequested>(&decoded)) {
     cancel->token = token;
@@ -154,12 +188,18 @@
 
 void EntryDaemon::Run() {
   PoolLoopHandlers<EntryEvent> handlers;
-  handlers.on_event = [this](const EntryEvent& event) { RunStep(event); };
+  handlers.on_event = [this](const EntryEvent& event) {
+    RunStep(event);
+    if (held_.size() > 0) {
+      ReleaseHeldRequests();
+    }
+  };
   handlers.on_tick = [this] {
     if (on_tick_) {
       on_tick_(board_.pool.mesh, ReadBootClock().mono);
     }
     RunStep(EntryTimeAdvanced());
+    ReleaseHeldRequests();
   };
   handlers.close_stale = [this](Micros now) {
     server_->CloseStale(now);
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -13,11 +13,13 @@
 
 #include <tl/expected.hpp>
 
+#include "edge/held_requests.h"
 #include "edge/http_server.h"
 #include "edge/pool_loop.h"
 #include "edge/pool_metrics.h"
 #include "edge/pool_protocol.h"
 #include "pool/entry.h"
+#include "pool/request_hold.h"
 
 namespace goldcrest {
 
@@ -60,7 +62,14 @@
   void SetTickHandler(TickHandler handler) { on_tick_ = std::move(handler); }
 
  private:
+  // Holds the request if it cannot be served yet, or serves it.
   void OnCallerRequest(RequestToken token, const HttpRequest& request);
+  // Decodes the request, which was held for `held_for`, and acts on it.
+  void ServeCallerRequest(RequestToken token,
+                          const HttpRequest& request,
+                          Micros held_for);
+  // Serves the held requests that need not be held any longer.
+  void ReleaseHeldRequests();
   void OnReadinessRequest(RequestToken token, const HttpRequest& request);
   // Calls the decision code with one event, performs the resulting actions and
   // records metrics.
@@ -77,6 +86,8 @@
   const CallerProtocol& callers_;
   EntryBoard board_;
   EntryMetrics metrics_;
+  OutageClock outage_;
+  HeldRequests held_;
   TickHandler on_tick_;
   PoolLoop<EntryEvent, EntryMessageReceived> loop_;
   std::unique_ptr<HttpServer> server_;
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -115,6 +115,8 @@
   std::string text;
   AppendMetric(text, "jobs_received_total", "counter",
                std::to_string(board.counters.received));
+  AppendMetric(text, "requests_held_total", "counter",
+               std::to_string(board.counters.held));
   AppendMetric(text, "jobs_moved_total", "counter",
                std::to_string(board.counters.moved));
   AppendByLabel(text, "jobs_answered_total", "outcome",
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -82,6 +82,10 @@
              "Time without a message of any control daemon after which an "
              "entry daemon prepares to order workers itself; 0 for the "
              "default timeouts, or 200 to 5000.");
+DEFINE_int32(hold_requests_ms,
+             0,
+             "Time for which an entry daemon holds a request that it cannot "
+             "serve yet, at the beginning of an outage; 0 to 1000.");
 DEFINE_bool(run_times_by_worker,
             false,
             "Run times are learned for each worker, not only for each kind "
@@ -96,6 +100,7 @@
 constexpr int32_t kMaxToleratedLosses = 10;
 constexpr uint64_t kMaxPort = 65535;
 constexpr int32_t kMaxQueueFloorPercent = 50;
+constexpr int32_t kMaxHoldRequestsMs = 1000;
 constexpr int32_t kMinStandbyAfterMs = 200;
 constexpr int32_t kMaxStandbyAfterMs = 5000;
 
@@ -205,6 +210,10 @@
        FLAGS_standby_after_ms > kMaxStandbyAfterMs)) {
     FailUsage(program, "--standby_after_ms: not 0 or in 200 to 5000");
   }
+  if (FLAGS_hold_requests_ms < 0 ||
+      FLAGS_hold_requests_ms > kMaxHoldRequestsMs) {
+    FailUsage(program, "--hold_requests_ms: not in 0 to 1000");
+  }
   PoolFeatures features;
   features.placement_lookahead = FLAGS_placement_lookahead;
   features.overload_control = FLAGS_overload_control;
@@ -354,6 +363,7 @@
   options.metrics_address = MetricsAddress();
   options.mesh = ReadMeshOptions(program);
   options.entry.features = ReadFeatures(program);
+  options.entry.hold_requests = FLAGS_hold_requests_ms * kMillisecond;
   options.mesh_bind = ReadMeshBind(program);
   BlockStopSignals();
   // Settings are reloaded by polling; a SIGHUP must not end the daemon.
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -206,8 +206,8 @@
   pending.token = job.token;
   pending.job_id = job.job_id;
   pending.queue = job.queue;
-  pending.received_at = now;
-  pending.deadline = now + budget_ms * kMillisecond;
+  pending.received_at = now - job.held_for;
+  pending.deadline = pending.received_at + budget_ms * kMillisecond;
   pending.message = MakeOrder(board, job, *queue, number);
   board.order_number_of_token[job.token] = number;
   board.order_number_of_job[job.job_id] = number;
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -57,6 +57,9 @@
   // have waited in the sockets for an unknown time.
   Micros refuse_after_pause = 100 * kMillisecond;
   int64_t retry_after_ms = 1000;
+  // Requests that cannot be served yet are held for up to this long at the
+  // beginning of an outage (request_hold.h); 0: they are refused at once.
+  Micros hold_requests = 0;
   // Used while this daemon orders workers as a standby.
   PoolFeatures features;
 };
@@ -70,6 +73,8 @@
   std::vector<wire::JobStep> steps;
   // The caller's timeout; 0: the queue's timeout applies.
   int64_t caller_timeout_ms = 0;
+  // How long the request was held before it was passed to the decision code.
+  Micros held_for = 0;
   // A feature that the job requires and this version does not support; empty if
   // there is none.
   std::string unsupported;
@@ -139,6 +144,7 @@
 struct EntryCounters {
   uint64_t received = 0;
   uint64_t moved = 0;  // jobs sent again, to another control daemon
+  uint64_t held = 0;   // requests held at the beginning of an outage
   std::map<std::string, uint64_t> answered;  // by outcome
 };
 
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -55,6 +55,9 @@
                   {"incarnation", std::to_string(message.incarnation())},
                   {"failure_domain", presence.failure_domain()}});
     SendWorkerTable(board, message.from(), actions);
+    // The other one needs this daemon's state for an election, so it does not
+    // wait for the next period.
+    board.mesh.next_heartbeat_at = now;
   }
 }
 
