--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -33,11 +33,14 @@
 
 FakePool::FakePool(const FakePoolOptions& options)
     : options_(options), random_(options.seed) {
-  for (size_t i = 0; i < options.domains.size(); ++i) {
-    FakeControl& control = controls_.emplace_back();
-    control.address = "control-" + options.domains[i];
-    control.domain = options.domains[i];
-    domain_of_address_[control.address] = control.domain;
+  for (int i = 0; i < options.controls_per_domain; ++i) {
+    for (const std::string& domain : options.domains) {
+      FakeControl& control = controls_.emplace_back();
+      control.address =
+          "control-" + domain + (i == 0 ? "" : std::to_string(i + 1));
+      control.domain = domain;
+      domain_of_address_[control.address] = control.domain;
+    }
   }
   for (const std::string& domain : options.domains) {
     for (int i = 0; i < options.entries_per_domain; ++i) {
@@ -232,6 +235,10 @@
       domain_of_address_[from] != domain_of_address_[send.to]) {
     ++cross_domain_heartbeats_;
   }
+  if (options_.message_loss > 0 && std::uniform_real_distribution<double>(
+                                       0, 1)(random_) < options_.message_loss) {
+    return;
+  }
   Schedule(now_ + options_.message_delay, [this, from, send = std::move(send)] {
     if (cuts_.contains({from, send.to})) {
       return;
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -28,6 +28,7 @@
 
 struct FakePoolOptions {
   std::vector<std::string> domains = {"a", "b", "c"};
+  int controls_per_domain = 1;
   int entries_per_domain = 1;
   int workers_per_domain = 4;
   int64_t worker_cpu_millis = 16'000;
@@ -37,8 +38,9 @@
   // reachable control daemon, instead of to a random one.
   bool report_to_first_control = false;
   HeartbeatRates rates;
-  PoolFeatures features;                      // of all daemons
-  Micros message_delay = kMillisecond;        // of each message
+  PoolFeatures features;                // of all daemons
+  Micros message_delay = kMillisecond;  // of each message
+  double message_loss = 0;              // share of the messages between daemons
   Micros disk_write_time = 9 * kMillisecond;  // duration of a disk write
 };
 
