Standby: entry daemons take over by probes; workers return on request

An entry daemon noticed a loss of all control daemons after 0.65 s and ordered workers 0.6 s later; control daemons that started again claimed workers that entry daemons were using, since a connection to a VM without power is made again only after up to 0.7 s, later than the first claims.

With standby_after, an entry daemon probes all control daemons and its probe peers every 40 ms once it hears no control daemon, and orders workers when three probes have failed and half of its probe peers hear none either. Jobs without a start permission are held for it. A control daemon that has just started asks the others about each worker before it claims it, and owners release a third (entry daemons) or a tenth (control daemons) of their workers at a time. The pending jobs of an entry daemon are moved to a file of their own.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pool/job_admission.h"
+#include "pool/pending_jobs.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_step.h"
@@ -14,6 +15,17 @@
 namespace goldcrest {
 namespace {
 
+using detail::ChooseDaemon;
+using detail::HandleJobEnd;
+using detail::HandleJobForwarded;
+using detail::HandlePermissionRequest;
+using detail::HoldJob;
+using detail::MayHoldJobs;
+using detail::Reply;
+using detail::RequestCancel;
+using detail::SendCancel;
+using detail::SendOrderTo;
+
 const wire::Queue* QueueByName(const wire::Routing& routing,
                                const std::string& name) {
   for (const wire::Queue& queue : routing.queues()) {
@@ -24,18 +36,6 @@
   return nullptr;
 }
 
-// Counts the outcome and answers the request, if its caller is still connected.
-void Reply(EntryBoard& board,
-           ReplyToken token,
-           wire::JobFate fate,
-           int64_t retry_after_ms,
-           PoolActions& actions) {
-  ++board.counters.answered[std::string(ToString(fate))];
-  if (token != kNoToken) {
-    actions.emplace_back(ReplyJob{token, fate, retry_after_ms});
-  }
-}
-
 void RefuseCaller(EntryBoard& board,
                   const CallerJob& job,
                   const std::string& reason,
@@ -49,65 +49,6 @@
         actions);
 }
 
-void SendCancel(const EntryBoard& board,
-                const PendingJob& job,
-                PoolActions& actions) {
-  wire::PoolMessage message;
-  wire::JobCancel& cancel = *message.mutable_job_cancel();
-  cancel.set_order(job.order_number);
-  cancel.set_job_id(job.job_id);
-  cancel.set_entry(board.pool.mesh.options.self);
-  SendTo(actions, job.control_address, std::move(message));
-}
-
-// Answers the caller of a pending job and removes the job.
-void Finish(EntryBoard& board,
-            uint64_t order_number,
-            wire::JobFate fate,
-            const std::string& reason,
-            int64_t retry_after_ms,
-            Micros now,
-            PoolActions& actions) {
-  const auto found = board.pending.find(order_number);
-  if (found == board.pending.end()) {
-    return;
-  }
-  const PendingJob job = std::move(found->second);
-  board.pending.erase(found);
-  board.order_number_of_token.erase(job.token);
-  const auto by_id = board.order_number_of_job.find(job.job_id);
-  if (by_id != board.order_number_of_job.end() &&
-      by_id->second == order_number) {
-    board.order_number_of_job.erase(by_id);
-  }
-  LogPoolEvent(
-      actions,
-      fate == wire::JOB_COMPLETED ? LogLevel::kInfo : LogLevel::kWarning,
-      "job_answered",
-      {{"job", job.job_id},
-       {"queue", job.queue},
-       {"control", job.control_address},
-       {"outcome", std::string(ToString(fate))},
-       {"reason", reason},
-       {"took_ms", std::to_string((now - job.received_at) / kMillisecond)}});
-  board.observations.push_back({job.queue, fate, now - job.received_at});
-  Reply(board, job.token, fate, retry_after_ms, actions);
-  for (const ReplyToken token : job.cancel_tokens) {
-    actions.emplace_back(ReplyJob{token, fate, 0, true});
-  }
-}
-
-// Requests the control daemon to cancel a pending job, and schedules the next
-// repetition. The request is repeated until the job's outcome is known.
-void RequestCancel(const EntryBoard& board,
-                   PendingJob& job,
-                   Micros now,
-                   PoolActions& actions) {
-  job.cancelling = true;
-  job.cancel_due = now + board.options.cancel_retry_delay;
-  SendCancel(board, job, actions);
-}
-
 wire::JobOrder MakeOrder(const EntryBoard& board,
                          const CallerJob& job,
                          const wire::Queue& queue,
@@ -130,38 +71,6 @@
   return order;
 }
 
-// Sends a pending job to a control daemon.
-void SendOrderTo(EntryBoard& board,
-                 PendingJob& pending,
-                 const std::string& control,
-                 Micros now,
-                 PoolActions& actions) {
-  const auto found = board.pool.mesh.members.find(control);
-  const MeshMember member =
-      found == board.pool.mesh.members.end() ? MeshMember() : found->second;
-  const int64_t left_ms =
-      std::max<int64_t>((pending.deadline - now) / kMillisecond, 0);
-  SwitchToFullRate(board.pool.mesh, control, now, actions);
-  pending.control_address = control;
-  pending.control_incarnation = member.incarnation;
-  pending.message.set_seen_sequence(
-      NewestHeartbeatSequence(board.pool.mesh, control));
-  pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
-  wire::PoolMessage message;
-  *message.mutable_job_order() = pending.message;
-  SendTo(actions, control, std::move(message));
-  LogPoolEvent(
-      actions, LogLevel::kInfo, "job_sent",
-      {{"job", pending.job_id},
-       {"queue", pending.queue},
-       {"control", control},
-       {"heard_ms_ago",
-        std::to_string((now - member.last_received_at) / kMillisecond)},
-       {"configuration", std::to_string(board.routing.version())},
-       {"budget_ms", std::to_string(left_ms)},
-       {"tried", std::to_string(pending.tried_controls.size())}});
-}
-
 void Handle(EntryBoard& board,
             const CallerJob& job,
             Micros now,
@@ -188,19 +97,17 @@
     RefuseCaller(board, job, "unsupported_" + job.unsupported, actions);
     return;
   }
-  std::optional<std::string> control = ChooseControl(board.pool.mesh, now);
-  if (!control && HasReadyWorkers(board.pool)) {
-    // This daemon is a standby and orders workers itself.
-    control = board.pool.mesh.options.self;
-  }
-  if (!control) {
+  const uint64_t number = board.next_order;
+  const wire::JobOrder order = MakeOrder(board, job, *queue, number);
+  const auto daemon = ChooseDaemon(board, order, {}, now);
+  if (!daemon && !MayHoldJobs(board, now)) {
     RefuseCaller(board, job, "no_control_daemon", actions);
     return;
   }
   const int64_t budget_ms = job.caller_timeout_ms > 0
                                 ? job.caller_timeout_ms
                                 : static_cast<int64_t>(queue->timeout_ms());
-  const uint64_t number = board.next_order++;
+  ++board.next_order;
   PendingJob& pending = board.pending[number];
   pending.order_number = number;
   pending.token = job.token;
@@ -208,10 +115,14 @@
   pending.queue = job.queue;
   pending.received_at = now;
   pending.deadline = now + budget_ms * kMillisecond;
-  pending.message = MakeOrder(board, job, *queue, number);
+  pending.message = order;
   board.order_number_of_token[job.token] = number;
   board.order_number_of_job[job.job_id] = number;
-  SendOrderTo(board, pending, *control, now, actions);
+  if (daemon) {
+    SendOrderTo(board, pending, *daemon, now, actions);
+  } else {
+    HoldJob(board, pending, now, actions);
+  }
 }
 
 // Counts and logs a request that the edge has rejected; no reply is sent from
@@ -289,120 +200,6 @@
   board.pool.mesh.routing_source.clear();
 }
 
-// Records that the control daemon has forwarded a job to another one.
-void HandleJobForwarded(EntryBoard& board,
-                        const wire::JobMoved& moved,
-                        Micros now,
-                        PoolActions& actions) {
-  const auto found = board.pending.find(moved.order());
-  const auto member = board.pool.mesh.members.find(moved.to());
-  if (found != board.pending.end() && member != board.pool.mesh.members.end()) {
-    SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
-    found->second.control_address = moved.to();
-    found->second.control_incarnation = member->second.incarnation;
-  }
-}
-
-// Gives a pending job a new order number, so that later messages of its
-// previous control daemon about it are ignored.
-PendingJob& Renumber(EntryBoard& board, uint64_t order_number) {
-  auto node = board.pending.extract(order_number);
-  const uint64_t number = board.next_order++;
-  node.key() = number;
-  PendingJob& job = node.mapped();
-  job.order_number = number;
-  job.message.set_order(number);
-  job.start_permitted = false;
-  if (job.token != kNoToken) {
-    board.order_number_of_token[job.token] = number;
-  }
-  board.order_number_of_job[job.job_id] = number;
-  board.pending.insert(std::move(node));
-  return board.pending.at(number);
-}
-
-// Sends a pending job to another control daemon. The present one must not have
-// accepted the job, or must not have its start permission. Returns false if
-// there is no other control daemon.
-bool ResendToAnotherControl(EntryBoard& board,
-                            uint64_t order_number,
-                            const std::string& reason,
-                            Micros now,
-                            PoolActions& actions) {
-  const auto found = board.pending.find(order_number);
-  if (found == board.pending.end()) {
-    return false;
-  }
-  const std::string before = found->second.control_address;
-  found->second.tried_controls.insert(before);
-  const auto control =
-      ChooseControl(board.pool.mesh, now, found->second.tried_controls);
-  if (!control) {
-    return false;
-  }
-  PendingJob& job = Renumber(board, order_number);
-  ++board.counters.moved;
-  LogPoolEvent(actions, LogLevel::kInfo, "job_moved",
-               {{"job", job.job_id}, {"before", before}, {"reason", reason}});
-  SendOrderTo(board, job, *control, now, actions);
-  return true;
-}
-
-// Handles a request for a start permission. The permission is given unless the
-// job has ended, is being cancelled or has been sent again under a new order
-// number. A control daemon that asks under the present number holds the job: it
-// was sent or forwarded to it.
-void HandlePermissionRequest(EntryBoard& board,
-                             const wire::PoolMessage& message,
-                             Micros now,
-                             PoolActions& actions) {
-  const wire::JobAsk& ask = message.job_ask();
-  const auto found = board.pending.find(ask.order());
-  if (found == board.pending.end() || found->second.job_id != ask.job_id()) {
-    PendingJob job;
-    job.order_number = ask.order();
-    job.job_id = ask.job_id();
-    job.control_address = message.from();
-    SendCancel(board, job, actions);
-    return;
-  }
-  PendingJob& job = found->second;
-  job.control_address = message.from();
-  job.control_incarnation = message.incarnation();
-  if (job.cancelling) {
-    RequestCancel(board, job, now, actions);
-    return;
-  }
-  job.start_permitted = true;
-  wire::PoolMessage answer;
-  answer.mutable_job_go()->set_order(job.order_number);
-  answer.mutable_job_go()->set_job_id(job.job_id);
-  SendTo(actions, job.control_address, std::move(answer));
-}
-
-// Handles the outcome of a job as reported by its control daemon.
-void HandleJobEnd(EntryBoard& board,
-                  const wire::JobEnd& end,
-                  Micros now,
-                  PoolActions& actions) {
-  const auto found = board.pending.find(end.order());
-  const bool cancelling =
-      found != board.pending.end() && found->second.cancelling;
-  const bool not_accepted =
-      end.fate() == wire::JOB_REFUSED && end.try_elsewhere();
-  if (not_accepted && cancelling) {
-    Finish(board, end.order(), wire::JOB_CANCELLED, "never_taken", 0, now,
-           actions);
-    return;
-  }
-  if (not_accepted &&
-      ResendToAnotherControl(board, end.order(), end.reason(), now, actions)) {
-    return;
-  }
-  Finish(board, end.order(), end.fate(), end.reason(), end.retry_after_ms(),
-         now, actions);
-}
-
 void Handle(EntryBoard& board,
             const EntryMessageReceived& event,
             Micros now,
@@ -428,7 +225,8 @@
     OnWorkerUpdate(board.pool, message.from(), message.worker_news(), now,
                    actions);
   } else if (message.has_worker_request()) {
-    OnHandoverRequest(board.pool, message.worker_request(), now, actions);
+    OnHandoverRequest(board.pool, message.from(), message.worker_request(), now,
+                      actions);
   } else if (message.has_job_order()) {
     OnJobOrder(board.pool, message.job_order(), now, actions);
   } else if (message.has_job_cancel()) {
@@ -470,74 +268,6 @@
 
 void Handle(EntryBoard&, const EntryTimeAdvanced&, Micros, PoolActions&) {}
 
-// Returns the reason to end a pending job or to send it to another control
-// daemon: its time has passed, or its control daemon has restarted or is
-// unreachable. Returns an empty string if there is none.
-std::string FailureReason(const EntryBoard& board,
-                          const PendingJob& job,
-                          Micros now) {
-  const Mesh& mesh = board.pool.mesh;
-  if (now > job.deadline + board.options.answer_slack) {
-    return "time_is_up";
-  }
-  if (job.control_address == mesh.options.self) {
-    return "";
-  }
-  const auto member = mesh.members.find(job.control_address);
-  if (member == mesh.members.end() ||
-      member->second.incarnation != job.control_incarnation) {
-    return "control_restarted";
-  }
-  return IsPeerReachable(mesh, job.control_address, now) ? ""
-                                                         : "control_not_heard";
-}
-
-// Exchanges heartbeats at the full rate with all control daemons that have
-// pending jobs of this daemon.
-void KeepFullHeartbeatRate(EntryBoard& board,
-                           Micros now,
-                           PoolActions& actions) {
-  for (const auto& [order_number, job] : board.pending) {
-    SwitchToFullRate(board.pool.mesh, job.control_address, now, actions);
-  }
-}
-
-// Sends to another control daemon, or ends, the jobs whose control daemon has
-// restarted, is unreachable or does not answer in time.
-void ResolveFailedJobs(EntryBoard& board, Micros now, PoolActions& actions) {
-  std::vector<std::pair<uint64_t, std::string>> failed;
-  for (const auto& [order_number, job] : board.pending) {
-    std::string reason = FailureReason(board, job, now);
-    if (!reason.empty()) {
-      failed.emplace_back(order_number, std::move(reason));
-    }
-  }
-  for (const auto& [order_number, reason] : failed) {
-    const PendingJob& job = board.pending.at(order_number);
-    // The control daemon may still receive messages and run the job.
-    SendCancel(board, job, actions);
-    if (job.start_permitted) {
-      Finish(board, order_number, wire::JOB_UNKNOWN, reason, 0, now, actions);
-    } else if (job.cancelling) {
-      Finish(board, order_number, wire::JOB_CANCELLED, reason, 0, now, actions);
-    } else if (now >= job.deadline ||
-               !ResendToAnotherControl(board, order_number, reason, now,
-                                       actions)) {
-      Finish(board, order_number, wire::JOB_REFUSED, reason,
-             board.options.retry_after_ms, now, actions);
-    }
-  }
-}
-
-// Sends unconfirmed cancellations again.
-void ResendCancels(EntryBoard& board, Micros now, PoolActions& actions) {
-  for (auto& [order_number, job] : board.pending) {
-    if (job.cancelling && now >= job.cancel_due) {
-      RequestCancel(board, job, now, actions);
-    }
-  }
-}
-
 void DrainTick(EntryBoard& board, Micros now, PoolActions& actions) {
   if (!board.draining || board.drained) {
     return;
@@ -561,6 +291,7 @@
   board.options = options;
   board.pool.options.features = options.features;
   board.pool.mesh = MakeMesh(mesh);
+  board.pool.mesh.options.standby_after = options.features.standby_after;
   return board;
 }
 
@@ -581,10 +312,11 @@
       },
       event);
   if (std::holds_alternative<EntryTimeAdvanced>(event)) {
-    ResolveFailedJobs(board, now.mono, actions);
-    ResendCancels(board, now.mono, actions);
+    detail::ResolveFailedJobs(board, now.mono, actions);
+    detail::SendHeldJobs(board, now.mono, actions);
+    detail::ResendCancels(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
-    KeepFullHeartbeatRate(board, now.mono, actions);
+    detail::KeepFullHeartbeatRate(board, now.mono, actions);
     StandbyTick(board.pool, now.mono, actions);
     RunDuePoolWork(board.pool, now.mono, actions);
     MeshTick(board.pool.mesh, now.mono, actions);
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -134,11 +134,15 @@
   bool cancelling = false;
   Micros cancel_due = 0;
   std::vector<ReplyToken> cancel_tokens;
+  // Since when the job waits for a daemon that can take it; 0: it was sent to
+  // one (PoolFeatures::standby_after).
+  Micros held_since = 0;
 };
 
 struct EntryCounters {
   uint64_t received = 0;
   uint64_t moved = 0;  // jobs sent again, to another control daemon
+  uint64_t held = 0;   // times that a job waited for a daemon that can take it
   std::map<std::string, uint64_t> answered;  // by outcome
 };
 
@@ -162,6 +166,7 @@
   EntryCounters counters;
   std::vector<JobObservation> observations;  // drained by the edge
   Micros refuse_until = 0;
+  Micros last_served_at = 0;  // when a daemon could last take jobs
   bool draining = false;
   Micros drain_started_at = 0;
   Micros last_request_at = 0;
--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -22,6 +22,11 @@
 // Heartbeats stay at the full rate for this long after the entry daemon last
 // had a pending job at the control daemon.
 constexpr Micros kFullRateAfterJob = kSecond;
+// Period of quick probes. Three of them fit into the time that a standby waits
+// for answers, so that lost messages do not count as silence.
+constexpr Micros kQuickProbePeriod = 40 * kMillisecond;
+// With `standby_after`, probe peers get one in this many heartbeat rounds.
+constexpr uint64_t kPeerHeartbeatInterval = 10;
 
 bool IsInOwnDomain(const Mesh& mesh, const MeshMember& member) {
   return member.last_heartbeat.failure_domain() == mesh.options.failure_domain;
@@ -32,6 +37,26 @@
          now - member.last_received_at < timeout;
 }
 
+bool IsControl(const Mesh& mesh, const std::string& address) {
+  const auto found = mesh.members.find(address);
+  return found != mesh.members.end() && found->second.last_heartbeat.control();
+}
+
+// Returns how recently a control daemon must have been heard to be listed in
+// the `hears` of heartbeats to `to`.
+Micros HearsTimeout(const Mesh& mesh, const std::string& to) {
+  const bool between_entries = !mesh.options.control && !IsControl(mesh, to);
+  return between_entries && mesh.options.standby_after != 0
+             ? mesh.options.standby_after
+             : mesh.options.rates.full_rate_timeout;
+}
+
+// Returns whether probe peers get a heartbeat in this round.
+bool AreProbePeersDue(const Mesh& mesh) {
+  return mesh.probing || (mesh.options.standby_after != 0 &&
+                          mesh.sequence % kPeerHeartbeatInterval == 0);
+}
+
 // Returns whether heartbeats between this daemon and the member may use the
 // reduced rate.
 bool UsesReducedRate(const Mesh& mesh, const MeshMember& member) {
@@ -90,7 +115,8 @@
                              MeshMember& member,
                              bool reaches_own_domain,
                              Micros now) {
-  const bool full_rate = mesh.options.control || member.last_received_at == 0 ||
+  const bool full_rate = mesh.options.control || mesh.probes_quickly ||
+                         member.last_received_at == 0 ||
                          !UsesReducedRate(mesh, member) ||
                          !reaches_own_domain || now < member.full_rate_until;
   if (full_rate) {
@@ -132,13 +158,15 @@
   heartbeat.set_leads(mesh.is_leader);
   heartbeat.set_wants_routing(mesh.routing_request_due && !is_answer &&
                               to == mesh.routing_source);
+  const Micros hears_timeout = HearsTimeout(mesh, to);
   for (const auto& [address, member] : mesh.members) {
     if (!member.last_heartbeat.control() || address == to) {
       continue;
     }
     // Other daemons use this to decide whether a daemon has failed, so `hears`
-    // lists only daemons that were reachable within the full-rate timeout.
-    if (WasReceivedWithin(member, mesh.options.rates.full_rate_timeout, now)) {
+    // lists only daemons that were reachable within the full-rate timeout, or a
+    // shorter one.
+    if (WasReceivedWithin(member, hears_timeout, now)) {
       heartbeat.add_hears(address);
     } else {
       heartbeat.add_knows(address);
@@ -343,7 +371,9 @@
   if (now < mesh.next_heartbeat_at) {
     return;
   }
-  mesh.next_heartbeat_at = now + mesh.options.rates.period;
+  mesh.next_heartbeat_at =
+      now +
+      (mesh.probes_quickly ? kQuickProbePeriod : mesh.options.rates.period);
   StartHeartbeatRound(mesh, now);
   UpdateReducedRatePeriod(mesh, now);
   LogReachabilityChanges(mesh, now, actions);
@@ -358,7 +388,7 @@
       SendTo(actions, address, MakeHeartbeat(mesh, address, now, false));
     }
   }
-  if (!mesh.probing) {
+  if (!AreProbePeersDue(mesh)) {
     return;
   }
   for (const std::string& address : mesh.probe_peers) {
--- a/pool/mesh.h
+++ b/pool/mesh.h
@@ -45,6 +45,11 @@
   Micros routing_request_timeout = 800 * kMillisecond;
   // Daemons that nobody could reach for this long are removed.
   Micros remove_member_after = 30 * kSecond;
+  // PoolFeatures::standby_after. If it is not 0, entry daemons report to each
+  // other only the control daemons that they have heard within this time, and
+  // exchange heartbeats with their probe peers all the time, so that the
+  // connections exist when they are needed (standby.h).
+  Micros standby_after = 0;
 };
 
 struct MeshMember {
@@ -87,6 +92,10 @@
   // whether they are being probed.
   std::vector<std::string> probe_peers;
   bool probing = false;
+  // Whether probes are sent at shorter intervals than heartbeats, and the
+  // sequence number of the first one since the probing began.
+  bool probes_quickly = false;
+  uint64_t first_probe = 0;
   uint64_t store_id = 0;
   bool is_leader = false;  // this daemon is the leader of the agreement
   wire::PoolLoad load;
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -212,6 +212,9 @@
   Micros handover_requested_at =
       0;                   // when a handover was last requested from the owner
   Micros claim_after = 0;  // earliest time of a claim
+  // When the other daemons were first asked who owns the worker, which has no
+  // known owner; 0: not asked. Used only after the start of this daemon.
+  Micros owner_queried_at = 0;
   // When the worker refused this daemon's token; 0 when its owner is known.
   Micros fenced_at = 0;
   // The daemon that should own the worker, as computed for the set of owner
@@ -330,6 +333,8 @@
   uint64_t starts = 0;
   uint64_t reconciliations = 0;
   uint64_t ejections = 0;
+  uint64_t standbys = 0;         // times that this daemon became a standby
+  uint64_t handovers_begun = 0;  // workers that were requested and released
 };
 
 // State of one control daemon, or of the part of an entry daemon that owns
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -82,7 +82,7 @@
       OnWorkerUpdate(board, from, message.worker_news(), now, actions);
       break;
     case wire::PoolMessage::kWorkerRequest:
-      OnHandoverRequest(board, message.worker_request(), now, actions);
+      OnHandoverRequest(board, from, message.worker_request(), now, actions);
       break;
     case wire::PoolMessage::kVoteRequest:
       OnVoteRequest(board.agreement, from, message.vote_request(), now,
@@ -246,6 +246,7 @@
   PoolBoard board;
   board.options = start.options;
   board.mesh = MakeMesh(start.mesh);
+  board.mesh.options.standby_after = start.options.features.standby_after;
   board.wall_ms = now.wall_ms;
   board.started_at = now.mono;
   board.last_step_at = now.mono;
--- a/pool/standby.h
+++ b/pool/standby.h
@@ -13,6 +13,11 @@
 // daemon that is itself cut off reaches too few probe peers and claims nothing.
 // When a control daemon has returned, it requests the workers, and each is
 // handed over when idle.
+//
+// With PoolFeatures::standby_after, the decision follows from probes that were
+// sent after the silence began, instead of from timeouts: a VM without power
+// answers nothing, while a control daemon that is slow, or behind a link that
+// loses messages, answers one of several probes.
 
 #include <string>
 #include <vector>
@@ -31,6 +36,11 @@
                                        const std::string& to,
                                        Micros now);
 
+// Returns whether this entry daemon orders workers because no control daemon
+// answers its probes (PoolFeatures::standby_after). Control daemons then count
+// as unreachable, although they were heard within the usual timeouts.
+bool IsQuickStandby(const PoolBoard& board);
+
 // Returns whether the pool of an entry daemon has workers that accept tasks.
 bool HasReadyWorkers(const PoolBoard& board);
 
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -525,7 +525,7 @@
         pool.KillEntry(victim);
         break;
       case 6:
-        for (size_t i = 0; i < 3; ++i) {
+        for (size_t i = 0; i < pool.controls().size(); ++i) {
           pool.KillControl(i);
         }
         break;
@@ -541,13 +541,13 @@
     acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
     ++version;
     pool.EndPartitions();
-    for (size_t i = 0; i < 3; ++i) {
+    for (size_t i = 0; i < pool.controls().size(); ++i) {
       pool.controls()[i].paused = false;
       pool.controls()[i].disk_write_fails = false;
       if (!pool.controls()[i].running) {
         pool.StartControl(i);
       }
-      if (!pool.entries()[i].running) {
+      if (i < pool.entries().size() && !pool.entries()[i].running) {
         pool.StartEntry(i);
       }
     }
@@ -591,5 +591,19 @@
   }
 }
 
+// The same with quick standbys (PoolFeatures::standby_after), which claim and
+// hand over workers by other rules.
+TEST_CASE("Pool: random faults violate no invariant with quick standbys") {
+  for (uint64_t seed = 201; seed <= 208; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.controls_per_domain = 1 + seed % 2;
+    options.entries_per_domain = 1 + seed % 3;
+    options.features.standby_after = 250 * kMillisecond;
+    InjectRandomFaults(options);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -1,8 +1,11 @@
 #include "pool/worker_roster.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "goldcrest/digest.h"
+#include "pool/handover.h"
+#include "pool/standby.h"
 #include "pool/worker_session.h"
 
 namespace goldcrest {
@@ -11,6 +14,9 @@
 // Minimum time between two handover requests for a worker, and between its
 // release and a new claim by this daemon.
 constexpr Micros kRequestRetryDelay = 600 * kMillisecond;
+// The same between two requests if the owner decides when to hand it over; less
+// than a review's period, so that each review repeats the request.
+constexpr Micros kPacedRequestPeriod = 150 * kMillisecond;
 // Handovers requested from known owners per review (one OwnershipTick()): a
 // requested worker accepts no start orders until it is idle and the new owner
 // has reconciled it, so not many may be unavailable to the pool at a time.
@@ -107,7 +113,8 @@
     return false;
   }
   if (member.last_heartbeat.control()) {
-    return IsReachableByAny(board.mesh, member.address, now);
+    return !IsQuickStandby(board) &&
+           IsReachableByAny(board.mesh, member.address, now);
   }
   return board.standby && IsPeerReachable(board.mesh, member.address, now) &&
          member.last_heartbeat.failure_domain() ==
@@ -357,7 +364,7 @@
         worker.status.set_gone(true);
       }
     }
-    if (!row.owner().empty()) {
+    if (NamesPresentOwner(board, from, row, worker)) {
       worker.fenced_at = 0;
     }
     ApplyOwner(board, row, worker, now);
@@ -367,9 +374,14 @@
 }
 
 void OnHandoverRequest(PoolBoard& board,
+                       const std::string& from,
                        const wire::WorkerRequest& request,
                        Micros now,
                        PoolActions& actions) {
+  if (board.options.features.standby_after != 0) {
+    HandOverInTurns(board, from, request, now, actions);
+    return;
+  }
   for (const std::string& id : request.ids()) {
     const auto found = board.workers.find(id);
     if (found == board.workers.end()) {
@@ -486,13 +498,19 @@
     return;
   }
   board.ownership_due = now + board.options.ownership_period;
-  if (now - board.started_at < board.options.claim_delay) {
+  if (now - board.started_at < ReviewDelay(board)) {
     return;  // other daemons have not had time to report their workers
   }
   UpdateOwnerCandidates(board, now);
   const std::string& self = board.mesh.options.self;
   std::map<std::string, wire::WorkerRequest> requests;
   int request_count = 0;
+  // With `standby_after`, the owner decides how many it hands over at a time.
+  const bool paced_by_owner = board.options.features.standby_after != 0;
+  const Micros retry_delay =
+      paced_by_owner ? kPacedRequestPeriod : kRequestRetryDelay;
+  const int max_requests = paced_by_owner ? std::numeric_limits<int>::max()
+                                          : kMaxHandoverRequestsPerReview;
   for (auto& [id, worker] : board.workers) {
     if (!IsInPool(worker)) {
       continue;
@@ -511,18 +529,21 @@
     const bool owner_unknown =
         worker.fenced_at != 0 &&
         now - worker.fenced_at < board.options.unknown_owner_timeout;
-    if (owner_unknown) {
+    const bool owner_reachable =
+        !owner.empty() && owner != self && IsOwnerReachable(board, owner, now);
+    const bool owner_query_due =
+        !owner_reachable && IsOwnerQueryDue(board, worker, now);
+    if (owner_unknown || owner_query_due) {
       for (const auto& [address, member] : board.mesh.members) {
-        if (member.last_heartbeat.control() &&
+        if (ReceivesOwnerQueries(board, member) &&
             IsPeerReachable(board.mesh, address, now)) {
           requests[address].add_ids(id);
         }
       }
-    } else if (owner.empty() || owner == self ||
-               !IsReachableByAny(board.mesh, owner, now)) {
+    } else if (!owner_reachable) {
       Claim(board, worker, now, actions);
-    } else if (now - worker.handover_requested_at > kRequestRetryDelay &&
-               request_count < kMaxHandoverRequestsPerReview) {
+    } else if (now - worker.handover_requested_at > retry_delay &&
+               request_count < max_requests) {
       worker.handover_requested_at = now;
       ++request_count;
       requests[owner].add_ids(id);
--- a/pool/worker_roster.h
+++ b/pool/worker_roster.h
@@ -38,8 +38,10 @@
                     Micros now,
                     PoolActions& actions);
 
-// Handles another daemon's request to hand over workers.
+// Handles the request of the daemon at the mesh address `from` to hand over
+// workers.
 void OnHandoverRequest(PoolBoard& board,
+                       const std::string& from,
                        const wire::WorkerRequest& request,
                        Micros now,
                        PoolActions& actions);
