--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -91,7 +91,7 @@
   UpdateOutage(outage_, board_, now);
   if (ShouldHold(outage_, board_, now, now) &&
       held_.Add({token, request, now})) {
-    ++board_.counters.held;
+    ++board_.counters.requests_held;
     return;
   }
   ServeCallerRequest(token, request, 0);
--- a/pool/request_hold.cc
+++ b/pool/request_hold.cc
@@ -1,5 +1,6 @@
 #include "pool/request_hold.h"
 
+#include "pool/pending_jobs.h"
 #include "pool/standby.h"
 
 namespace goldcrest {
@@ -30,7 +31,8 @@
                 const EntryBoard& board,
                 Micros received_at,
                 Micros now) {
-  return outage.began_at != 0 && !board.draining && now >= board.refuse_until &&
+  return outage.began_at != 0 && !detail::MayHoldJobs(board, now) &&
+         !board.draining && now >= board.refuse_until &&
          now - received_at < board.options.hold_requests &&
          now - outage.began_at < kLongestHeldOutage;
 }
--- a/pool/request_hold.h
+++ b/pool/request_hold.h
@@ -32,6 +32,7 @@
 
 // Returns whether a request that was received at `received_at` is to be held,
 // or held on. Always false if EntryOptions::hold_requests is 0, while the
+// decision code holds decoded jobs itself (PendingJob::held_since), while the
 // daemon drains, and after a pause of the process. UpdateOutage() must have
 // been called at `now`.
 bool ShouldHold(const OutageClock& outage,
