--- a/pool/mesh.cc
+++ b/pool/mesh.cc
@@ -393,20 +393,24 @@
   }
   RemoveUnreachable(mesh, now);
   const bool reaches_own_domain = ReachesOwnDomain(mesh, now);
-  const bool peers_due = AreProbePeersDue(mesh);
   for (auto& [address, member] : mesh.members) {
-    if (member.last_heartbeat.control() &&
-        UpdateHeartbeatSchedule(mesh, member, reaches_own_domain, now)) {
-      SendTo(actions, address, MakeHeartbeat(mesh, address, now, false));
-    } else if (SharesJobWithEntry(mesh, member, now) && !peers_due) {
+    const bool due =
+        member.last_heartbeat.control()
+            ? UpdateHeartbeatSchedule(mesh, member, reaches_own_domain, now)
+            : SharesJobWithEntry(mesh, member, now);
+    if (due) {
       SendTo(actions, address, MakeHeartbeat(mesh, address, now, false));
     }
   }
-  if (!peers_due) {
+  if (!AreProbePeersDue(mesh)) {
     return;
   }
   for (const std::string& address : mesh.probe_peers) {
-    SendTo(actions, address, MakeHeartbeat(mesh, address, now, false));
+    const auto member = mesh.members.find(address);
+    if (member == mesh.members.end() ||
+        !SharesJobWithEntry(mesh, member->second, now)) {
+      SendTo(actions, address, MakeHeartbeat(mesh, address, now, false));
+    }
   }
 }
 
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -241,9 +241,9 @@
                                         const std::set<std::string>& tried,
                                         Micros now) {
   const std::string& self = board.pool.mesh.options.self;
-  const auto control = IsQuickStandby(board.pool)
-                           ? std::nullopt
-                           : ChooseControl(board.pool.mesh, now, tried);
+  auto control = IsQuickStandby(board.pool)
+                     ? std::nullopt
+                     : ChooseControl(board.pool.mesh, now, tried);
   if (!HasReadyWorkers(board.pool) || tried.contains(self)) {
     return IsQuickStandby(board.pool)
                ? ChooseStandby(board.pool.mesh, tried, now)
