--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -7,6 +7,7 @@
 #include "edge/logging.h"
 #include "edge/socket_loop.h"
 #include "goldcrest/json_reader.h"
+#include "pool/worker_profile.h"
 
 namespace goldcrest {
 namespace {
@@ -87,6 +88,26 @@
   }
 }
 
+// Appends a summary of the workers' profiles, if they are learned.
+void AppendProfiles(std::string& text, const PoolBoard& board) {
+  if (!board.options.features.run_times_by_worker) {
+    return;
+  }
+  const ProfileSummary summary = SummarizeProfiles(board);
+  AppendMetric(text, "profiled_workers", "gauge",
+               std::to_string(summary.workers));
+  AppendMetric(text, "run_time_factor_smallest", "gauge",
+               std::to_string(summary.smallest));
+  AppendMetric(text, "run_time_factor_median", "gauge",
+               std::to_string(summary.median));
+  AppendMetric(text, "run_time_factor_largest", "gauge",
+               std::to_string(summary.largest));
+  AppendMetric(text, "workers_marked_slow_total", "counter",
+               std::to_string(board.counters.workers_marked_slow));
+  AppendMetric(text, "profiles_adopted_total", "counter",
+               std::to_string(board.counters.profiles_adopted));
+}
+
 // Returns the outcome's name without its enum prefix, for use as a label.
 std::string OutcomeName(wire::JobFate fate) {
   std::string name = wire::JobFate_Name(fate);
@@ -190,6 +211,7 @@
                   Seconds(now - worker.last_received_at));
     }
   }
+  AppendProfiles(text, board);
   AppendMesh(text, board.mesh, link);
   return text;
 }
--- a/pool/choose_worker.h
+++ b/pool/choose_worker.h
@@ -20,8 +20,9 @@
   Resources free;         // free capacity
   bool near_data = true;  // in the rack that holds the task's input
   bool suspect = false;   // its last attempt failed, or the task failed there
-  double run_time_factor =
-      1.0;  // run time relative to that on an average worker
+  // Run time relative to that on an average worker, or its SpeedRank()
+  // (worker_profile.h); the lowest is the best.
+  double run_time_factor = 1.0;
 };
 
 // Returns true if `free` covers `required` in every resource.
--- a/pool/end_estimate.cc
+++ b/pool/end_estimate.cc
@@ -5,6 +5,7 @@
 
 #include "pool/choose_worker.h"
 #include "pool/task_requirements.h"
+#include "pool/worker_profile.h"
 
 namespace goldcrest {
 namespace {
@@ -46,12 +47,17 @@
   return slots;
 }
 
+Micros Scaled(Micros duration, double factor) {
+  return static_cast<Micros>(static_cast<double>(duration) * factor);
+}
+
 }  // namespace
 
 Micros EstimateTimeToEnd(const PoolBoard& board,
                          const PoolJob& job,
                          Micros now) {
   const wire::JobStep& step = job.order.steps(0);
+  const double factor = AverageFactor(board, job.order, step, now);
   std::vector<TaskGroup> ahead;
   for (const auto& [key, waiting] : board.waiting) {
     if (std::tie(key.expected_lateness, key.priority, key.objective_at) >
@@ -59,11 +65,12 @@
                         job.objective_at)) {
       break;
     }
-    ahead.push_back({1, waiting.job->steps[key.step].expected_run_time});
+    ahead.push_back(
+        {1, Scaled(waiting.job->steps[key.step].expected_run_time, factor)});
   }
-  Micros time_to_end =
-      ExpectedEnd(SlotTimes(board, job.order, step, now), ahead,
-                  {step.tasks(), job.steps[0].expected_run_time});
+  Micros time_to_end = ExpectedEnd(
+      SlotTimes(board, job.order, step, now), ahead,
+      {step.tasks(), Scaled(job.steps[0].expected_run_time, factor)});
   // Later steps are assumed to run one after another without waiting.
   for (size_t i = 1; i < job.steps.size() && time_to_end < kNever; ++i) {
     time_to_end += job.steps[i].expected_run_time;
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -422,7 +422,7 @@
       LogPoolEvent(actions, LogLevel::kInfo, "control_daemon_seen",
                    {{"address", message.from()},
                     {"incarnation", std::to_string(message.incarnation())}});
-      SendWorkerTable(board.pool, message.from(), actions);
+      SendWorkerTable(board.pool, message.from(), now, actions);
     }
   } else if (message.has_worker_news()) {
     OnWorkerUpdate(board.pool, message.from(), message.worker_news(), now,
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -157,6 +157,9 @@
   // Progress as last reported by the worker, and when it was reported.
   int progress_percent = 0;
   Micros progress_at = 0;
+  // Whether this attempt was already considered as evidence that its worker is
+  // slow (slow_evidence.h).
+  bool judged = false;
 };
 
 // A worker's record of failures.
@@ -169,6 +172,31 @@
   // An attempt took far longer than expected on this worker, and none has been
   // done within its expected time since.
   bool slow = false;
+  // Evidence that the worker is slow, since an attempt was last done there
+  // within its expected time, and the jobs that it is from (slow_evidence.h).
+  int slow_evidence = 0;
+  std::set<std::string> slow_evidence_jobs;
+};
+
+// A worker's run times relative to those of the average worker, as learned from
+// its completed attempts (worker_profile.h).
+struct WorkerProfile {
+  uint32_t samples = 0;   // jobs it was learned from; 0: nothing is known
+  double log_factor = 0;  // natural logarithm of the run time factor
+  double variance = 0;    // of log_factor
+  // Number of consecutive samples that deviated clearly to the same side,
+  // negative if the worker was faster than its profile.
+  int same_side = 0;
+};
+
+// The part of a worker's record that was last sent to other daemons.
+struct AnnouncedRecord {
+  uint32_t samples = 0;
+  int ejections = 0;
+  bool slow = false;
+
+  friend bool operator==(const AnnouncedRecord&,
+                         const AnnouncedRecord&) = default;
 };
 
 // A known worker, and this daemon's session with it if this daemon owns it.
@@ -209,6 +237,8 @@
   std::map<TaskName, WorkerAttempt> attempts;
   Resources used_resources;  // resources occupied by `attempts`
   WorkerHealth health;
+  WorkerProfile profile;
+  AnnouncedRecord announced;
   Micros handover_requested_at =
       0;                   // when a handover was last requested from the owner
   Micros claim_after = 0;  // earliest time of a claim
@@ -270,12 +300,21 @@
   friend auto operator<=>(const WaitingKey&, const WaitingKey&) = default;
 };
 
+// Run time of a completed task.
+struct RunTimeSample {
+  std::string worker;    // id
+  double log_ratio = 0;  // logarithm of the run time divided by the estimate
+  double relative = 0;   // run time divided by that expected on this worker
+};
+
 // One step of a job, with its tasks.
 struct PoolJobStep {
   std::vector<PoolTask> tasks;
   size_t open_tasks = 0;  // tasks that are not done
   // Expected run time of one task on a worker with kind factor 1.
   Micros expected_run_time = 0;
+  // Of its completed tasks; kept with run_times_by_worker only.
+  std::vector<RunTimeSample> samples;
 };
 
 // A job that this control daemon has accepted.
@@ -318,6 +357,15 @@
   // By kind of worker (its first label): run time there divided by that on an
   // average worker, whose factor is 1.
   std::map<std::string, double> kind_factor;
+  // The rest is used with run_times_by_worker only (worker_profile.h).
+  // Steps from which each queue's ratio was learned.
+  std::map<std::string, uint32_t> queue_samples;
+  // Variance of the logarithm of the run times of one step's tasks.
+  double task_variance = 0.04;
+  // Decaying sums over completed steps: of their work (run time times CPU), and
+  // of their work times the logarithm of the expected run time.
+  double work = 0;
+  double work_log_run_time = 0;
 };
 
 // Counts since the start of the daemon, for metrics.
@@ -330,6 +378,8 @@
   uint64_t starts = 0;
   uint64_t reconciliations = 0;
   uint64_t ejections = 0;
+  uint64_t workers_marked_slow = 0;
+  uint64_t profiles_adopted = 0;
 };
 
 // State of one control daemon, or of the part of an entry daemon that owns
@@ -351,6 +401,7 @@
   Micros started_at = 0;
   Micros last_step_at = 0;
   Micros ownership_due = 0;
+  Micros profile_update_due = 0;
   OwnerCandidates owner_candidates;
   uint64_t next_sequence = 1;
   uint64_t next_session = 1;
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -7,6 +7,7 @@
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_health.h"
+#include "pool/worker_profile.h"
 #include "pool/worker_session.h"
 
 namespace goldcrest {
@@ -42,7 +43,8 @@
 EligibleWorkers FindEligibleWorkers(PoolBoard& board,
                                     const std::vector<PoolWorker*>& ready,
                                     const PoolJob& job,
-                                    const WaitingKey& key) {
+                                    const WaitingKey& key,
+                                    Micros now) {
   const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
   const PoolTask& task = job.steps[key.step].tasks[key.index];
   const Resources required = ResourcesOf(step);
@@ -66,7 +68,7 @@
         step.data_rack().empty() || HasLabel(*worker, step.data_rack());
     offer.suspect =
         IsSuspect(*worker) || worker->status.id() == task.last_worker;
-    offer.run_time_factor = RunTimeFactor(board, *worker);
+    offer.run_time_factor = SpeedRank(board, job, key.step, *worker, now);
     result.workers.push_back(worker);
     result.offers.push_back(offer);
   }
@@ -150,7 +152,7 @@
       ++position;
       continue;
     }
-    EligibleWorkers eligible = FindEligibleWorkers(board, ready, job, key);
+    EligibleWorkers eligible = FindEligibleWorkers(board, ready, job, key, now);
     const Resources required =
         ResourcesOf(job.order.steps(static_cast<int>(key.step)));
     const std::optional<size_t> chosen =
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -5,6 +5,7 @@
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/stragglers.h"
+#include "pool/worker_record.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
 
@@ -41,7 +42,7 @@
                       presence, now, actions);
   if (!presence.control()) {
     if (change != MemberChange::kNone) {
-      SendWorkerTable(board, message.from(), actions);
+      SendWorkerTable(board, message.from(), now, actions);
     }
     if (presence.wants_routing()) {
       OfferRouting(board, message.from(), presence.routing_version(), actions);
@@ -54,7 +55,7 @@
                  {{"address", message.from()},
                   {"incarnation", std::to_string(message.incarnation())},
                   {"failure_domain", presence.failure_domain()}});
-    SendWorkerTable(board, message.from(), actions);
+    SendWorkerTable(board, message.from(), now, actions);
   }
 }
 
@@ -233,6 +234,7 @@
   OwnershipTick(board, now, actions);
   JobsTick(board, now, actions);
   MoveStragglers(board, now, actions);
+  ProfileTick(board, now, actions);
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
   }
--- a/pool/run_times.cc
+++ b/pool/run_times.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pool/worker_profile.h"
+
 namespace goldcrest {
 namespace {
 
@@ -11,15 +13,12 @@
 constexpr double kMinRatio = 0.4;
 constexpr double kMaxRatio = 2.5;
 
-// Returns the worker's kind: its first label.
-const std::string& KindOf(const PoolWorker& worker) {
-  static const std::string no_kind;
-  return worker.status.labels_size() > 0 ? worker.status.labels(0) : no_kind;
-}
-
 }  // namespace
 
 double RunTimeFactor(const PoolBoard& board, const PoolWorker& worker) {
+  if (board.options.features.run_times_by_worker) {
+    return ProfileFactor(board, worker);
+  }
   const auto found = board.run_times.kind_factor.find(KindOf(worker));
   return found == board.run_times.kind_factor.end() ? 1.0 : found->second;
 }
@@ -34,10 +33,14 @@
 }
 
 void LearnRunTime(PoolBoard& board,
-                  const PoolJob& job,
+                  PoolJob& job,
                   uint32_t step,
-                  const PoolWorker& worker,
+                  PoolWorker& worker,
                   Micros took) {
+  if (board.options.features.run_times_by_worker) {
+    RecordRunTime(board, job, step, worker, took);
+    return;
+  }
   const Micros estimate =
       job.order.steps(static_cast<int>(step)).estimate_ms() * kMillisecond;
   if (estimate == 0) {
--- a/pool/run_times.h
+++ b/pool/run_times.h
@@ -13,14 +13,14 @@
                        const wire::JobStep& step);
 
 // Returns the expected run time on the worker divided by that on an average
-// worker.
+// worker: that of its kind, or with run_times_by_worker that of its profile.
 double RunTimeFactor(const PoolBoard& board, const PoolWorker& worker);
 
 // Updates the run time statistics with a completed attempt that took `took`.
 void LearnRunTime(PoolBoard& board,
-                  const PoolJob& job,
+                  PoolJob& job,
                   uint32_t step,
-                  const PoolWorker& worker,
+                  PoolWorker& worker,
                   Micros took);
 
 }  // namespace goldcrest
--- a/pool/stragglers.cc
+++ b/pool/stragglers.cc
@@ -4,6 +4,7 @@
 
 #include "pool/choose_worker.h"
 #include "pool/pool_jobs.h"
+#include "pool/slow_evidence.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
@@ -28,22 +29,6 @@
 // the remaining run time of the old one.
 constexpr Micros kMoveOverhead = 60 * kMillisecond;
 
-bool IsProgressSignificant(const AttemptProgress& attempt) {
-  return attempt.reported_at >=
-         std::max(kMinSignificantAge,
-                  attempt.expected_run_time / kSignificantDivisor);
-}
-
-AttemptProgress ProgressOf(const WorkerAttempt& attempt, Micros now) {
-  AttemptProgress progress;
-  progress.age = now - attempt.answered_at;
-  progress.expected_run_time = attempt.expected_run_time;
-  progress.percent = attempt.progress_percent;
-  progress.reported_at =
-      std::max<Micros>(attempt.progress_at - attempt.answered_at, 0);
-  return progress;
-}
-
 // Returns whether a worker other than `excluded` that is not suspect has the
 // free capacity for the attempt.
 bool HasCapacityElsewhere(const std::vector<PoolWorker*>& ready,
@@ -55,7 +40,8 @@
   });
 }
 
-void MarkSlow(PoolWorker& worker,
+void MarkSlow(PoolBoard& board,
+              PoolWorker& worker,
               const TaskName& name,
               const AttemptProgress& progress,
               PoolActions& actions) {
@@ -63,6 +49,7 @@
     return;
   }
   worker.health.slow = true;
+  ++board.counters.workers_marked_slow;
   LogPoolEvent(
       actions, LogLevel::kInfo, "worker_slow",
       {{"worker", worker.status.id()},
@@ -89,12 +76,59 @@
                 {"expected_ms",
                  std::to_string(progress.expected_run_time / kMillisecond)},
                 {"progress_percent", std::to_string(progress.percent)}});
-  RecordFailure(worker, now);
+  // A straggler is not its worker's failure unless the worker is slow.
+  if (!board.options.features.run_times_by_worker || worker.health.slow) {
+    RecordFailure(worker, now);
+  }
   StopAttempt(board, worker, name, false, now, actions);
 }
 
+// Considers a straggler as evidence that its worker is slow, once for each
+// attempt; marks the worker if there is enough.
+void JudgeWorker(PoolBoard& board,
+                 PoolWorker& worker,
+                 const TaskName& name,
+                 WorkerAttempt& attempt,
+                 const PoolJob& job,
+                 Micros now,
+                 PoolActions& actions) {
+  if (attempt.judged || worker.health.slow) {
+    return;
+  }
+  const AttemptProgress progress = ProgressOf(attempt, now);
+  const StragglerCause cause = CauseOf(board, job, name, worker, progress, now);
+  attempt.judged = cause != StragglerCause::kOpen;
+  WorkerHealth health = worker.health;
+  const bool slow = AddSlowEvidence(health, cause, job.order.job_id());
+  if (slow) {
+    MarkSlow(board, worker, name, progress, actions);
+  }
+  worker.health = health;
+}
+
 }  // namespace
 
+bool IsProgressSignificant(const AttemptProgress& attempt) {
+  return attempt.reported_at >=
+         std::max(kMinSignificantAge,
+                  attempt.expected_run_time / kSignificantDivisor);
+}
+
+AttemptProgress ProgressOf(const WorkerAttempt& attempt, Micros now) {
+  AttemptProgress progress;
+  progress.age = now - attempt.answered_at;
+  progress.expected_run_time = attempt.expected_run_time;
+  progress.percent = attempt.progress_percent;
+  progress.reported_at =
+      std::max<Micros>(attempt.progress_at - attempt.answered_at, 0);
+  return progress;
+}
+
+bool IsOverdue(const AttemptProgress& attempt) {
+  return attempt.age >=
+         kOverdueFactor * attempt.expected_run_time + kOverdueSlack;
+}
+
 Micros RemainingRunTime(const AttemptProgress& attempt) {
   if (attempt.percent <= 0) {
     return kNever;
@@ -106,8 +140,7 @@
 }
 
 bool IsStraggler(const AttemptProgress& attempt) {
-  if (attempt.age >=
-      kOverdueFactor * attempt.expected_run_time + kOverdueSlack) {
+  if (IsOverdue(attempt)) {
     return true;
   }
   const Micros remaining = RemainingRunTime(attempt);
@@ -131,13 +164,17 @@
     if (worker->session != SessionState::kReady) {
       continue;
     }
-    for (const auto& [name, attempt] : worker->attempts) {
+    for (auto& [name, attempt] : worker->attempts) {
       const AttemptProgress progress = ProgressOf(attempt, now);
       if (attempt.state != AttemptState::kRunning || !IsStraggler(progress)) {
         continue;
       }
-      MarkSlow(*worker, name, progress, actions);
       const PoolJob* job = FindPoolJob(board, attempt.job_key);
+      if (!board.options.features.run_times_by_worker) {
+        MarkSlow(board, *worker, name, progress, actions);
+      } else if (job != nullptr) {
+        JudgeWorker(board, *worker, name, attempt, *job, now, actions);
+      }
       if (job == nullptr || !board.waiting.empty()) {
         continue;
       }
--- a/pool/stragglers.h
+++ b/pool/stragglers.h
@@ -26,6 +26,16 @@
   Micros reported_at = 0;  // age of the attempt at that report; 0: no report
 };
 
+// Returns the progress of a running attempt.
+AttemptProgress ProgressOf(const WorkerAttempt& attempt, Micros now);
+
+// Returns whether the attempt ran long enough before its last report for its
+// progress to be judged.
+bool IsProgressSignificant(const AttemptProgress& attempt);
+
+// Returns whether the attempt is far beyond its expected run time.
+bool IsOverdue(const AttemptProgress& attempt);
+
 // Returns the remaining run time of the attempt, extrapolated from its reported
 // progress; kNever if it has reported none.
 Micros RemainingRunTime(const AttemptProgress& attempt);
@@ -41,9 +51,10 @@
                    Micros new_run_time,
                    Micros time_to_deadline);
 
-// Marks the workers of stragglers as slow, and stops the attempts that are to
-// be restarted elsewhere. Attempts are moved only while no task waits for free
-// capacity.
+// Marks the workers of stragglers as slow (with run_times_by_worker only on
+// evidence about the worker itself, see slow_evidence.h), and stops the
+// attempts that are to be restarted elsewhere. Attempts are moved only while no
+// task waits for free capacity.
 void MoveStragglers(PoolBoard& board, Micros now, PoolActions& actions);
 
 }  // namespace goldcrest
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -1,6 +1,7 @@
 #include "pool/testing/fake_pool.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <memory>
 
@@ -393,7 +394,16 @@
   request.token = next_token_++;
   request.queue = "bells";
   request.job_id = "job" + std::to_string(job);
-  request.spec = std::to_string(run_ms);
+  // The same for each submission of the job.
+  std::mt19937_64 errors(options_.seed + static_cast<uint64_t>(job));
+  std::normal_distribution<double> deviation(0, options_.estimate_deviation);
+  std::uniform_real_distribution<double> uniform(0, 1);
+  const double error = std::exp(deviation(errors)) *
+                       (uniform(errors) < options_.long_job_share ? 7 : 1);
+  const auto real_run_ms =
+      static_cast<int64_t>(static_cast<double>(run_ms) * error);
+  answers_[job].run_ms = real_run_ms;
+  request.spec = std::to_string(real_run_ms);
   request.caller_timeout_ms = timeout_ms;
   wire::JobStep step;
   step.set_tasks(static_cast<uint32_t>(tasks));
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -37,7 +37,11 @@
   // reachable control daemon, instead of to a random one.
   bool report_to_first_control = false;
   HeartbeatRates rates;
-  PoolFeatures features;                      // of all daemons
+  PoolFeatures features;  // of all daemons
+  // Standard deviation of the logarithm of (run time / estimate), and share of
+  // the jobs whose tasks take seven times as long as that.
+  double estimate_deviation = 0;
+  double long_job_share = 0;
   Micros message_delay = kMillisecond;        // of each message
   Micros disk_write_time = 9 * kMillisecond;  // duration of a disk write
 };
@@ -68,6 +72,7 @@
   wire::JobFate fate = wire::JOB_FATE_UNSPECIFIED;
   Micros submitted_at = 0;
   Micros answered_at = 0;
+  int64_t run_ms = 0;  // of one task on a worker of normal speed
 };
 
 class FakePool {
--- a/pool/worker_health.cc
+++ b/pool/worker_health.cc
@@ -33,6 +33,8 @@
 void RecordSuccess(PoolWorker& worker, Micros run_time, Micros expected) {
   if (run_time != 0 && run_time < kNotSlowFactor * expected) {
     worker.health.slow = false;
+    worker.health.slow_evidence = 0;
+    worker.health.slow_evidence_jobs.clear();
   }
   worker.health.failures_in_row = 0;
   worker.health.ejections = 0;
--- /dev/null
+++ b/pool/worker_record.cc
@@ -0,0 +1,152 @@
+#include "pool/worker_record.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "pool/mesh.h"
+#include "pool/worker_health.h"
+#include "pool/worker_profile.h"
+#include "pool/worker_roster.h"
+
+namespace goldcrest {
+namespace {
+
+// Period at which changed profiles are sent; a takeover after the failure of an
+// owner loses at most the samples of this time.
+constexpr Micros kUpdatePeriod = kSecond;
+// An adopted profile is relative to the average worker of another pool, and may
+// be out of date: its variance is at least that of a few samples, so that the
+// samples of this daemon soon count more.
+constexpr double kMinAdoptedVariance = 0.1 * 0.1;
+// Variance of a profile learned from one sample; it falls with their number.
+constexpr double kVarianceOfOneSample = 0.3 * 0.3;
+// Bounds of an adopted run time factor.
+constexpr double kMinFactor = 0.25;
+constexpr double kMaxFactor = 4;
+
+AnnouncedRecord RecordOf(const PoolWorker& worker) {
+  return {worker.profile.samples, worker.health.ejections, worker.health.slow};
+}
+
+// Returns whether a row is from a daemon that has the worker's newest record:
+// its owner, or its last owner, which has released it.
+bool IsFromOwner(const std::string& from,
+                 const wire::WorkerNews& row,
+                 const PoolWorker& worker) {
+  if (!row.owner().empty()) {
+    return row.owner() == from;
+  }
+  return row.token() != 0 && row.token() >= worker.status.token();
+}
+
+void AdoptHealth(const wire::WorkerNews& row, PoolWorker& worker, Micros now) {
+  WorkerHealth& health = worker.health;
+  const int ejections = static_cast<int>(row.ejections());
+  if (health.ejections != ejections) {
+    health.failures_in_row =
+        ejections > 0 ? HealthOptions().failures_to_eject : 0;
+  }
+  health.ejections = ejections;
+  health.probation = ejections > 0;
+  health.slow = row.slow();
+  const Micros remaining = std::clamp<Micros>(
+      row.ejected_for_ms() * kMillisecond, 0, HealthOptions().longest_ejection);
+  health.ejected_until = remaining > 0 ? now + remaining : 0;
+}
+
+}  // namespace
+
+wire::WorkerNews ProfileOf(const PoolBoard& board,
+                           const PoolWorker& worker,
+                           Micros now) {
+  wire::WorkerNews row = worker.status;
+  if (!board.options.features.run_times_by_worker) {
+    return row;
+  }
+  const bool known = worker.profile.samples > 0;
+  row.set_run_time_factor(known ? ProfileFactor(board, worker) : 0);
+  row.set_run_time_samples(worker.profile.samples);
+  row.set_ejections(static_cast<uint32_t>(worker.health.ejections));
+  const Micros remaining =
+      std::max<Micros>(worker.health.ejected_until - now, 0);
+  row.set_ejected_for_ms(remaining / kMillisecond);
+  row.set_slow(worker.health.slow);
+  return row;
+}
+
+void AdoptProfile(PoolBoard& board,
+                  const std::string& from,
+                  const wire::WorkerNews& row,
+                  PoolWorker& worker,
+                  Micros now) {
+  if (!board.options.features.run_times_by_worker || row.gone() ||
+      worker.session != SessionState::kNone || !IsInPool(worker) ||
+      row.born_ms() != worker.status.born_ms()) {
+    return;
+  }
+  const bool from_owner = IsFromOwner(from, row, worker);
+  WorkerProfile& profile = worker.profile;
+  const bool newer_profile =
+      row.run_time_samples() > profile.samples ||
+      (from_owner && row.run_time_samples() == profile.samples);
+  if (row.run_time_samples() > 0 && newer_profile &&
+      row.run_time_factor() > 0) {
+    board.counters.profiles_adopted += profile.samples == 0 ? 1 : 0;
+    profile.samples = row.run_time_samples();
+    profile.log_factor =
+        std::log(std::clamp(row.run_time_factor(), kMinFactor, kMaxFactor));
+    profile.variance =
+        std::max(kMinAdoptedVariance, kVarianceOfOneSample / profile.samples);
+    profile.same_side = 0;
+  }
+  // Other daemons relay what they know of a worker, which may be older.
+  const bool has_record = row.ejections() > 0 || row.slow();
+  const bool knows_record = worker.health.ejections > 0 || worker.health.slow;
+  if (from_owner || (has_record && !knows_record)) {
+    AdoptHealth(row, worker, now);
+  }
+}
+
+void ProfileTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  if (!board.options.features.run_times_by_worker) {
+    return;
+  }
+  CenterProfiles(board);
+  const bool periodic = now >= board.profile_update_due;
+  if (periodic) {
+    board.profile_update_due = now + kUpdatePeriod;
+  }
+  std::vector<PoolWorker*> changed;
+  for (const auto& [id, worker] : board.owned) {
+    const AnnouncedRecord record = RecordOf(*worker);
+    const bool urgent = record.ejections != worker->announced.ejections ||
+                        record.slow != worker->announced.slow;
+    // While the session is reconciled, the owner is not certain.
+    if (worker->session == SessionState::kReady &&
+        (urgent || (periodic && record != worker->announced))) {
+      worker->announced = record;
+      changed.push_back(worker);
+    }
+  }
+  if (changed.empty()) {
+    return;
+  }
+  for (const auto& [address, member] : board.mesh.members) {
+    if (!IsPeerReachable(board.mesh, address, now)) {
+      continue;
+    }
+    wire::PoolMessage message;
+    for (const PoolWorker* worker : changed) {
+      if (ReceivesUpdatesOf(member, worker->status)) {
+        *message.mutable_worker_news()->add_workers() =
+            ProfileOf(board, *worker, now);
+      }
+    }
+    if (message.worker_news().workers_size() > 0) {
+      SendTo(actions, address, std::move(message));
+    }
+  }
+}
+
+}  // namespace goldcrest
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "goldcrest/digest.h"
+#include "pool/worker_record.h"
 #include "pool/worker_session.h"
 
 namespace goldcrest {
@@ -119,15 +120,6 @@
   return !board.draining && (board.mesh.options.control || board.standby);
 }
 
-// Returns whether a daemon receives updates of a worker: all control daemons
-// do, and the entry daemons of the worker's failure domain.
-bool ReceivesUpdatesOf(const MeshMember& member,
-                       const wire::WorkerNews& worker) {
-  return member.last_heartbeat.control() ||
-         (member.incarnation != 0 &&
-          member.last_heartbeat.failure_domain() == worker.failure_domain());
-}
-
 // Selects the best candidate for a worker: those of the worker's failure domain
 // come first, then those of the greater rendezvous weight.
 struct OwnerSelection {
@@ -303,6 +295,13 @@
 
 }  // namespace
 
+bool ReceivesUpdatesOf(const MeshMember& member,
+                       const wire::WorkerNews& worker) {
+  return member.last_heartbeat.control() ||
+         (member.incarnation != 0 &&
+          member.last_heartbeat.failure_domain() == worker.failure_domain());
+}
+
 void OnWorkerReport(PoolBoard& board,
                     const wire::WorkerNews& report,
                     Micros now,
@@ -322,7 +321,8 @@
                                 : worker.status.owner();
   if (!owner.empty() && owner != board.mesh.options.self) {
     wire::PoolMessage message;
-    *message.mutable_worker_news()->add_workers() = worker.status;
+    *message.mutable_worker_news()->add_workers() =
+        ProfileOf(board, worker, now);
     SendTo(actions, owner, std::move(message));
   }
 }
@@ -360,6 +360,7 @@
     if (!row.owner().empty()) {
       worker.fenced_at = 0;
     }
+    AdoptProfile(board, from, row, worker, now);
     ApplyOwner(board, row, worker, now);
     ApplyDenial(board, from, row, worker, now);
     DenyOwnership(board, worker, now, actions);
@@ -399,20 +400,23 @@
       continue;
     }
     wire::PoolMessage message;
-    *message.mutable_worker_news()->add_workers() = worker.status;
+    *message.mutable_worker_news()->add_workers() =
+        ProfileOf(board, worker, now);
     SendTo(actions, address, std::move(message));
   }
 }
 
 void SendWorkerTable(PoolBoard& board,
                      const std::string& to,
+                     Micros now,
                      PoolActions& actions) {
   wire::PoolMessage message;
   const auto member = board.mesh.members.find(to);
   for (const auto& [id, worker] : board.workers) {
     if (IsInPool(worker) && member != board.mesh.members.end() &&
         ReceivesUpdatesOf(member->second, worker.status)) {
-      *message.mutable_worker_news()->add_workers() = worker.status;
+      *message.mutable_worker_news()->add_workers() =
+          ProfileOf(board, worker, now);
     }
   }
   if (message.worker_news().workers_size() > 0) {
--- a/pool/worker_roster.h
+++ b/pool/worker_roster.h
@@ -44,6 +44,11 @@
                        Micros now,
                        PoolActions& actions);
 
+// Returns whether a daemon receives updates of a worker: all control daemons
+// do, and the entry daemons of the worker's failure domain.
+bool ReceivesUpdatesOf(const MeshMember& member,
+                       const wire::WorkerNews& worker);
+
 // Sends an update about a worker to all control daemons and to the entry
 // daemons of the worker's failure domain.
 void AnnounceWorker(PoolBoard& board,
@@ -55,6 +60,7 @@
 // all of it, to an entry daemon the workers of its failure domain.
 void SendWorkerTable(PoolBoard& board,
                      const std::string& to,
+                     Micros now,
                      PoolActions& actions);
 
 // Releases a worker on which nothing runs: ends the session and announces that
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -405,6 +405,7 @@
   worker.newest_processed_end = 0;
   worker.clock_ms = 0;
   worker.health = {};
+  worker.profile = {};
   RemoveAttemptsIf(board, worker, AttemptEnd::kLeaseExpired, false, now,
                    actions,
                    [](const TaskName&, const WorkerAttempt&) { return true; });
