Judge stragglers by their step's other tasks, and center profiles by service

The tasks of a step share the error of its estimate, so an attempt that is also slow elsewhere, or was moved before, says nothing about its worker.

No task compares workers of different services, so the average factor is held at 1 for each service.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -360,6 +360,7 @@
   // The rest is used with run_times_by_worker only (worker_profile.h).
   // Steps from which each queue's ratio was learned.
   std::map<std::string, uint32_t> queue_samples;
+  std::map<std::string, std::string> queue_service;  // each queue's service
   // Variance of the logarithm of the run times of one step's tasks.
   double task_variance = 0.04;
   // Decaying sums over completed steps: of their work (run time times CPU), and
--- a/pool/slow_evidence.cc
+++ b/pool/slow_evidence.cc
@@ -1,6 +1,7 @@
 #include "pool/slow_evidence.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 #include "pool/choose_worker.h"
@@ -91,6 +92,12 @@
 
 }  // namespace
 
+std::string_view ToString(StragglerCause cause) {
+  constexpr std::array<std::string_view, 5> kNames = {
+      "open", "job", "possibly_worker", "worker", "no_progress"};
+  return kNames[static_cast<size_t>(cause)];
+}
+
 StragglerCause CauseOf(const PoolBoard& board,
                        const PoolJob& job,
                        const TaskName& name,
@@ -103,6 +110,10 @@
                    progress.expected_run_time / kNoProgressDivisor)) {
     return StragglerCause::kNoProgress;
   }
+  // An earlier attempt, on another worker in most cases, was stopped or failed.
+  if (job.steps[name.step].tasks[name.index].attempt_count > 1) {
+    return StragglerCause::kJob;
+  }
   const Elsewhere elsewhere = AttemptsElsewhere(board, job, name, worker, now);
   if (!elsewhere.any) {
     return StragglerCause::kPossibly;
@@ -121,7 +132,6 @@
                      const std::string& job_id) {
   switch (cause) {
     case StragglerCause::kNoProgress:
-      health.slow = true;
       return true;
     case StragglerCause::kWorker:
     case StragglerCause::kPossibly:
@@ -135,8 +145,7 @@
     case StragglerCause::kJob:
       break;
   }
-  health.slow = health.slow || health.slow_evidence >= kEvidenceOfSlowWorker;
-  return health.slow;
+  return health.slow_evidence >= kEvidenceOfSlowWorker;
 }
 
 }  // namespace goldcrest
--- a/pool/slow_evidence.h
+++ b/pool/slow_evidence.h
@@ -10,6 +10,9 @@
 // apart. A worker counts as slow only on evidence from several attempts of
 // different jobs, or when an attempt makes no progress at all.
 
+#include <string>
+#include <string_view>
+
 #include "pool/pool_board.h"
 #include "pool/stragglers.h"
 
@@ -24,6 +27,9 @@
   kNoProgress,  // the attempt makes no progress
 };
 
+// Returns the name of a cause, for logs.
+std::string_view ToString(StragglerCause cause);
+
 // Returns the cause for which an attempt with this progress takes long.
 StragglerCause CauseOf(const PoolBoard& board,
                        const PoolJob& job,
@@ -33,7 +39,7 @@
                        Micros now);
 
 // Adds a straggler of the given job to the evidence about its worker. Returns
-// whether the worker now counts as slow.
+// whether there is enough of it for the worker to count as slow.
 bool AddSlowEvidence(WorkerHealth& health,
                      StragglerCause cause,
                      const std::string& job_id);
--- a/pool/stragglers.cc
+++ b/pool/stragglers.cc
@@ -44,22 +44,26 @@
               PoolWorker& worker,
               const TaskName& name,
               const AttemptProgress& progress,
+              std::string_view cause,
               PoolActions& actions) {
   if (worker.health.slow) {
     return;
   }
   worker.health.slow = true;
   ++board.counters.workers_marked_slow;
-  LogPoolEvent(
-      actions, LogLevel::kInfo, "worker_slow",
-      {{"worker", worker.status.id()},
-       {"job", name.job_id},
-       {"task", ToString(name)},
-       {"age_ms", std::to_string(progress.age / kMillisecond)},
-       {"expected_ms",
-        std::to_string(progress.expected_run_time / kMillisecond)},
-       {"progress_percent", std::to_string(progress.percent)},
-       {"told_at_ms", std::to_string(progress.reported_at / kMillisecond)}});
+  std::vector<LogField> fields = {
+      {"worker", worker.status.id()},
+      {"job", name.job_id},
+      {"task", ToString(name)},
+      {"age_ms", std::to_string(progress.age / kMillisecond)},
+      {"expected_ms",
+       std::to_string(progress.expected_run_time / kMillisecond)},
+      {"progress_percent", std::to_string(progress.percent)},
+      {"told_at_ms", std::to_string(progress.reported_at / kMillisecond)}};
+  if (!cause.empty()) {
+    fields.push_back({"cause", std::string(cause)});
+  }
+  LogPoolEvent(actions, LogLevel::kInfo, "worker_slow", std::move(fields));
 }
 
 void StopStraggler(PoolBoard& board,
@@ -98,12 +102,9 @@
   const AttemptProgress progress = ProgressOf(attempt, now);
   const StragglerCause cause = CauseOf(board, job, name, worker, progress, now);
   attempt.judged = cause != StragglerCause::kOpen;
-  WorkerHealth health = worker.health;
-  const bool slow = AddSlowEvidence(health, cause, job.order.job_id());
-  if (slow) {
-    MarkSlow(board, worker, name, progress, actions);
+  if (AddSlowEvidence(worker.health, cause, job.order.job_id())) {
+    MarkSlow(board, worker, name, progress, ToString(cause), actions);
   }
-  worker.health = health;
 }
 
 }  // namespace
@@ -171,7 +172,7 @@
       }
       const PoolJob* job = FindPoolJob(board, attempt.job_key);
       if (!board.options.features.run_times_by_worker) {
-        MarkSlow(board, *worker, name, progress, actions);
+        MarkSlow(board, *worker, name, progress, "", actions);
       } else if (job != nullptr) {
         JudgeWorker(board, *worker, name, attempt, *job, now, actions);
       }
--- a/pool/worker_profile.cc
+++ b/pool/worker_profile.cc
@@ -173,6 +173,7 @@
     const double deviation = LearnFromSamples(samples, queue_log_ratio,
                                               board.run_times.task_variance);
     LearnQueueRatio(board.run_times, queue, deviation);
+    board.run_times.queue_service[queue] = job.order.service();
   }
   LearnTypicalRunTime(board.run_times, step,
                       job.order.steps(static_cast<int>(index)));
@@ -263,33 +264,33 @@
 }
 
 void CenterProfiles(PoolBoard& board) {
-  if (board.owned.empty()) {
-    return;
-  }
-  double sum = 0;
+  RunTimes& run_times = board.run_times;
+  std::map<std::string, std::pair<double, size_t>> services;  // sum, count
   for (const auto& [id, worker] : board.owned) {
+    auto& [sum, count] = services[worker->status.service()];
     sum += LogFactor(board, *worker);
+    ++count;
   }
-  const double shift = Mean(sum, board.owned.size());
   std::map<std::string, std::pair<double, double>> kinds;  // sum, weight
   for (const auto& [id, worker] : board.owned) {
     WorkerProfile& profile = worker->profile;
     if (profile.samples > 0) {
-      profile.log_factor -= shift;
+      const auto& [sum, count] = services[worker->status.service()];
+      profile.log_factor -= Mean(sum, count);
       auto& [weighted, weight] = kinds[KindOf(*worker)];
       const double samples = std::min(profile.samples, kMaxKindWeight);
       weighted += samples * profile.log_factor;
       weight += samples;
     }
   }
-  for (auto& [queue, ratio] : board.run_times.queue_ratio) {
-    ratio *= std::exp(shift);
-  }
-  for (auto& [kind, factor] : board.run_times.kind_factor) {
-    factor *= std::exp(-shift);
+  for (auto& [queue, ratio] : run_times.queue_ratio) {
+    const auto found = services.find(run_times.queue_service[queue]);
+    if (found != services.end()) {
+      ratio *= std::exp(Mean(found->second.first, found->second.second));
+    }
   }
   for (const auto& [kind, sums] : kinds) {
-    board.run_times.kind_factor[kind] = std::exp(sums.first / sums.second);
+    run_times.kind_factor[kind] = std::exp(sums.first / sums.second);
   }
 }
 
--- a/pool/worker_profile.h
+++ b/pool/worker_profile.h
@@ -14,7 +14,8 @@
 // workers, so these compare their workers directly. Deviations beyond what the
 // uncertainty explains are clipped. The average factor of the owned workers is
 // held at 1: a common shift is moved into the ratios of the queues, which
-// leaves all expected run times as they are.
+// leaves all expected run times as they are. This is done for each service,
+// since no task compares workers of different services.
 
 #include <string>
 #include <vector>
@@ -53,8 +54,9 @@
                         double queue_log_ratio,
                         double& task_variance);
 
-// Updates the averages of the kinds and moves a common shift of all factors
-// into the ratios of the queues, so that the average worker's factor is 1.
+// Updates the averages of the kinds, and moves a common shift of the factors of
+// a service's workers into the ratios of its queues, so that the average
+// worker's factor is 1.
 void CenterProfiles(PoolBoard& board);
 
 // Returns the value by which placement orders workers with the capacity for a
--- a/pool/worker_record.cc
+++ b/pool/worker_record.cc
@@ -14,7 +14,7 @@
 
 // Period at which changed profiles are sent; a takeover after the failure of an
 // owner loses at most the samples of this time.
-constexpr Micros kUpdatePeriod = kSecond;
+constexpr Micros kUpdatePeriod = 2 * kSecond;
 // An adopted profile is relative to the average worker of another pool, and may
 // be out of date: its variance is at least that of a few samples, so that the
 // samples of this daemon soon count more.
