--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -181,9 +181,9 @@
 // A worker's run times relative to those of the average worker, as learned from
 // its completed attempts (worker_profile.h).
 struct WorkerProfile {
-  uint32_t samples = 0;   // jobs it was learned from; 0: nothing is known
   double log_factor = 0;  // natural logarithm of the run time factor
   double variance = 0;    // of log_factor
+  uint32_t samples = 0;   // jobs it was learned from; 0: nothing is known
   // Number of consecutive samples that deviated clearly to the same side,
   // negative if the worker was faster than its profile.
   int same_side = 0;
@@ -228,6 +228,7 @@
   uint64_t newest_processed_end = 0;
   Micros newest_processed_end_at = 0;
   bool renewal_in_flight = false;
+  AnnouncedRecord announced;
   int64_t clock_ms = 0;  // the worker's clock at clock_at; 0: unknown
   Micros clock_at = 0;
   // By then the lease has certainly expired and no attempt runs, unless an
@@ -238,7 +239,6 @@
   Resources used_resources;  // resources occupied by `attempts`
   WorkerHealth health;
   WorkerProfile profile;
-  AnnouncedRecord announced;
   Micros handover_requested_at =
       0;                   // when a handover was last requested from the owner
   Micros claim_after = 0;  // earliest time of a claim
--- a/pool/slow_evidence.cc
+++ b/pool/slow_evidence.cc
@@ -39,8 +39,8 @@
   if (!IsProgressSignificant(progress) || progress.percent <= 0) {
     return std::nullopt;
   }
-  return static_cast<double>(progress.reported_at * 100 / progress.percent) /
-         expected;
+  return 100 * static_cast<double>(progress.reported_at) /
+         (progress.percent * expected);
 }
 
 // The attempts of a step on other workers.
