--- a/pool/stragglers.cc
+++ b/pool/stragglers.cc
@@ -4,6 +4,7 @@
 
 #include "pool/choose_worker.h"
 #include "pool/pool_jobs.h"
+#include "pool/slow_evidence.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
@@ -28,22 +29,6 @@
 // the remaining run time of the old one.
 constexpr Micros kMoveOverhead = 60 * kMillisecond;
 
-bool IsProgressSignificant(const AttemptProgress& attempt) {
-  return attempt.reported_at >=
-         std::max(kMinSignificantAge,
-                  attempt.expected_run_time / kSignificantDivisor);
-}
-
-AttemptProgress ProgressOf(const WorkerAttempt& attempt, Micros now) {
-  AttemptProgress progress;
-  progress.age = now - attempt.answered_at;
-  progress.expected_run_time = attempt.expected_run_time;
-  progress.percent = attempt.progress_percent;
-  progress.reported_at =
-      std::max<Micros>(attempt.progress_at - attempt.answered_at, 0);
-  return progress;
-}
-
 // Returns whether a worker other than `excluded` that is not suspect has the
 // free capacity for the attempt.
 bool HasCapacityElsewhere(const std::vector<PoolWorker*>& ready,
@@ -55,24 +40,30 @@
   });
 }
 
-void MarkSlow(PoolWorker& worker,
+void MarkSlow(PoolBoard& board,
+              PoolWorker& worker,
               const TaskName& name,
               const AttemptProgress& progress,
+              std::string_view cause,
               PoolActions& actions) {
   if (worker.health.slow) {
     return;
   }
   worker.health.slow = true;
-  LogPoolEvent(
-      actions, LogLevel::kInfo, "worker_slow",
-      {{"worker", worker.status.id()},
-       {"job", name.job_id},
-       {"task", ToString(name)},
-       {"age_ms", std::to_string(progress.age / kMillisecond)},
-       {"expected_ms",
-        std::to_string(progress.expected_run_time / kMillisecond)},
-       {"progress_percent", std::to_string(progress.percent)},
-       {"told_at_ms", std::to_string(progress.reported_at / kMillisecond)}});
+  ++board.counters.workers_marked_slow;
+  std::vector<LogField> fields = {
+      {"worker", worker.status.id()},
+      {"job", name.job_id},
+      {"task", ToString(name)},
+      {"age_ms", std::to_string(progress.age / kMillisecond)},
+      {"expected_ms",
+       std::to_string(progress.expected_run_time / kMillisecond)},
+      {"progress_percent", std::to_string(progress.percent)},
+      {"told_at_ms", std::to_string(progress.reported_at / kMillisecond)}};
+  if (!cause.empty()) {
+    fields.push_back({"cause", std::string(cause)});
+  }
+  LogPoolEvent(actions, LogLevel::kInfo, "worker_slow", std::move(fields));
 }
 
 void StopStraggler(PoolBoard& board,
@@ -89,12 +80,56 @@
                 {"expected_ms",
                  std::to_string(progress.expected_run_time / kMillisecond)},
                 {"progress_percent", std::to_string(progress.percent)}});
-  RecordFailure(worker, now);
+  // A straggler is not its worker's failure unless the worker is slow.
+  if (!board.options.features.run_times_by_worker || worker.health.slow) {
+    RecordFailure(worker, now);
+  }
   StopAttempt(board, worker, name, false, now, actions);
 }
 
+// Considers a straggler as evidence that its worker is slow, once for each
+// attempt; marks the worker if there is enough.
+void JudgeWorker(PoolBoard& board,
+                 PoolWorker& worker,
+                 const TaskName& name,
+                 WorkerAttempt& attempt,
+                 const PoolJob& job,
+                 Micros now,
+                 PoolActions& actions) {
+  if (attempt.judged || worker.health.slow) {
+    return;
+  }
+  const AttemptProgress progress = ProgressOf(attempt, now);
+  const StragglerCause cause = CauseOf(board, job, name, worker, progress, now);
+  attempt.judged = cause != StragglerCause::kOpen;
+  if (AddSlowEvidence(worker.health, cause, job.order.job_id())) {
+    MarkSlow(board, worker, name, progress, ToString(cause), actions);
+  }
+}
+
 }  // namespace
 
+bool IsProgressSignificant(const AttemptProgress& attempt) {
+  return attempt.reported_at >=
+         std::max(kMinSignificantAge,
+                  attempt.expected_run_time / kSignificantDivisor);
+}
+
+AttemptProgress ProgressOf(const WorkerAttempt& attempt, Micros now) {
+  AttemptProgress progress;
+  progress.age = now - attempt.answered_at;
+  progress.expected_run_time = attempt.expected_run_time;
+  progress.percent = attempt.progress_percent;
+  progress.reported_at =
+      std::max<Micros>(attempt.progress_at - attempt.answered_at, 0);
+  return progress;
+}
+
+bool IsOverdue(const AttemptProgress& attempt) {
+  return attempt.age >=
+         kOverdueFactor * attempt.expected_run_time + kOverdueSlack;
+}
+
 Micros RemainingRunTime(const AttemptProgress& attempt) {
   if (attempt.percent <= 0) {
     return kNever;
@@ -106,8 +141,7 @@
 }
 
 bool IsStraggler(const AttemptProgress& attempt) {
-  if (attempt.age >=
-      kOverdueFactor * attempt.expected_run_time + kOverdueSlack) {
+  if (IsOverdue(attempt)) {
     return true;
   }
   const Micros remaining = RemainingRunTime(attempt);
@@ -131,13 +165,17 @@
     if (worker->session != SessionState::kReady) {
       continue;
     }
-    for (const auto& [name, attempt] : worker->attempts) {
+    for (auto& [name, attempt] : worker->attempts) {
       const AttemptProgress progress = ProgressOf(attempt, now);
       if (attempt.state != AttemptState::kRunning || !IsStraggler(progress)) {
         continue;
       }
-      MarkSlow(*worker, name, progress, actions);
       const PoolJob* job = FindPoolJob(board, attempt.job_key);
+      if (!board.options.features.run_times_by_worker) {
+        MarkSlow(board, *worker, name, progress, "", actions);
+      } else if (job != nullptr) {
+        JudgeWorker(board, *worker, name, attempt, *job, now, actions);
+      }
       if (job == nullptr || !board.waiting.empty()) {
         continue;
       }
