Handover: a released worker is claimed at once by a daemon that it refused

A control daemon whose token a worker had refused waited up to 1.5 s for the present owner to report itself, also if the owner had released the worker in answer to its request: nobody ordered the worker meanwhile. A release by a later owner now ends the wait.

--- a/pool/handover.cc
+++ b/pool/handover.cc
@@ -126,6 +126,20 @@
          (row.owner() == from || row.token() > worker.status.token());
 }
 
+bool ReportsRelease(const PoolBoard& board,
+                    const std::string& from,
+                    const wire::WorkerNews& row,
+                    const PoolWorker& worker) {
+  if (board.options.features.standby_after == 0 || !row.owner().empty()) {
+    return false;
+  }
+  // A token that is not known here is that of a session that has begun and
+  // ended since.
+  return row.token() > worker.status.token() ||
+         (row.token() == worker.status.token() &&
+          worker.status.owner() == from);
+}
+
 bool IsOwnerReachable(const PoolBoard& board,
                       const std::string& owner,
                       Micros now) {
--- a/pool/handover.h
+++ b/pool/handover.h
@@ -35,6 +35,14 @@
                        const wire::WorkerNews& row,
                        const PoolWorker& worker);
 
+// Returns whether the update `row` from the daemon at `from` reports that the
+// present owner of the worker has released it, so that it can be claimed at
+// once. Called before the update is applied.
+bool ReportsRelease(const PoolBoard& board,
+                    const std::string& from,
+                    const wire::WorkerNews& row,
+                    const PoolWorker& worker);
+
 // Returns whether the owner of a worker is running, so that it can be asked for
 // the worker.
 bool IsOwnerReachable(const PoolBoard& board,
--- a/pool/testing/standby_test.cc
+++ b/pool/testing/standby_test.cc
@@ -108,7 +108,7 @@
 // What callers noticed of a loss of all control daemons for 2.5 s, and of their
 // return.
 struct LossFigures {
-  Micros time_to_ready = 0;  // until all workers were ready at entry daemons
+  Micros time_to_ready = 0;   // until all workers were ready at entry daemons
   Micros time_to_return = 0;  // until nine tenths had been handed over
   Outcomes during_loss;
   Outcomes after_return;
@@ -224,6 +224,28 @@
   CHECK(pool.entries()[0].board.pool.owned.empty());
 }
 
+// The resumed control daemons are refused by all workers and know no owner;
+// they would claim the workers if only control daemons were asked who that is.
+TEST_CASE("Handover: control daemons that all resume claim no used workers") {
+  FakePool pool(MakeOptions(kStandbyAfter));
+  WaitUntilAllKnown(pool);
+  SubmitJobs(pool, kSecond, 2 * kMillisecond);
+  PauseControls(pool, pool.controls().size(), true);
+  SubmitJobs(pool, kSecond, 2 * kMillisecond);
+  CHECK(CountAtEntries(pool) == pool.workers().size());
+  const Micros from = pool.now();
+  SubmitJobs(pool, kSecond, 2 * kMillisecond);
+  PauseControls(pool, pool.controls().size(), false);
+  SubmitJobs(pool, 3 * kSecond, 2 * kMillisecond);
+  pool.Run(2 * kSecond);
+  CHECK(CountAtEntries(pool) == 0);
+  const Outcomes outcomes = CountOutcomes(pool, from);
+  CHECK(outcomes.unknown == 0);
+  CHECK(outcomes.refused == 0);
+  CHECK(outcomes.late == 0);
+  RequireNoViolation(pool);
+}
+
 TEST_CASE("Handover: a control daemon that resumes gets its workers in turns") {
   constexpr Micros kGap = 900;  // nine tenths of the capacity
   Outcomes outcomes[2];
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -367,6 +367,10 @@
     if (NamesPresentOwner(board, from, row, worker)) {
       worker.fenced_at = 0;
     }
+    if (ReportsRelease(board, from, row, worker)) {
+      worker.fenced_at = 0;
+      worker.claim_after = 0;
+    }
     ApplyOwner(board, row, worker, now);
     ApplyDenial(board, from, row, worker, now);
     DenyOwnership(board, worker, now, actions);
