--- a/pool/testing/pool_load.h
+++ b/pool/testing/pool_load.h
@@ -2,7 +2,7 @@
 #define POOL_TESTING_POOL_LOAD_H_
 
 // Helpers of the tests that use a simulated deployment: waiting until it serves
-// callers, a steady load, and the check of the invariants.
+// callers, a steady load, random faults, and the check of the invariants.
 
 #include "pool/testing/fake_pool.h"
 
@@ -20,6 +20,11 @@
 // Fails the test if an invariant was violated.
 void RequireNoViolation(const FakePool& pool);
 
+// Injects crashes, pauses, network cuts, full disks and late orders at random.
+// Checks the invariants throughout, and after a time without faults that all
+// workers are ready and all jobs complete again.
+void InjectRandomFaults(const FakePoolOptions& options);
+
 }  // namespace goldcrest
 
 #endif  // POOL_TESTING_POOL_LOAD_H_
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -492,83 +492,6 @@
   }
 }
 
-// Injects crashes, pauses, network cuts, full disks and late orders at random.
-// Checks the invariants throughout, and after a time without faults that all
-// workers are ready and all jobs complete again.
-void InjectRandomFaults(const FakePoolOptions& options) {
-  const uint64_t seed = options.seed;
-  FakePool pool(options);
-  WaitUntilServing(pool);
-  std::mt19937_64 random(seed);
-  uint64_t acknowledged = 5;
-  uint64_t version = 6;
-  for (int round = 0; round < 12; ++round) {
-    const size_t victim = random() % 3;
-    FakeControl& control = pool.controls()[victim];
-    switch (random() % 8) {
-      case 0:
-        pool.KillControl(victim);
-        break;
-      case 1:
-        control.paused = true;
-        break;
-      case 2:
-        pool.CutDomain(control.domain);
-        break;
-      case 3:
-        pool.workers()[random() % kWorkers].reachable = false;
-        break;
-      case 4:
-        pool.workers()[random() % kWorkers].late_order_share = 0.2;
-        break;
-      case 5:
-        pool.KillEntry(victim);
-        break;
-      case 6:
-        for (size_t i = 0; i < pool.controls().size(); ++i) {
-          pool.KillControl(i);
-        }
-        break;
-      default:
-        control.disk_write_fails = true;
-        break;
-    }
-    ChangeResult result = ChangeResult::kUnknown;
-    pool.ChangeConfiguration(random() % 3, version, &result);
-    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
-               15 * kMillisecond);
-    pool.Run(1500 * kMillisecond);
-    acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
-    ++version;
-    pool.EndPartitions();
-    for (size_t i = 0; i < pool.controls().size(); ++i) {
-      pool.controls()[i].paused = false;
-      pool.controls()[i].disk_write_fails = false;
-      if (!pool.controls()[i].running) {
-        pool.StartControl(i);
-      }
-      if (i < pool.entries().size() && !pool.entries()[i].running) {
-        pool.StartEntry(i);
-      }
-    }
-    for (FakeWorker& worker : pool.workers()) {
-      worker.reachable = true;
-      worker.late_order_share = 0;
-    }
-    // After a restart of all daemons, an acknowledged version is known again
-    // only when a leader is elected.
-    pool.Run(static_cast<Micros>(2500 + random() % 3000) * kMillisecond);
-    CHECK(pool.NewestVersion() >= acknowledged);
-  }
-  pool.Run(10 * kSecond);
-  RequireNoViolation(pool);
-  CHECK(pool.ReadyWorkers() == kWorkers);
-  const int completed = pool.CountAnswers(wire::JOB_COMPLETED);
-  SubmitLoad(pool, kSecond, 20 * kMillisecond);
-  pool.Run(kSecond);
-  CHECK(pool.CountAnswers(wire::JOB_COMPLETED) - completed == 50);
-}
-
 TEST_CASE("Pool: random faults violate no invariant") {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     CAPTURE(seed);
@@ -591,19 +514,5 @@
   }
 }
 
-// The same with quick standbys (PoolFeatures::standby_after), which claim and
-// hand over workers by other rules.
-TEST_CASE("Pool: random faults violate no invariant with quick standbys") {
-  for (uint64_t seed = 201; seed <= 208; ++seed) {
-    CAPTURE(seed);
-    FakePoolOptions options;
-    options.seed = seed;
-    options.controls_per_domain = 1 + seed % 2;
-    options.entries_per_domain = 1 + seed % 3;
-    options.features.standby_after = 250 * kMillisecond;
-    InjectRandomFaults(options);
-  }
-}
-
 }  // namespace
 }  // namespace goldcrest
--- a/pool/testing/standby_test.cc
+++ b/pool/testing/standby_test.cc
@@ -269,5 +269,18 @@
   CHECK(outcomes[1].over_objective < outcomes[0].over_objective);
 }
 
+// Standbys with the short timeouts claim and hand over workers by other rules.
+TEST_CASE("Pool: random faults violate no invariant with quick standbys") {
+  for (uint64_t seed = 201; seed <= 208; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.controls_per_domain = 1 + seed % 2;
+    options.entries_per_domain = 1 + seed % 3;
+    options.features.standby_after = kStandbyAfter;
+    InjectRandomFaults(options);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
