Place waiting tasks by a plan that looks ahead

Placement took the tasks in queue order and stopped after 12 that fit nowhere, so holes stayed empty under overload. With placement_lookahead, a plan gives each hole to the waiting task that leaves the smallest unusable remainder, and reserves workers for the first tasks that fit nowhere.

--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -162,6 +162,12 @@
   AppendByLabel(text, "runs_ended_total", "end", board.counters.attempt_ends);
   AppendMetric(text, "starts_total", "counter",
                std::to_string(board.counters.starts));
+  AppendMetric(text, "starts_ahead_total", "counter",
+               std::to_string(board.counters.starts_ahead));
+  AppendMetric(text, "plan_reservations_total", "counter",
+               std::to_string(board.counters.reservations));
+  AppendMetric(text, "plans_over_budget_total", "counter",
+               std::to_string(board.counters.plans_over_budget));
   AppendMetric(text, "settles_total", "counter",
                std::to_string(board.counters.reconciliations));
   AppendMetric(text, "ejections_total", "counter",
--- /dev/null
+++ b/pool/placement_input.cc
@@ -0,0 +1,153 @@
+#include "pool/placement_input.h"
+
+#include <algorithm>
+
+#include "pool/run_times.h"
+#include "pool/stragglers.h"
+#include "pool/task_requirements.h"
+#include "pool/worker_health.h"
+
+namespace goldcrest {
+namespace {
+
+// An answer has little value for its caller after this many times the latency
+// objective; a late job may be passed over until then.
+constexpr int kLateObjectiveFactor = 3;
+// An overdue attempt is expected to run for this part of its expected run time
+// longer, which is the error of the estimates.
+constexpr Micros kOverdueDivisor = 4;
+// Progress reported before this part of the expected run time has passed is too
+// inexact.
+constexpr Micros kProgressDivisor = 4;
+
+// Returns the time by which the job must start to be no later than it is
+// expected to be.
+Micros LatestStart(const PoolJob& job) {
+  Micros remaining = 0;
+  for (const PoolJobStep& step : job.steps) {
+    remaining += step.open_tasks > 0 ? step.expected_run_time : 0;
+  }
+  switch (job.expected_lateness) {
+    case ExpectedLateness::kOnTime:
+      return job.objective_at - remaining;
+    case ExpectedLateness::kLate:
+      return job.received_at +
+             kLateObjectiveFactor * (job.objective_at - job.received_at) -
+             remaining;
+    case ExpectedLateness::kVeryLate:
+      break;
+  }
+  return job.deadline - remaining;
+}
+
+uint32_t CountAttemptsOfStep(const PoolWorker& worker,
+                             const std::string& job_id,
+                             uint32_t step) {
+  return static_cast<uint32_t>(std::count_if(
+      worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
+        return entry.first.job_id == job_id && entry.first.step == step;
+      }));
+}
+
+}  // namespace
+
+Micros ExpectedTimeToEnd(const WorkerAttempt& attempt, Micros now) {
+  const Micros overdue =
+      std::max(attempt.expected_run_time / kOverdueDivisor, kMillisecond);
+  AttemptProgress progress;
+  progress.age = now - attempt.answered_at;
+  progress.expected_run_time = attempt.expected_run_time;
+  progress.percent = attempt.progress_percent;
+  progress.reported_at = attempt.progress_at - attempt.answered_at;
+  if (attempt.answered_at != 0 &&
+      progress.reported_at >= attempt.expected_run_time / kProgressDivisor &&
+      progress.percent > 0) {
+    return std::max(RemainingRunTime(progress), kMillisecond);
+  }
+  const Micros end = attempt.sent_at + attempt.expected_run_time - now;
+  return end > 0 ? end : overdue;
+}
+
+std::vector<PlanWorker> MakePlanWorkers(const PoolBoard& board,
+                                        const std::vector<PoolWorker*>& ready,
+                                        Micros now) {
+  std::vector<PlanWorker> workers;
+  workers.reserve(ready.size());
+  for (const PoolWorker* worker : ready) {
+    PlanWorker& plan = workers.emplace_back();
+    plan.free = FreeCapacity(*worker);
+    plan.run_time_factor = RunTimeFactor(board, *worker);
+    plan.suspect = IsSuspect(*worker);
+    // A worker on probation takes one task at a time.
+    plan.most_starts = worker->health.probation ? 1 : UINT32_MAX;
+    for (const auto& [name, attempt] : worker->attempts) {
+      plan.ends.push_back({ExpectedTimeToEnd(attempt, now), attempt.resources});
+    }
+    std::sort(plan.ends.begin(), plan.ends.end(),
+              [](const PlanEnd& a, const PlanEnd& b) { return a.in < b.in; });
+  }
+  return workers;
+}
+
+const std::string* CommonService(const std::vector<PoolWorker*>& ready) {
+  const bool common =
+      !ready.empty() &&
+      std::all_of(ready.begin(), ready.end(), [&](const PoolWorker* worker) {
+        return worker->status.service() == ready[0]->status.service();
+      });
+  return common ? &ready[0]->status.service() : nullptr;
+}
+
+bool IsRestricted(const wire::JobOrder& order, uint32_t step_index) {
+  const wire::JobStep& step = order.steps(static_cast<int>(step_index));
+  return !step.required_label().empty() || !step.data_rack().empty() ||
+         step.most_per_worker() > 0;
+}
+
+std::vector<PlanMatch> MakePlanMatches(const std::vector<PoolWorker*>& ready,
+                                       const wire::JobOrder& order,
+                                       uint32_t step_index,
+                                       const std::string& last_worker) {
+  const wire::JobStep& step = order.steps(static_cast<int>(step_index));
+  std::vector<PlanMatch> matches;
+  bool limited = false;
+  for (const PoolWorker* worker : ready) {
+    PlanMatch match{UINT32_MAX, false};
+    if (!Matches(*worker, order, step)) {
+      match.most = 0;
+    } else if (step.most_per_worker() > 0) {
+      const uint32_t attempts =
+          CountAttemptsOfStep(*worker, order.job_id(), step_index);
+      match.most =
+          step.most_per_worker() - std::min(attempts, step.most_per_worker());
+    }
+    // A worker's rack is one of its labels.
+    match.avoid =
+        (!last_worker.empty() && worker->status.id() == last_worker) ||
+        (!step.data_rack().empty() && !HasLabel(*worker, step.data_rack()));
+    limited = limited || match.most != UINT32_MAX || match.avoid;
+    matches.push_back(match);
+  }
+  if (!limited) {
+    matches.clear();
+  }
+  return matches;
+}
+
+PlanTask MakePlanTask(const PoolJob& job,
+                      uint32_t step,
+                      uint32_t count,
+                      Micros now) {
+  PlanTask task;
+  task.job = job.sequence;
+  task.count = count;
+  task.required = ResourcesOf(job.order.steps(static_cast<int>(step)));
+  task.run_time = job.steps[step].expected_run_time;
+  task.latest_start = LatestStart(job) - now;
+  task.lateness = job.expected_lateness;
+  task.begun = job.started;
+  task.startable = job.start_permitted;
+  return task;
+}
+
+}  // namespace goldcrest
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -302,6 +302,8 @@
   // Whether a start order was sent for any of its tasks.
   bool started = false;
   Micros first_start_at = 0;
+  // Whether a worker was ever reserved for a task of the job.
+  bool capacity_reserved = false;
   std::set<std::string> failed_on;  // ids of workers
 };
 
@@ -330,6 +332,12 @@
   uint64_t starts = 0;
   uint64_t reconciliations = 0;
   uint64_t ejections = 0;
+  // Of placement with lookahead: starts ahead of a task that fits there and
+  // comes earlier in the queue, reservations summed over all plans, and plans
+  // whose budget did not suffice.
+  uint64_t starts_ahead = 0;
+  uint64_t reservations = 0;
+  uint64_t plans_over_budget = 0;
 };
 
 // State of one control daemon, or of the part of an entry daemon that owns
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "pool/choose_worker.h"
+#include "pool/placement_input.h"
+#include "pool/placement_plan.h"
 #include "pool/pool_jobs.h"
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
@@ -73,10 +75,12 @@
   return result;
 }
 
+// `ahead`: a task that fits on the worker comes earlier in the queue.
 void StartTaskOn(PoolBoard& board,
                  PoolWorker& worker,
                  PoolJob& job,
                  const WaitingKey& key,
+                 bool ahead,
                  Micros now,
                  PoolActions& actions) {
   PoolTask& task = job.steps[key.step].tasks[key.index];
@@ -95,20 +99,22 @@
   attempt.expected_run_time = static_cast<Micros>(
       static_cast<double>(job.steps[key.step].expected_run_time) *
       RunTimeFactor(board, worker));
-  LogPoolEvent(
-      actions, LogLevel::kInfo, "task_started",
-      {{"job", job.order.job_id()},
-       {"step", std::to_string(key.step)},
-       {"index", std::to_string(key.index)},
-       {"run", std::to_string(attempt.attempt_number)},
-       {"worker", task.worker},
-       {"token", std::to_string(worker.token)},
-       {"waited_ms", std::to_string((now - job.received_at) / kMillisecond)},
-       {"expected_ms",
-        std::to_string(attempt.expected_run_time / kMillisecond)},
-       {"free_cpu", std::to_string(FreeCapacity(worker).cpu_millis)},
-       {"clock_ms_old",
-        std::to_string((now - worker.clock_at) / kMillisecond)}});
+  std::vector<LogField> fields = {
+      {"job", job.order.job_id()},
+      {"step", std::to_string(key.step)},
+      {"index", std::to_string(key.index)},
+      {"run", std::to_string(attempt.attempt_number)},
+      {"worker", task.worker},
+      {"token", std::to_string(worker.token)},
+      {"waited_ms", std::to_string((now - job.received_at) / kMillisecond)},
+      {"expected_ms", std::to_string(attempt.expected_run_time / kMillisecond)},
+      {"free_cpu", std::to_string(FreeCapacity(worker).cpu_millis)},
+      {"clock_ms_old", std::to_string((now - worker.clock_at) / kMillisecond)}};
+  if (ahead) {
+    fields.push_back({"ahead", "1"});
+    ++board.counters.starts_ahead;
+  }
+  LogPoolEvent(actions, LogLevel::kInfo, "task_started", std::move(fields));
   StartAttempt(board, worker, {job.order.job_id(), 0, key.step, key.index},
                attempt, job.order.spec(), now, actions);
 }
@@ -119,6 +125,149 @@
   return now + job.steps[step].expected_run_time / 2 > job.deadline;
 }
 
+// Start permissions are requested for this many waiting tasks if placement
+// looks ahead: only jobs with a permission can be chosen for a hole.
+constexpr int kMaxLookaheadRequests = 64;
+// A plan chooses among this many groups of equal waiting tasks of one job.
+constexpr size_t kMaxPlannedGroups = 64;
+
+// Equal waiting tasks of one job: their position in the queue and their number.
+struct WaitingGroup {
+  std::map<WaitingKey, WaitingTask>::iterator first;
+  uint32_t count = 0;
+};
+
+// Returns the position after the tasks of the group that begins at `position`:
+// the waiting tasks of the same step that avoid the same worker.
+WaitingGroup GroupAt(PoolBoard& board,
+                     std::map<WaitingKey, WaitingTask>::iterator position) {
+  const WaitingKey& key = position->first;
+  const std::vector<PoolTask>& tasks =
+      position->second.job->steps[key.step].tasks;
+  WaitingGroup group{position, 0};
+  for (;
+       position != board.waiting.end() &&
+       position->first.sequence == key.sequence &&
+       position->first.step == key.step &&
+       tasks[position->first.index].last_worker == tasks[key.index].last_worker;
+       ++position) {
+    ++group.count;
+  }
+  return group;
+}
+
+// Ends jobs that are too late, requests start permissions, and returns the
+// groups of tasks for a plan, in the order of the queue.
+std::vector<WaitingGroup> GroupsToPlan(PoolBoard& board,
+                                       Micros now,
+                                       PoolActions& actions) {
+  std::vector<WaitingGroup> groups;
+  int unpermitted_tasks = 0;
+  auto position = board.waiting.begin();
+  while (position != board.waiting.end() && groups.size() < kMaxPlannedGroups &&
+         unpermitted_tasks < kMaxUnpermittedTasks) {
+    const WaitingKey key = position->first;
+    PoolJob& job = *position->second.job;
+    if (IsTooLateToStart(job, key.step, now)) {
+      EndJob(board, job.key,
+             job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
+             "no_time_left", now, actions);
+      position = board.waiting.lower_bound(key);
+      continue;
+    }
+    const WaitingGroup group = GroupAt(board, position);
+    if (!job.start_permitted) {
+      if (unpermitted_tasks < kMaxLookaheadRequests) {
+        RequestStartPermission(job, now, actions);
+      }
+      unpermitted_tasks += static_cast<int>(group.count);
+    }
+    groups.push_back(group);
+    std::advance(position, group.count);
+  }
+  return groups;
+}
+
+// Returns true if some worker can hold the smallest of the tasks that may be
+// started.
+bool CanStartAny(const std::vector<PoolWorker*>& ready,
+                 const std::vector<WaitingGroup>& groups) {
+  int64_t smallest = INT64_MAX;
+  for (const WaitingGroup& group : groups) {
+    const PoolJob& job = *group.first->second.job;
+    if (job.start_permitted) {
+      smallest = std::min<int64_t>(
+          smallest, job.order.steps(static_cast<int>(group.first->first.step))
+                        .cpu_millis());
+    }
+  }
+  return std::any_of(ready.begin(), ready.end(), [&](const PoolWorker* worker) {
+    return FreeCapacity(*worker).cpu_millis >= smallest;
+  });
+}
+
+std::vector<PlanTask> MakePlanTasks(const std::vector<PoolWorker*>& ready,
+                                    const std::vector<WaitingGroup>& groups,
+                                    Micros now) {
+  const std::string* service = CommonService(ready);
+  std::vector<PlanTask> tasks;
+  tasks.reserve(groups.size());
+  for (const WaitingGroup& group : groups) {
+    const WaitingKey& key = group.first->first;
+    const PoolJob& job = *group.first->second.job;
+    const std::string& last_worker =
+        job.steps[key.step].tasks[key.index].last_worker;
+    PlanTask& task =
+        tasks.emplace_back(MakePlanTask(job, key.step, group.count, now));
+    if (service == nullptr || *service != job.order.service() ||
+        !last_worker.empty() || IsRestricted(job.order, key.step)) {
+      task.matches = MakePlanMatches(ready, job.order, key.step, last_worker);
+    }
+  }
+  return tasks;
+}
+
+// Writes one line for a job when a worker is first reserved for it;
+// reservations are made again by each plan.
+void LogReservations(const PlacementPlan& plan,
+                     const std::vector<WaitingGroup>& groups,
+                     const std::vector<PoolWorker*>& ready,
+                     PoolActions& actions) {
+  for (const PlanReservation& reservation : plan.reservations) {
+    PoolJob& job = *groups[reservation.task].first->second.job;
+    if (job.capacity_reserved) {
+      continue;
+    }
+    job.capacity_reserved = true;
+    LogPoolEvent(
+        actions, LogLevel::kInfo, "worker_reserved",
+        {{"job", job.order.job_id()},
+         {"worker", ready[reservation.worker]->status.id()},
+         {"start_in_ms", std::to_string(reservation.in / kMillisecond)}});
+  }
+}
+
+void PlaceWithLookahead(PoolBoard& board, Micros now, PoolActions& actions) {
+  std::vector<WaitingGroup> groups = GroupsToPlan(board, now, actions);
+  const std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
+  if (!CanStartAny(ready, groups)) {
+    return;
+  }
+  const PlacementPlan plan = MakePlacementPlan(
+      MakePlanWorkers(board, ready, now), MakePlanTasks(ready, groups, now));
+  LogReservations(plan, groups, ready, actions);
+  board.counters.reservations += plan.reservations.size();
+  board.counters.plans_over_budget += plan.over_budget ? 1 : 0;
+  for (const PlanStart& start : plan.starts) {
+    auto& position = groups[start.task].first;
+    const WaitingKey key = position->first;
+    PoolJob& job = *position->second.job;
+    position = board.waiting.erase(position);
+    StartTaskOn(board, *ready[start.worker], job, key, start.ahead, now,
+                actions);
+  }
+}
+
 }  // namespace
 
 void PlaceWaitingTasks(PoolBoard& board, Micros now, PoolActions& actions) {
@@ -126,6 +275,10 @@
     return;
   }
   board.placement_due = false;
+  if (board.options.features.placement_lookahead) {
+    PlaceWithLookahead(board, now, actions);
+    return;
+  }
   std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
   int unplaced_tasks = 0;
   int unpermitted_tasks = 0;
@@ -161,7 +314,8 @@
       continue;
     }
     position = board.waiting.erase(position);
-    StartTaskOn(board, *eligible.workers[*chosen], job, key, now, actions);
+    StartTaskOn(board, *eligible.workers[*chosen], job, key, false, now,
+                actions);
     std::erase_if(ready, [&](PoolWorker* worker) {
       return !AcceptsStarts(*worker, now);
     });
