Test the placement plan; count an exact partner for a remainder

The table of usable remainders rounds down, so a partner that fits exactly (7 of 16 cores beside 9) was not counted; one task is now looked up exactly.

--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -347,14 +347,13 @@
 
 WaitingSizes::WaitingSizes(const std::vector<PlanTask>& tasks,
                            int64_t largest_cpu_millis) {
-  std::vector<int64_t> sizes;
-  sizes.reserve(tasks.size());
+  sizes_.reserve(tasks.size());
   for (const PlanTask& task : tasks) {
-    sizes.push_back(std::max<int64_t>(task.required.cpu_millis, 1));
+    sizes_.push_back(std::max<int64_t>(task.required.cpu_millis, 1));
   }
-  std::sort(sizes.begin(), sizes.end());
-  sizes.erase(std::unique(sizes.begin(), sizes.end()), sizes.end());
-  smallest_ = sizes.empty() ? std::numeric_limits<int64_t>::max() : sizes[0];
+  std::sort(sizes_.begin(), sizes_.end());
+  sizes_.erase(std::unique(sizes_.begin(), sizes_.end()), sizes_.end());
+  smallest_ = sizes_.empty() ? std::numeric_limits<int64_t>::max() : sizes_[0];
   if (smallest_ > largest_cpu_millis) {
     return;
   }
@@ -364,7 +363,7 @@
   for (size_t i = static_cast<size_t>(smallest_ / step_); i < usable_.size();
        ++i) {
     const int64_t remainder = static_cast<int64_t>(i) * step_;
-    for (const int64_t size : sizes) {
+    for (const int64_t size : sizes_) {
       if (size > remainder) {
         break;
       }
@@ -378,8 +377,10 @@
   if (cpu_millis < smallest_) {
     return 0;
   }
+  const int64_t one =
+      *(std::upper_bound(sizes_.begin(), sizes_.end(), cpu_millis) - 1);
   const auto index = static_cast<size_t>(cpu_millis / step_);
-  return usable_[std::min(index, usable_.size() - 1)];
+  return std::max(one, usable_[std::min(index, usable_.size() - 1)]);
 }
 
 PlacementPlan MakePlacementPlan(const std::vector<PlanWorker>& workers,
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -103,7 +103,8 @@
                                 const PlanOptions& options = {});
 
 // The CPU requirements of waiting tasks, to judge the remainder of a worker.
-// Remainders are rounded down to a part of the smallest requirement. The task
+// Exact for a remainder that one task fills; for more, the remainder is rounded
+// down to a part of the smallest requirement. The task
 // that leaves a remainder counts as a user of it, too: this matters only in a
 // short queue, and tasks of its size are likely to arrive.
 class WaitingSizes {
@@ -118,6 +119,7 @@
   int64_t smallest() const { return smallest_; }
 
  private:
+  std::vector<int64_t> sizes_;  // ascending
   int64_t smallest_ = 0;
   int64_t step_ = 1;
   std::vector<int64_t> usable_;  // by remainder, in steps
--- a/pool/testing/placement_measure.cc
+++ b/pool/testing/placement_measure.cc
@@ -13,10 +13,10 @@
 //   placement_measure cost WORKERS TASKS   time of one placement
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <cstdint>
 #include <cstdlib>
+#include <ctime>
 #include <functional>
 #include <iomanip>
 #include <iostream>
@@ -95,6 +95,14 @@
                                              std::sqrt(variance))(random);
 }
 
+// Returns the processor time of this thread in microseconds.
+double ProcessorMicros() {
+  timespec time = {};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) * 1e6 +
+         static_cast<double>(time.tv_nsec) / 1e3;
+}
+
 // The board of one control daemon with its workers, in simulated time.
 class Pool {
  public:
@@ -230,11 +238,9 @@
       return;
     }
     most_waiting_ = std::max(most_waiting_, board_.waiting.size());
-    const auto begin = std::chrono::steady_clock::now();
+    const double begin = ProcessorMicros();
     PlaceWaitingTasks(board_, now_, actions_);
-    const std::chrono::duration<double, std::micro> took =
-        std::chrono::steady_clock::now() - begin;
-    placement_us_ += took.count();
+    placement_us_ += ProcessorMicros() - begin;
     ++placements_;
   }
 
--- /dev/null
+++ b/pool/testing/placement_plan_test.cc
@@ -0,0 +1,232 @@
+// Tests of the placement plan, its inputs and the forecast that uses them.
+
+#include <algorithm>
+#include <functional>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "pool/choose_worker.h"
+#include "pool/placement_forecast.h"
+#include "pool/placement_plan.h"
+#include "pool/testing/pool_load.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr Micros kLongSlack = 10 * kSecond;
+
+PlanWorker MakeWorker(int64_t cpu, std::vector<PlanEnd> ends = {}) {
+  PlanWorker worker;
+  worker.free = {cpu, 1000, 0};
+  worker.ends = std::move(ends);
+  return worker;
+}
+
+PlanTask MakeTask(uint64_t job, int64_t cpu, uint32_t count = 1) {
+  PlanTask task;
+  task.job = job;
+  task.count = count;
+  task.required = {cpu, 10, 0};
+  task.run_time = 100 * kMillisecond;
+  task.latest_start = kLongSlack;
+  return task;
+}
+
+std::vector<size_t> StartedTasks(const PlacementPlan& plan) {
+  std::vector<size_t> tasks;
+  for (const PlanStart& start : plan.starts) {
+    tasks.push_back(start.task);
+  }
+  return tasks;
+}
+
+TEST_CASE("MakePlacementPlan: a task of 9 cores is paired with one of 7") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 9000), MakeTask(1, 10'000),
+                                 MakeTask(2, 7000)};
+  const std::vector<PlanWorker> workers = {MakeWorker(16'000)};
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks)) ==
+        std::vector<size_t>{0, 2});
+  // The first task cannot be paired; one that can comes before it.
+  std::swap(tasks[0], tasks[1]);
+  const PlacementPlan plan = MakePlacementPlan(workers, tasks);
+  CHECK(StartedTasks(plan) == std::vector<size_t>{1, 2});
+  CHECK(plan.starts[0].ahead);
+}
+
+TEST_CASE(
+    "MakePlacementPlan: no task is passed over when its latest start is near, "
+    "or by one that will be later") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 10'000), MakeTask(1, 9000),
+                                 MakeTask(2, 7000)};
+  const std::vector<PlanWorker> workers = {MakeWorker(16'000)};
+  tasks[0].latest_start = 0;
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 0);
+  tasks[0].latest_start = kLongSlack;
+  tasks[1].lateness = tasks[2].lateness = ExpectedLateness::kLate;
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 0);
+}
+
+TEST_CASE(
+    "MakePlacementPlan: of equal tasks, those of a begun job come first") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 8000, 2), MakeTask(1, 8000, 2)};
+  tasks[1].begun = true;
+  CHECK(StartedTasks(MakePlacementPlan({MakeWorker(16'000)}, tasks)) ==
+        std::vector<size_t>{1, 1});
+}
+
+TEST_CASE(
+    "MakePlacementPlan: a task that fits nowhere reserves the worker that can "
+    "hold it first") {
+  // Eight workers, since a reservation needs as many. The second one can hold
+  // the large task after 50 ms, the others after 500 ms.
+  std::vector<PlanWorker> workers(
+      8, MakeWorker(8000, {{500 * kMillisecond, {8000, 10, 0}}}));
+  workers[1].ends[0].in = 50 * kMillisecond;
+  std::vector<PlanTask> tasks = {MakeTask(0, 12'000), MakeTask(1, 7000, 20)};
+  PlacementPlan plan = MakePlacementPlan(workers, tasks);
+  REQUIRE(plan.reservations.size() == 1);
+  CHECK(plan.reservations[0].worker == 1);
+  CHECK(plan.starts.size() == 7);
+  CHECK(std::none_of(plan.starts.begin(), plan.starts.end(),
+                     [](const PlanStart& start) { return start.worker == 1; }));
+  // Tasks that end before the reservation use the worker.
+  tasks[1].run_time = 30 * kMillisecond;
+  CHECK(MakePlacementPlan(workers, tasks).starts.size() == 8);
+  // The worker has left: another one is reserved.
+  workers[1].most_starts = 0;
+  workers[1].ends.clear();
+  plan = MakePlacementPlan(workers, tasks);
+  REQUIRE(plan.reservations.size() == 1);
+  CHECK(plan.reservations[0].worker != 1);
+}
+
+TEST_CASE(
+    "MakePlacementPlan: respects limits by worker and start permissions") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 4000, 4), MakeTask(1, 4000, 1),
+                                 MakeTask(2, 4000, 9)};
+  tasks[0].matches = {{1, false}, {0, false}};
+  tasks[1].startable = false;
+  std::vector<PlanWorker> workers = {MakeWorker(16'000), MakeWorker(16'000)};
+  workers[1].most_starts = 1;
+  const PlacementPlan plan = MakePlacementPlan(workers, tasks);
+  std::vector<size_t> started = StartedTasks(plan);
+  CHECK(std::count(started.begin(), started.end(), 0) == 1);
+  CHECK(std::count(started.begin(), started.end(), 1) == 0);
+  CHECK(std::count(started.begin(), started.end(), 2) == 4);
+}
+
+TEST_CASE(
+    "MakePlacementPlan: beyond its budget it places the rest in queue order") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 10'000), MakeTask(1, 9000),
+                                 MakeTask(2, 7000), MakeTask(3, 16'000)};
+  PlanOptions options;
+  options.budget = 0;
+  const PlacementPlan plan = MakePlacementPlan(
+      {MakeWorker(16'000), MakeWorker(16'000)}, tasks, options);
+  CHECK(plan.over_budget);
+  CHECK(plan.starts.size() >= 2);
+}
+
+// Returns the most CPU that the tasks can use on one worker, by trying all
+// subsets.
+int64_t MostUsable(const std::vector<PlanTask>& tasks,
+                   size_t next,
+                   int64_t free) {
+  if (next == tasks.size()) {
+    return 0;
+  }
+  int64_t best = 0;
+  for (int64_t n = 0; n <= tasks[next].count; ++n) {
+    const int64_t cpu = n * tasks[next].required.cpu_millis;
+    if (cpu <= free) {
+      best = std::max(best, cpu + MostUsable(tasks, next + 1, free - cpu));
+    }
+  }
+  return best;
+}
+
+TEST_CASE(
+    "MakePlacementPlan: random small pools agree with an exact reference") {
+  std::mt19937_64 random(7);
+  double used = 0;
+  double usable = 0;
+  for (int round = 0; round < 500; ++round) {
+    std::vector<PlanTask> tasks;
+    for (uint64_t job = 0; job < 3 + random() % 6; ++job) {
+      tasks.push_back(MakeTask(job,
+                               6000 + static_cast<int64_t>(random() % 6000),
+                               1 + static_cast<uint32_t>(random() % 3)));
+    }
+    std::vector<PlanWorker> workers(1 + random() % 3, MakeWorker(16'000));
+    const PlacementPlan plan = MakePlacementPlan(workers, tasks);
+    std::vector<int64_t> free(workers.size(), 16'000);
+    std::vector<uint32_t> left;
+    for (const PlanTask& task : tasks) {
+      left.push_back(task.count);
+    }
+    for (const PlanStart& start : plan.starts) {
+      REQUIRE(left[start.task] > 0);
+      --left[start.task];
+      free[start.worker] -= tasks[start.task].required.cpu_millis;
+    }
+    // No start beyond the capacity, and no hole that a waiting task could use.
+    for (const int64_t cpu : free) {
+      REQUIRE(cpu >= 0);
+      for (size_t i = 0; i < tasks.size(); ++i) {
+        CHECK((left[i] == 0 || tasks[i].required.cpu_millis > cpu));
+      }
+    }
+    used += static_cast<double>(16'000 - free[0]);
+    usable += static_cast<double>(MostUsable(tasks, 0, 16'000));
+  }
+  // The worker that is filled first is filled nearly as well as possible.
+  CHECK(used >= 0.95 * usable);
+}
+
+TEST_CASE("WaitingSizes: never exceeds the exact value, and is near it") {
+  std::mt19937_64 random(3);
+  for (int round = 0; round < 300; ++round) {
+    std::vector<PlanTask> tasks;
+    for (uint64_t job = 0; job < 1 + random() % 6; ++job) {
+      tasks.push_back(
+          MakeTask(job, 6000 + static_cast<int64_t>(random() % 6000), 4));
+    }
+    const WaitingSizes sizes(tasks, 24'000);
+    const auto cpu = static_cast<int64_t>(random() % 24'000);
+    const int64_t exact = MostUsable(tasks, 0, cpu);
+    CHECK(sizes.Usable(cpu) <= exact);
+    // Rounding can only lose a task that fits almost exactly.
+    CHECK(sizes.Usable(cpu) >= MostUsable(tasks, 0, cpu - 1800));
+  }
+}
+
+TEST_CASE(
+    "ForecastEnd: counts the sizes of tasks, where slots of one size would be "
+    "wrong") {
+  const std::vector<PlanWorker> workers = {
+      MakeWorker(7000, {{200 * kMillisecond, {9000, 10, 0}}})};
+  // Fits now.
+  CHECK(ForecastEnd(workers, {}, MakeTask(0, 7000)) == 100 * kMillisecond);
+  // Fits when the attempt ends.
+  CHECK(ForecastEnd(workers, {}, MakeTask(0, 8000)) == 300 * kMillisecond);
+  // A task ahead takes the hole; the next 12 cores are free 300 ms from now.
+  CHECK(ForecastEnd(workers, {MakeTask(1, 12'000)}, MakeTask(0, 12'000)) ==
+        400 * kMillisecond);
+  CHECK(ForecastEnd(workers, {}, MakeTask(0, 17'000)) == kNever);
+}
+
+TEST_CASE("Placement with lookahead completes jobs in a simulated deployment") {
+  FakePoolOptions options;
+  options.features.placement_lookahead = true;
+  FakePool pool(options);
+  WaitUntilServing(pool);
+  SubmitLoad(pool, 2 * kSecond, 20 * kMillisecond);
+  pool.Run(kSecond);
+  CHECK(pool.CountAnswers(wire::JOB_COMPLETED) ==
+        static_cast<int>(pool.answers().size()));
+  RequireNoViolation(pool);
+}
+
+}  // namespace
+}  // namespace goldcrest
