Measure the cost of placement; drop the forecast of the end of a job

placement_measure also prints the processor time at a given number of workers and waiting tasks, and the error of the estimates.

--- a/pool/end_estimate.cc
+++ b/pool/end_estimate.cc
@@ -4,8 +4,6 @@
 #include <tuple>
 
 #include "pool/choose_worker.h"
-#include "pool/placement_forecast.h"
-#include "pool/placement_input.h"
 #include "pool/task_requirements.h"
 
 namespace goldcrest {
@@ -48,62 +46,24 @@
   return slots;
 }
 
-bool StartsBefore(const WaitingKey& key, const PoolJob& job) {
-  return std::tie(key.expected_lateness, key.priority, key.objective_at) <=
-         std::make_tuple(ExpectedLateness::kOnTime, job.order.priority(),
-                         job.objective_at);
-}
-
-// Returns the time from now until the first step of the job ends, from the
-// sizes of the tasks and workers.
-Micros ForecastFirstStep(const PoolBoard& board,
-                         const PoolJob& job,
-                         Micros now) {
-  const std::vector<PoolWorker*> ready = ReadyWorkers(board, now);
-  std::vector<PlanTask> ahead;
-  const PoolJob* previous_job = nullptr;
-  uint32_t previous_step = 0;
-  for (const auto& [key, waiting] : board.waiting) {
-    if (!StartsBefore(key, job)) {
-      break;
-    }
-    if (waiting.job == previous_job && key.step == previous_step) {
-      ++ahead.back().count;
-      continue;
-    }
-    ahead.push_back(MakePlanTask(*waiting.job, key.step, 1, now));
-    previous_job = waiting.job;
-    previous_step = key.step;
-  }
-  PlanTask task = MakePlanTask(job, 0, job.order.steps(0).tasks(), now);
-  task.matches = MakePlanMatches(ready, job.order, 0, "");
-  return ForecastEnd(MakePlanWorkers(board, ready, now), ahead, task);
-}
+}  // namespace
 
-// Returns the same from slots of the size that the step requires.
-Micros EstimateFirstStep(const PoolBoard& board,
+Micros EstimateTimeToEnd(const PoolBoard& board,
                          const PoolJob& job,
                          Micros now) {
   const wire::JobStep& step = job.order.steps(0);
   std::vector<TaskGroup> ahead;
   for (const auto& [key, waiting] : board.waiting) {
-    if (!StartsBefore(key, job)) {
+    if (std::tie(key.expected_lateness, key.priority, key.objective_at) >
+        std::make_tuple(ExpectedLateness::kOnTime, job.order.priority(),
+                        job.objective_at)) {
       break;
     }
     ahead.push_back({1, waiting.job->steps[key.step].expected_run_time});
   }
-  return ExpectedEnd(SlotTimes(board, job.order, step, now), ahead,
-                     {step.tasks(), job.steps[0].expected_run_time});
-}
-
-}  // namespace
-
-Micros EstimateTimeToEnd(const PoolBoard& board,
-                         const PoolJob& job,
-                         Micros now) {
-  Micros time_to_end = board.options.features.placement_lookahead
-                           ? ForecastFirstStep(board, job, now)
-                           : EstimateFirstStep(board, job, now);
+  Micros time_to_end =
+      ExpectedEnd(SlotTimes(board, job.order, step, now), ahead,
+                  {step.tasks(), job.steps[0].expected_run_time});
   // Later steps are assumed to run one after another without waiting.
   for (size_t i = 1; i < job.steps.size() && time_to_end < kNever; ++i) {
     time_to_end += job.steps[i].expected_run_time;
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -35,7 +35,7 @@
   bool suspect = false;  // other workers are preferred
   // Number of tasks that may be started on it now.
   uint32_t most_starts = UINT32_MAX;
-  std::vector<PlanEnd> ends;  // only needed for reservations and estimates
+  std::vector<PlanEnd> ends;  // by time; used for reservations
 };
 
 // What applies to the tasks of a PlanTask on one worker.
--- a/pool/testing/placement_measure.cc
+++ b/pool/testing/placement_measure.cc
@@ -7,10 +7,12 @@
 // the time, with the workers' speeds. Prints the share of jobs that are on time
 // by kind, of the largest tenth (tasks times CPU) and of the tasks above 1.2
 // times the mean CPU, the wait of the largest tenth until its last task starts,
-// the CPU in use and the processor time of placement.
+// the CPU in use, the processor time of one placement and of all per second,
+// the mean error of the estimated times to the end in ms, and the largest
+// number of waiting tasks.
 //
 //   placement_measure [seed]            the loads
-//   placement_measure cost WORKERS TASKS   time of one placement
+//   placement_measure cost WORKERS TASKS   processor time with TASKS waiting
 
 #include <algorithm>
 #include <cmath>
@@ -76,6 +78,7 @@
   uint32_t cpu = 0;
   Micros last_start_at = 0;
   Micros end_at = 0;
+  Micros expected = -1;  // time to its end, as estimated on arrival
   uint32_t started = 0;
   uint32_t open = 0;
 };
@@ -151,20 +154,49 @@
       });
     }
     while (!events_.empty()) {
-      const Event event = events_.top();
-      events_.pop();
-      now_ = event.at;
-      event.run();
-      Place();
-      Perform();
+      RunNextEvent();
     }
   }
 
+  // Measures placement and estimates for 100 ms from the time when `tasks`
+  // tasks wait.
+  void MeasureCost(size_t tasks) {
+    while (!events_.empty() && board_.waiting.size() < tasks) {
+      RunNextEvent();
+    }
+    const size_t waiting = board_.waiting.size();
+    const Micros begin = now_;
+    placement_us_ = longest_placement_us_ = order_us_ = 0;
+    placements_ = orders_ = 0;
+    while (!events_.empty() && now_ < begin + 100 * kMillisecond) {
+      RunNextEvent();
+    }
+    std::cout << board_.workers.size() << " workers, " << waiting
+              << " waiting tasks, "
+              << (board_.options.features.placement_lookahead ? "lookahead"
+                                                              : "in order")
+              << ": " << placements_ << " placements of "
+              << placement_us_ / static_cast<double>(placements_)
+              << " us, longest " << longest_placement_us_ << " us; " << orders_
+              << " job orders of " << order_us_ / static_cast<double>(orders_)
+              << " us; plans over budget " << board_.counters.plans_over_budget
+              << "\n";
+  }
+
   void Report(double load) const;
 
   PoolBoard& board() { return board_; }
 
  private:
+  void RunNextEvent() {
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.run();
+    Place();
+    Perform();
+  }
+
   void AddWorker(int i) {
     const bool large = i % 3 == 2;
     // In B the speed does not depend on the size.
@@ -230,7 +262,10 @@
     step.set_memory_mb(64);
     step.set_estimate_ms(
         std::max<uint32_t>(1, static_cast<uint32_t>(estimate_ms)));
+    const double begin = ProcessorMicros();
     OnJobOrder(board_, order, now_, actions_);
+    order_us_ += ProcessorMicros() - begin;
+    ++orders_;
   }
 
   void Place() {
@@ -240,7 +275,9 @@
     most_waiting_ = std::max(most_waiting_, board_.waiting.size());
     const double begin = ProcessorMicros();
     PlaceWaitingTasks(board_, now_, actions_);
-    placement_us_ += ProcessorMicros() - begin;
+    const double took = ProcessorMicros() - begin;
+    placement_us_ += took;
+    longest_placement_us_ = std::max(longest_placement_us_, took);
     ++placements_;
   }
 
@@ -258,8 +295,37 @@
         go.set_job_id(send->message.job_ask().job_id());
         Schedule(now_ + kPermissionDelay,
                  [this, go] { OnStartPermitted(board_, "self", go); });
+      } else if (auto* line = std::get_if<LogEvent>(&action);
+                 line != nullptr && line->event == "job_accepted") {
+        RecordEstimate(*line);
+      }
+    }
+  }
+
+  void RecordEstimate(const LogEvent& line) {
+    const auto value = [&](const char* name) {
+      return std::find_if(
+                 line.fields.begin(), line.fields.end(),
+                 [&](const LogField& field) { return field.key == name; })
+          ->value;
+    };
+    jobs_[std::stoul(value("job"))].expected =
+        std::stoll(value("expected_ms")) * kMillisecond;
+  }
+
+  // Returns the mean error of the estimates of the jobs that have ended, in
+  // milliseconds.
+  double EstimateError() const {
+    double sum = 0;
+    size_t count = 0;
+    for (const Job& job : jobs_) {
+      if (job.end_at != 0 && job.expected >= 0) {
+        sum += std::abs(
+            static_cast<double>(job.end_at - job.arrived_at - job.expected));
+        ++count;
       }
     }
+    return sum / kMillisecond / static_cast<double>(std::max<size_t>(count, 1));
   }
 
   void Start(const WorkerOrder& order) {
@@ -327,7 +393,10 @@
   PoolActions actions_;
   double used_ = 0;
   double placement_us_ = 0;
+  double longest_placement_us_ = 0;
   size_t placements_ = 0;
+  double order_us_ = 0;  // of the admission of jobs
+  size_t orders_ = 0;
   size_t most_waiting_ = 0;
 };
 
@@ -376,8 +445,10 @@
   };
   std::cout << "  p50 " << quantile(0.5) << " p99 " << quantile(0.99)
             << "  cpu " << used_ / cpu_ / (kDuration - 2 * kSecond) << "  us "
-            << placement_us_ / static_cast<double>(placements_) << " waiting "
-            << most_waiting_ << "\n";
+            << placement_us_ / static_cast<double>(placements_) << " ms/s "
+            << placement_us_ / 1e3 / static_cast<double>(kDuration / kSecond)
+            << " error " << EstimateError() << " waiting " << most_waiting_
+            << "\n";
 }
 
 void MeasureLoads(uint64_t seed) {
@@ -397,10 +468,23 @@
   }
 }
 
+void MeasureCost(int workers, size_t tasks) {
+  for (const bool lookahead : {false, true}) {
+    Pool pool(0, workers, lookahead, 1);
+    pool.MakeJobs(1.5);
+    pool.MeasureCost(tasks);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
 
 int main(int argc, char** argv) {
+  if (argc > 3 && std::string(argv[1]) == "cost") {
+    goldcrest::MeasureCost(std::atoi(argv[2]),
+                           std::strtoull(argv[3], nullptr, 10));
+    return 0;
+  }
   goldcrest::MeasureLoads(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
   return 0;
 }
