Pass jobs with many waiting tasks over for a shorter time

A job is answered when its last task has ended, so a job of 20 tasks needs 20 holes before its latest start.

A job that ends because one of its steps is too late no longer leaves its other steps in the list for the plan.

--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -22,8 +22,9 @@
 // At most one worker in this many is reserved, so that a few large tasks cannot
 // idle the pool.
 constexpr size_t kWorkersPerReservation = 8;
-// A task is no longer passed over this long before its latest start: tasks of
-// its job that are still waiting need time to start as well.
+// A task is no longer passed over this long before its latest start, plus the
+// time in which the pool frees capacity for all waiting tasks of its job: the
+// job is answered when the last of them has ended.
 constexpr Micros kPassOverMargin = 50 * kMillisecond;
 // Expected ends have an error of about this part of the run time: a task may
 // use a reserved worker only if it ends this much earlier.
@@ -36,6 +37,7 @@
           const PlanOptions& options)
       : workers_(workers), tasks_(tasks), options_(options) {
     Reset();
+    release_gap_ = ReleaseGap();
   }
 
   PlacementPlan Run() {
@@ -46,9 +48,7 @@
         largest = std::max(largest, free.cpu_millis);
       }
       sizes_.emplace(tasks_, largest);
-      if (options_.reservations) {
-        Reserve();
-      }
+      Reserve();
       FillWorkers();
     }
     return std::move(plan_);
@@ -56,6 +56,7 @@
 
  private:
   void Reset();
+  Micros ReleaseGap() const;
   bool StartsAll();
   void StartInOrder();
   std::optional<size_t> PreferredWorker(size_t task);
@@ -77,6 +78,7 @@
   std::vector<uint32_t> remaining_;  // by task
   std::vector<size_t> reserved_;     // by worker: index + 1 of its reservation
   std::optional<WaitingSizes> sizes_;
+  Micros release_gap_ = 0;  // expected time between two ends in the pool
   size_t compared_ = 0;
   PlacementPlan plan_;
 };
@@ -95,6 +97,20 @@
   plan_ = {};
 }
 
+// Returns the mean time between two ends of attempts. Attempts are on average
+// halfway through their run time.
+Micros Planner::ReleaseGap() const {
+  Micros sum = 0;
+  Micros count = 0;
+  for (const PlanWorker& worker : workers_) {
+    for (const PlanEnd& end : worker.ends) {
+      sum += end.in;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : 2 * sum / count / count;
+}
+
 bool Planner::Avoids(size_t task, size_t worker) const {
   return workers_[worker].suspect ||
          (!tasks_[task].matches.empty() && tasks_[task].matches[worker].avoid);
@@ -227,15 +243,14 @@
       continue;
     }
     const int64_t left = free_[worker].cpu_millis - task.required.cpu_millis;
-    const int64_t unusable =
-        options_.pairwise_fit ? left - sizes_->Usable(left) : 0;
-    const std::tuple rank(Avoids(i, worker), unusable / step,
-                          options_.begun_jobs_first && !task.begun);
+    const int64_t unusable = left - sizes_->Usable(left);
+    const std::tuple rank(Avoids(i, worker), unusable / step, !task.begun);
     if (!best || rank < best_rank) {
       best = PlanStart{i, worker, best.has_value()};
       best_rank = rank;
     }
-    if (task.latest_start <= kPassOverMargin) {
+    if (task.latest_start <=
+        kPassOverMargin + static_cast<Micros>(remaining_[i]) * release_gap_) {
       break;
     }
   }
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -59,11 +59,7 @@
   std::vector<PlanMatch> matches;
 };
 
-// Switches of the rules, so that a measurement can compare them.
 struct PlanOptions {
-  bool pairwise_fit = true;
-  bool reservations = true;
-  bool begun_jobs_first = true;
   // Bound of the work of one plan, in comparisons of a task with a worker.
   // Beyond it, the rest is placed in queue order.
   size_t budget = 20'000;
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -169,6 +169,10 @@
     const WaitingKey key = position->first;
     PoolJob& job = *position->second.job;
     if (IsTooLateToStart(job, key.step, now)) {
+      // Another step of the job may be in the list already.
+      while (!groups.empty() && groups.back().first->second.job == &job) {
+        groups.pop_back();
+      }
       EndJob(board, job.key,
              job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
              "no_time_left", now, actions);
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -6,6 +6,8 @@
 #include <catch2/catch.hpp>
 
 #include "pool/placement_plan.h"
+#include "pool/pool_jobs.h"
+#include "pool/pool_placement.h"
 #include "pool/testing/pool_load.h"
 
 namespace goldcrest {
@@ -72,6 +74,21 @@
         std::vector<size_t>{1, 1});
 }
 
+TEST_CASE(
+    "MakePlacementPlan: a job with many waiting tasks is passed over less, "
+    "since its last task counts") {
+  std::vector<PlanTask> tasks = {MakeTask(0, 10'000), MakeTask(1, 9000),
+                                 MakeTask(2, 7000)};
+  tasks[0].latest_start = 500 * kMillisecond;
+  const PlanEnd end = {80 * kMillisecond, {4000, 10, 0}};
+  // An attempt ends every 40 ms on average.
+  const std::vector<PlanWorker> workers = {
+      MakeWorker(16'000, {end, end, end, end})};
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 1);
+  tasks[0].count = 20;
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 0);
+}
+
 TEST_CASE(
     "MakePlacementPlan: a task that fits nowhere reserves the worker that can "
     "hold it first") {
@@ -198,6 +215,37 @@
   }
 }
 
+TEST_CASE(
+    "Placement with lookahead starts no step of a job of which another step is "
+    "too late") {
+  PoolBoard board;
+  board.options.features.placement_lookahead = true;
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_id("w");
+  worker.status.set_cpu_millis(16'000);
+  worker.session = SessionState::kReady;
+  worker.clock_ms = 1;
+  board.owned["w"] = &worker;
+  auto job = std::make_unique<PoolJob>();
+  job->key = "job";
+  job->start_permitted = true;
+  job->deadline = kSecond;
+  for (const Micros run_time : {kMillisecond, 10 * kSecond}) {
+    job->order.add_steps()->set_tasks(1);
+    PoolJobStep& step = job->steps.emplace_back();
+    step.tasks.resize(1);
+    step.open_tasks = 1;
+    step.expected_run_time = run_time;
+  }
+  QueueUnblockedTasks(board, *job);
+  board.jobs["job"] = std::move(job);
+  PoolActions actions;
+  PlaceWaitingTasks(board, 1, actions);
+  CHECK(board.jobs.empty());
+  CHECK(board.waiting.empty());
+  CHECK(worker.attempts.empty());
+}
+
 TEST_CASE("Placement with lookahead completes jobs in a simulated deployment") {
   FakePoolOptions options;
   options.features.placement_lookahead = true;
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -591,5 +591,16 @@
   }
 }
 
+TEST_CASE(
+    "Pool: random faults violate no invariant when placement looks ahead") {
+  for (uint64_t seed = 201; seed <= 205; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.features.placement_lookahead = true;
+    InjectRandomFaults(options);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
