--- a/pool/testing/placement_measure.cc
+++ b/pool/testing/placement_measure.cc
@@ -133,8 +133,8 @@
       const double rate =
           kKinds[kind].per_second[index_] * load * capacity_ / demand;
       std::exponential_distribution<double> gap(rate * (1 + deployment_.wave));
-      for (double at = 1 + gap(random_);
-           at < static_cast<double>(kDuration) / kSecond; at += gap(random_)) {
+      double at = 1 + gap(random_);
+      while (at < static_cast<double>(kDuration) / kSecond) {
         const double wave =
             1 + deployment_.wave *
                     std::sin(2 * M_PI * at / deployment_.wave_seconds);
@@ -142,6 +142,7 @@
                 0, 1 + deployment_.wave)(random_) < wave) {
           MakeJob(kind, static_cast<Micros>(at * kSecond));
         }
+        at += gap(random_);
       }
     }
   }
@@ -446,7 +447,7 @@
   std::cout << "  p50 " << quantile(0.5) << " p99 " << quantile(0.99)
             << "  cpu " << used_ / cpu_ / (kDuration - 2 * kSecond) << "  us "
             << placement_us_ / static_cast<double>(placements_) << " ms/s "
-            << placement_us_ / 1e3 / static_cast<double>(kDuration / kSecond)
+            << placement_us_ / 1e3 / static_cast<double>(kDuration) * kSecond
             << " error " << EstimateError() << " waiting " << most_waiting_
             << "\n";
 }
