Overload control: margin, floors, prompt refusals and Retry-After

Under overload, a queue ordered by expected lateness, priority and due time serves every job at its last possible moment, starves the least urgent queue, and lets jobs wait that will never be served until their callers leave.

Without the flag, order, refusals and Retry-After are as before.

--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -157,6 +157,8 @@
   AppendMetric(text, "jobs_forwarded_total", "counter",
                std::to_string(board.counters.jobs_forwarded));
   AppendByLabel(text, "jobs_ended_total", "fate", board.counters.jobs_ended);
+  AppendByLabel(text, "overload_refusals_total", "reason",
+                board.counters.overload_refusals);
   AppendByLabel(text, "worker_orders_total", "outcome",
                 board.counters.order_outcomes);
   AppendByLabel(text, "runs_ended_total", "end", board.counters.attempt_ends);
--- a/pool/end_estimate.cc
+++ b/pool/end_estimate.cc
@@ -1,9 +1,9 @@
 #include "pool/end_estimate.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "pool/choose_worker.h"
+#include "pool/pool_jobs.h"
 #include "pool/task_requirements.h"
 
 namespace goldcrest {
@@ -54,9 +54,8 @@
   const wire::JobStep& step = job.order.steps(0);
   std::vector<TaskGroup> ahead;
   for (const auto& [key, waiting] : board.waiting) {
-    if (std::tie(key.expected_lateness, key.priority, key.objective_at) >
-        std::make_tuple(ExpectedLateness::kOnTime, job.order.priority(),
-                        job.objective_at)) {
+    // The job's tasks come after those of earlier jobs with an equal key.
+    if (key > WaitingKeyOf(job, 0, 0)) {
       break;
     }
     ahead.push_back({1, waiting.job->steps[key.step].expected_run_time});
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -7,6 +7,7 @@
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_step.h"
+#include "pool/retry_after.h"
 #include "pool/standby.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
@@ -36,6 +37,12 @@
   }
 }
 
+// Returns when a caller that this daemon itself refuses is to return.
+int64_t RefusalDelayMs(const EntryBoard& board, const std::string& job_id) {
+  return EntryRetryAfterMs(board.options.features, board.options.retry_after_ms,
+                           job_id);
+}
+
 void RefuseCaller(EntryBoard& board,
                   const CallerJob& job,
                   const std::string& reason,
@@ -45,7 +52,7 @@
                 {"queue", job.queue},
                 {"reason", reason},
                 {"configuration", std::to_string(board.routing.version())}});
-  Reply(board, job.token, wire::JOB_REFUSED, board.options.retry_after_ms,
+  Reply(board, job.token, wire::JOB_REFUSED, RefusalDelayMs(board, job.job_id),
         actions);
 }
 
@@ -524,7 +531,7 @@
                !ResendToAnotherControl(board, order_number, reason, now,
                                        actions)) {
       Finish(board, order_number, wire::JOB_REFUSED, reason,
-             board.options.retry_after_ms, now, actions);
+             RefusalDelayMs(board, job.job_id), now, actions);
     }
   }
 }
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -8,7 +8,9 @@
 #include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_order_check.h"
+#include "pool/overload_control.h"
 #include "pool/pool_jobs.h"
+#include "pool/retry_after.h"
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
 
@@ -17,12 +19,6 @@
 
 // For this long after its start, a daemon may not know all workers yet.
 constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
-constexpr int64_t kLongestRetryAfterMs = 10'000;
-
-int64_t RetryAfterMs(Micros time_to_end, Micros budget) {
-  return std::clamp((time_to_end - budget) / kMillisecond,
-                    kShortestRetryAfterMs, kLongestRetryAfterMs);
-}
 
 // Returns the key that identifies the order: entry daemon, its incarnation and
 // the order number.
@@ -229,15 +225,16 @@
       return;
     }
   }
+  RecordOfferedWork(board, order, now);
   const Micros budget = order.budget_ms() * kMillisecond;
   if (estimate >= kNever) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_workers",
-                  kShortestRetryAfterMs, true, actions);
+                  RetryAfterMs(board, *job, now), true, actions);
     return;
   }
   if (estimate > budget) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
-                  RetryAfterMs(estimate, budget), false, actions);
+                  RetryAfterMs(board, order, estimate, now), false, actions);
     return;
   }
   LogAccepted(board, *job, estimate, actions);
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -252,15 +252,22 @@
 
 struct PoolJob;
 
-// Whether a job can still meet its objective: on time, late (within
-// kLateObjectiveFactor times the objective, so that the answer still has some
-// value) or very late.
-enum class ExpectedLateness : uint8_t { kOnTime, kLate, kVeryLate };
+// Whether a job can still meet its objective: on time, on time only if its run
+// times are not longer than estimated (used by overload control only), late
+// (within kLateObjectiveFactor times the objective, so that the answer still
+// has some value) or very late.
+enum class ExpectedLateness : uint8_t { kOnTime, kAtRisk, kLate, kVeryLate };
+
+// Whether a job comes before others of the same expected lateness whatever
+// their priorities: overload control puts the jobs first that have begun, and
+// those that are due to their queue's floor.
+enum class QueueRank : uint8_t { kFirst, kByPriority };
 
 // Sort key of the tasks that wait for free capacity: by expected lateness of
-// the job, then the operator's priority, then the objective time.
+// the job, its rank, the operator's priority, then the objective time.
 struct WaitingKey {
   ExpectedLateness expected_lateness = ExpectedLateness::kOnTime;
+  QueueRank rank = QueueRank::kByPriority;
   int priority = 0;  // 0 is the most urgent
   Micros objective_at = 0;
   uint64_t sequence = 0;
@@ -289,6 +296,7 @@
   std::vector<PoolJobStep> steps;
   size_t open_tasks = 0;  // tasks that are not done
   ExpectedLateness expected_lateness = ExpectedLateness::kOnTime;
+  QueueRank rank = QueueRank::kByPriority;
   // Whether the entry daemon has permitted the start, and when permission was
   // first and last requested.
   bool start_permitted = false;
@@ -325,6 +333,7 @@
   std::map<std::string, uint64_t> jobs_ended;  // by outcome
   std::map<std::string, uint64_t> order_outcomes;
   std::map<std::string, uint64_t> attempt_ends;
+  std::map<std::string, uint64_t> overload_refusals;  // by reason
   uint64_t jobs_received = 0;
   uint64_t jobs_forwarded = 0;
   uint64_t starts = 0;
@@ -332,6 +341,21 @@
   uint64_t ejections = 0;
 };
 
+// CPU work that jobs of one queue brought lately, as an exponential average of
+// the rate, in thousandths of a core.
+struct OfferedWork {
+  double cpu_millis = 0;
+  Micros updated_at = 0;
+};
+
+// What overload control remembers; all of it may be lost.
+struct OverloadState {
+  std::map<std::string, OfferedWork> offered;  // by queue
+  // When the next refused job may return, if those that were refused before
+  // return as they were told.
+  Micros next_return_at = 0;
+};
+
 // State of one control daemon, or of the part of an entry daemon that owns
 // workers as a standby.
 struct PoolBoard {
@@ -346,6 +370,7 @@
   std::unordered_map<std::string, std::string> job_keys;           // by job id
   std::map<WaitingKey, WaitingTask> waiting;
   RunTimes run_times;
+  OverloadState overload;
   PoolCounters counters;
   int64_t wall_ms = 0;  // wall clock time of the current step
   Micros started_at = 0;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/overload_control.h"
+#include "pool/retry_after.h"
 #include "pool/run_times.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
@@ -37,15 +39,6 @@
          now - last_received_by_entry < board.options.entry_echo_timeout;
 }
 
-WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
-  return {job.expected_lateness,
-          job.order.priority(),
-          job.objective_at,
-          job.sequence,
-          step,
-          index};
-}
-
 bool IsUnblocked(const PoolJob& job, uint32_t step) {
   const auto& after = job.order.steps(static_cast<int>(step)).after();
   return std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
@@ -64,40 +57,22 @@
   }
 }
 
-// Returns the sum of the expected run times of all unfinished steps: an upper
-// bound of the run time that the job still needs if none of its tasks has to
-// wait, since steps may run at the same time and parts of a step may be done.
-Micros RemainingSequentialRunTime(const PoolJob& job) {
-  Micros expected = 0;
-  for (const PoolJobStep& step : job.steps) {
-    expected += step.open_tasks > 0 ? step.expected_run_time : 0;
-  }
-  return expected;
-}
-
-// Returns how late a job will be if it starts now.
-ExpectedLateness ExpectedLatenessOf(const PoolJob& job, Micros now) {
+// Returns how late a job will be if it starts now. It is at risk if it would be
+// late with run times that are longer than estimated by the part `margin`.
+ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
+                                    double margin,
+                                    Micros now) {
   const Micros expected = RemainingSequentialRunTime(job);
-  const Micros objective = job.objective_at - job.received_at;
-  if (now + expected <= job.objective_at) {
+  const auto longest =
+      static_cast<Micros>((1 + margin) * static_cast<double>(expected));
+  if (now + longest <= job.objective_at) {
     return ExpectedLateness::kOnTime;
   }
-  return now + expected <= job.received_at + kLateObjectiveFactor * objective
-             ? ExpectedLateness::kLate
-             : ExpectedLateness::kVeryLate;
-}
-
-// Moves the job's waiting tasks to the place in the queue for `lateness`.
-void MoveInQueue(PoolBoard& board, PoolJob& job, ExpectedLateness lateness) {
-  RemoveFromQueue(board, job);
-  job.expected_lateness = lateness;
-  for (uint32_t step = 0; step < job.steps.size(); ++step) {
-    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
-      if (job.steps[step].tasks[i].phase == TaskPhase::kWaiting) {
-        QueueTask(board, job, step, i);
-      }
-    }
+  if (now + expected <= job.objective_at) {
+    return ExpectedLateness::kAtRisk;
   }
+  return now + expected <= ValueEndsAt(job) ? ExpectedLateness::kLate
+                                            : ExpectedLateness::kVeryLate;
 }
 
 // Counts the failure of an attempt against its worker, unless the job has
@@ -164,6 +139,45 @@
 
 }  // namespace
 
+WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
+  return {job.expected_lateness,
+          job.rank,
+          job.order.priority(),
+          job.objective_at,
+          job.sequence,
+          step,
+          index};
+}
+
+Micros RemainingSequentialRunTime(const PoolJob& job) {
+  Micros expected = 0;
+  for (const PoolJobStep& step : job.steps) {
+    expected += step.open_tasks > 0 ? step.expected_run_time : 0;
+  }
+  return expected;
+}
+
+Micros ValueEndsAt(const PoolJob& job) {
+  return job.received_at +
+         kLateObjectiveFactor * (job.objective_at - job.received_at);
+}
+
+void MoveInQueue(PoolBoard& board,
+                 PoolJob& job,
+                 ExpectedLateness lateness,
+                 QueueRank rank) {
+  RemoveFromQueue(board, job);
+  job.expected_lateness = lateness;
+  job.rank = rank;
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      if (job.steps[step].tasks[i].phase == TaskPhase::kWaiting) {
+        QueueTask(board, job, step, i);
+      }
+    }
+  }
+}
+
 void SendJobEnd(const wire::JobOrder& order,
                 wire::JobFate outcome,
                 const std::string& reason,
@@ -257,12 +271,17 @@
   board.placement_due = true;
 }
 
-void EndJob(PoolBoard& board,
-            const std::string& key,
-            wire::JobFate fate,
-            const std::string& reason,
-            Micros now,
-            PoolActions& actions) {
+namespace {
+
+// Ends a job. A refused caller is told to return after `retry_after_ms`.
+void EndJobAs(PoolBoard& board,
+              const std::string& key,
+              wire::JobFate fate,
+              const std::string& reason,
+              int64_t retry_after_ms,
+              bool try_elsewhere,
+              Micros now,
+              PoolActions& actions) {
   const auto found = board.jobs.find(key);
   if (found == board.jobs.end()) {
     return;
@@ -289,11 +308,7 @@
        {"open_tasks", std::to_string(job->open_tasks)},
        {"took_ms", std::to_string((now - job->received_at) / kMillisecond)},
        {"first_start_ms", std::to_string(waited / kMillisecond)}});
-  const bool refused = fate == wire::JOB_REFUSED;
-  const bool try_elsewhere =
-      refused && now + RemainingSequentialRunTime(*job) < job->deadline;
-  SendJobEnd(job->order, fate, reason, refused ? kShortestRetryAfterMs : 0,
-             try_elsewhere, actions);
+  SendJobEnd(job->order, fate, reason, retry_after_ms, try_elsewhere, actions);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
@@ -306,6 +321,40 @@
   }
 }
 
+}  // namespace
+
+void RefuseUnstartedJob(PoolBoard& board,
+                        const std::string& key,
+                        const std::string& reason,
+                        int64_t retry_after_ms,
+                        bool try_elsewhere,
+                        Micros now,
+                        PoolActions& actions) {
+  const PoolJob* job = FindPoolJob(board, key);
+  if (job != nullptr && !job->started) {
+    EndJobAs(board, key, wire::JOB_REFUSED, reason, retry_after_ms,
+             try_elsewhere, now, actions);
+  }
+}
+
+void EndJob(PoolBoard& board,
+            const std::string& key,
+            wire::JobFate fate,
+            const std::string& reason,
+            Micros now,
+            PoolActions& actions) {
+  const PoolJob* job = FindPoolJob(board, key);
+  const bool refused = fate == wire::JOB_REFUSED;
+  const bool try_elsewhere =
+      refused && job != nullptr &&
+      now + RemainingSequentialRunTime(*job) < job->deadline;
+  const int64_t retry_after_ms = refused && job != nullptr && !try_elsewhere
+                                     ? RetryAfterMs(board, *job, now)
+                                     : (refused ? kShortestRetryAfterMs : 0);
+  EndJobAs(board, key, fate, reason, retry_after_ms, try_elsewhere, now,
+           actions);
+}
+
 void OnAttemptEnded(PoolBoard& board,
                     PoolWorker& worker,
                     const TaskName& name,
@@ -373,6 +422,7 @@
 }
 
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions) {
+  const double margin = LatenessMargin(board.options.features);
   // The keys of the jobs, and whether the entry daemon is unreachable.
   std::vector<std::pair<std::string, bool>> ending;
   for (const auto& [key, job] : board.jobs) {
@@ -387,9 +437,10 @@
     // A started job keeps its place in the queue: the work already done is of
     // use to its caller only if the whole job is completed.
     const ExpectedLateness lateness =
-        job->started ? job->expected_lateness : ExpectedLatenessOf(*job, now);
+        job->started ? job->expected_lateness
+                     : ExpectedLatenessOf(*job, margin, now);
     if (lateness != job->expected_lateness) {
-      MoveInQueue(board, *job, lateness);
+      MoveInQueue(board, *job, lateness, job->rank);
     }
   }
   for (const auto& [key, unreachable] : ending) {
@@ -401,6 +452,7 @@
     EndJob(board, key, fate, unreachable ? "entry_not_heard" : "time_is_up",
            now, actions);
   }
+  OverloadTick(board, now, actions);
 }
 
 }  // namespace goldcrest
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -38,6 +38,17 @@
                       const std::string& entry,
                       const wire::JobGo& go);
 
+// Refuses a job of which no task was started, and removes it in the same step;
+// a job with a started task is left as it is. `try_elsewhere` lets the entry
+// daemon send it to a control daemon that has not had it yet.
+void RefuseUnstartedJob(PoolBoard& board,
+                        const std::string& key,
+                        const std::string& reason,
+                        int64_t retry_after_ms,
+                        bool try_elsewhere,
+                        Micros now,
+                        PoolActions& actions);
+
 // Ends a job: reports the outcome to its entry daemon, stops its running
 // attempts, and removes it.
 void EndJob(PoolBoard& board,
@@ -86,6 +97,24 @@
 // Adds a task to the queue of waiting tasks.
 void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index);
 
+// Returns the sum of the expected run times of all unfinished steps: an upper
+// bound of the run time that the job still needs if none of its tasks has to
+// wait, since steps may run at the same time and parts of a step may be done.
+Micros RemainingSequentialRunTime(const PoolJob& job);
+
+// Returns the time after which the job's answer has no value for its caller.
+Micros ValueEndsAt(const PoolJob& job);
+
+// Returns the place of a task in the queue.
+WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index);
+
+// Moves the job's waiting tasks to the place in the queue for `lateness` and
+// `rank`.
+void MoveInQueue(PoolBoard& board,
+                 PoolJob& job,
+                 ExpectedLateness lateness,
+                 QueueRank rank);
+
 // Returns the job with this key, or null.
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key);
 
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -17,15 +17,18 @@
 wire::Routing MakeRouting(uint64_t version) {
   wire::Routing routing;
   routing.set_version(version);
-  wire::Queue& queue = *routing.add_queues();
-  queue.set_name("bells");
-  queue.set_host("bells.example");
-  queue.set_path_prefix("/bells/");
-  queue.set_service("bells");
-  queue.set_timeout_ms(1500);
-  queue.set_target_ms(60);
-  queue.set_max_attempts(3);
-  queue.set_stretch(1.6);
+  for (size_t i = 0; i < kFakeQueues.size(); ++i) {
+    wire::Queue& queue = *routing.add_queues();
+    queue.set_name(kFakeQueues[i]);
+    queue.set_host("bells.example");
+    queue.set_path_prefix("/" + queue.name() + "/");
+    queue.set_service("bells");
+    queue.set_timeout_ms(1500);
+    queue.set_target_ms(60);
+    queue.set_priority(static_cast<int32_t>(i));
+    queue.set_max_attempts(3);
+    queue.set_stretch(1.6);
+  }
   return routing;
 }
 
@@ -187,6 +190,7 @@
       if (job != job_of_token_.end()) {
         answers_[job->second].fate = reply->fate;
         answers_[job->second].answered_at = now_;
+        answers_[job->second].retry_after_ms = reply->retry_after_ms;
       }
     } else if (const auto* change = std::get_if<ReplyChange>(&action)) {
       const auto pending_change = changes_.find(change->token);
@@ -384,22 +388,19 @@
   }
 }
 
-void FakePool::SendJob(int job,
-                       size_t entry,
-                       int tasks,
-                       int64_t run_ms,
-                       int64_t timeout_ms) {
+void FakePool::SendJob(int job, size_t entry) {
+  const FakeJob& sent = jobs_.at(job);
   CallerJob request;
   request.token = next_token_++;
-  request.queue = "bells";
+  request.queue = kFakeQueues[sent.queue];
   request.job_id = "job" + std::to_string(job);
-  request.spec = std::to_string(run_ms);
-  request.caller_timeout_ms = timeout_ms;
+  request.spec = std::to_string(sent.run_ms);
+  request.caller_timeout_ms = sent.timeout_ms;
   wire::JobStep step;
-  step.set_tasks(static_cast<uint32_t>(tasks));
+  step.set_tasks(static_cast<uint32_t>(sent.tasks));
   step.set_cpu_millis(kTaskCpu);
   step.set_memory_mb(64);
-  step.set_estimate_ms(static_cast<uint32_t>(run_ms));
+  step.set_estimate_ms(static_cast<uint32_t>(sent.estimate_ms));
   request.steps.push_back(step);
   job_of_token_[request.token] = job;
   answers_[job].fate = wire::JOB_FATE_UNSPECIFIED;
@@ -410,16 +411,19 @@
                      int tasks,
                      int64_t run_ms,
                      int64_t timeout_ms) {
+  return Submit(entry, {tasks, run_ms, timeout_ms, run_ms, 0});
+}
+
+int FakePool::Submit(size_t entry, const FakeJob& submitted) {
   const int job = static_cast<int>(jobs_.size());
-  jobs_[job] = {tasks, run_ms, timeout_ms};
+  jobs_[job] = submitted;
   answers_[job].submitted_at = now_;
-  SendJob(job, entry, tasks, run_ms, timeout_ms);
+  SendJob(job, entry);
   return job;
 }
 
 void FakePool::Resubmit(int job, size_t entry) {
-  const Job& submitted = jobs_.at(job);
-  SendJob(job, entry, submitted.tasks, submitted.run_ms, submitted.timeout_ms);
+  SendJob(job, entry);
 }
 
 void FakePool::ChangeConfiguration(size_t control,
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -10,6 +10,7 @@
 // partitioned, disks can lose their contents or fail writes, and workers can
 // fail, hang, be partitioned, leave orders unanswered and execute them late.
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -42,6 +43,20 @@
   Micros disk_write_time = 9 * kMillisecond;  // duration of a disk write
 };
 
+// A job that a test submits.
+struct FakeJob {
+  int tasks = 1;
+  int64_t run_ms = 0;  // of each task, on a worker that is not slow
+  int64_t timeout_ms = 0;
+  int64_t estimate_ms = 0;  // the caller's estimate of run_ms
+  // Index in kFakeQueues; it is also the priority of the queue.
+  size_t queue = 0;
+};
+
+// The queues of the configuration that all daemons get.
+inline constexpr std::array<const char*, 3> kFakeQueues = {"bells", "bells1",
+                                                           "bells2"};
+
 struct FakeControl {
   std::string address;
   std::string domain;
@@ -68,6 +83,7 @@
   wire::JobFate fate = wire::JOB_FATE_UNSPECIFIED;
   Micros submitted_at = 0;
   Micros answered_at = 0;
+  int64_t retry_after_ms = 0;
 };
 
 class FakePool {
@@ -79,6 +95,7 @@
 
   // Sends a job of `tasks` tasks to an entry daemon; returns its number.
   int Submit(size_t entry, int tasks, int64_t run_ms, int64_t timeout_ms);
+  int Submit(size_t entry, const FakeJob& job);
   // Sends the same job again, as callers do after an unknown outcome.
   void Resubmit(int job, size_t entry);
 
@@ -160,11 +177,7 @@
   // periodic events. Used for the first start and for restarts.
   void BootControl(size_t index, bool first_start);
   void BootEntry(size_t index);
-  void SendJob(int job,
-               size_t entry,
-               int tasks,
-               int64_t run_ms,
-               int64_t timeout_ms);
+  void SendJob(int job, size_t entry);
 
   FakePoolOptions options_;
   std::mt19937_64 random_;
@@ -176,12 +189,7 @@
   FakeWorkers workers_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<int, FakeAnswer> answers_;
-  struct Job {
-    int tasks = 0;
-    int64_t run_ms = 0;
-    int64_t timeout_ms = 0;
-  };
-  std::map<int, Job> jobs_;
+  std::map<int, FakeJob> jobs_;
   std::map<ReplyToken, int> job_of_token_;
   ReplyToken next_token_ = 1;
   std::map<ReplyToken, ChangeResult*> changes_;
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -591,5 +591,16 @@
   }
 }
 
+TEST_CASE("Pool: random faults violate no invariant with overload control") {
+  for (uint64_t seed = 201; seed <= 204; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.features.overload_control = true;
+    options.features.queue_floor_percent = 30;
+    InjectRandomFaults(options);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
