Overload control: refuse useless jobs of a service without workers

A job past three times its objective was kept until its caller's timeout if its pool had no worker of its service, since then nobody else waits for capacity. It is refused like one that holds up others.

overload_control_test (10 cases) and pool_promises_test (28 cases) pass.

--- a/pool/overload_control.cc
+++ b/pool/overload_control.cc
@@ -326,10 +326,13 @@
     if (earliest_end > job.deadline) {
       return OverloadRefusal::kNoTimeLeft;
     }
-    if (earliest_end > job.value_ends_at && others_wait[job.service]) {
+    const auto capacity = freeing.find(job.service);
+    // Without value, it is kept only if it can run at nobody's expense.
+    const bool capacity_is_idle =
+        capacity != freeing.end() && !others_wait[job.service];
+    if (earliest_end > job.value_ends_at && !capacity_is_idle) {
       return OverloadRefusal::kNoValueLeft;
     }
-    const auto capacity = freeing.find(job.service);
     if (!pool_is_known || job.fits_now || capacity == freeing.end()) {
       return OverloadRefusal::kNone;
     }
--- a/pool/overload_control.h
+++ b/pool/overload_control.h
@@ -40,7 +40,8 @@
 enum class OverloadRefusal : uint8_t {
   kNone,
   kNoTimeLeft,       // it cannot end before its caller's timeout
-  kNoValueLeft,      // its answer would have no value, and others wait
+  kNoValueLeft,      // its answer would have no value, and others wait or no
+                     // worker could run it
   kCapacityPromised  // the capacity that it could use is promised to others
 };
 
