--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -219,6 +219,19 @@
     }
   }
 
+  // Counts the refusals later than the time at which the answer lost its value
+  // for a daemon that expects run times a quarter longer than the estimate.
+  int CountLateRefusals() const {
+    return static_cast<int>(
+        std::count_if(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+          const FakeAnswer& answer = pool_.answers().at(entry.first);
+          const Micros objective =
+              (2 * entry.second.estimate_ms + 60) * kMillisecond;
+          return answer.fate == wire::JOB_REFUSED &&
+                 answer.answered_at - answer.submitted_at > 3 * objective;
+        }));
+  }
+
   Outcome Result() const {
     Outcome outcome;
     for (const auto& [number, job] : jobs_) {
@@ -291,6 +304,8 @@
   RequireNoViolation(pool);
   // Refused jobs are not passed on while all pools are overloaded.
   CHECK(pool.CountLogged("job_moved") * 20 <= pool.CountLogged("job_answered"));
+  // Nor are they held until their callers' timeouts.
+  CHECK((!overload_control || jobs.CountLateRefusals() == 0));
   return jobs.Result();
 }
 
