Overload control: capacity before a time by prefix sums

The sums are now made once per tick. overload_control_test (11 cases) and pool_promises_test (28 cases) pass.

--- a/pool/overload_control.cc
+++ b/pool/overload_control.cc
@@ -73,28 +73,28 @@
 
 void AppendFreeingTimes(const PoolWorker& worker,
                         Micros now,
-                        FreeingTimes& freeing) {
-  const Micros from = std::max(now, worker.health.ejected_until);
-  freeing.emplace_back(from, FreeCapacity(worker).cpu_millis);
+                        std::vector<FreedCpu>& freed) {
+  const Micros from = std::max<Micros>(worker.health.ejected_until - now, 0);
+  freed.push_back({from, FreeCapacity(worker).cpu_millis});
   for (const auto& [name, attempt] : worker.attempts) {
     // The end of an overdue attempt is taken to be now: early rather than late.
-    freeing.emplace_back(
-        std::max(from, attempt.sent_at + attempt.expected_run_time),
-        attempt.resources.cpu_millis);
+    const Micros end = attempt.sent_at + attempt.expected_run_time - now;
+    freed.push_back({std::max(from, end), attempt.resources.cpu_millis});
   }
 }
 
 std::map<std::string, FreeingTimes> FreeingTimesByService(
     const PoolBoard& board,
     Micros now) {
-  std::map<std::string, FreeingTimes> result;
+  std::map<std::string, std::vector<FreedCpu>> freed;
   for (const auto& [id, worker] : board.owned) {
     if (CountsAsCapacity(*worker)) {
-      AppendFreeingTimes(*worker, now, result[worker->status.service()]);
+      AppendFreeingTimes(*worker, now, freed[worker->status.service()]);
     }
   }
-  for (auto& [service, freeing] : result) {
-    std::sort(freeing.begin(), freeing.end());
+  std::map<std::string, FreeingTimes> result;
+  for (auto& [service, cpu] : freed) {
+    result[service] = MakeFreeingTimes(std::move(cpu));
   }
   return result;
 }
@@ -293,16 +293,27 @@
   return features.overload_control ? kLatenessMargin : 0;
 }
 
-double WorkUntil(const FreeingTimes& freeing, Micros now, Micros until) {
-  double work = 0;
-  for (const auto& [at, cpu] : freeing) {
-    if (at >= until) {
-      break;
-    }
-    work += static_cast<double>(cpu) *
-            static_cast<double>(until - std::max(at, now));
+FreeingTimes MakeFreeingTimes(std::vector<FreedCpu> freed) {
+  std::sort(freed.begin(), freed.end(),
+            [](const FreedCpu& a, const FreedCpu& b) { return a.in < b.in; });
+  FreeingTimes result;
+  for (const FreedCpu& part : freed) {
+    const auto cpu = static_cast<double>(part.cpu_millis);
+    result.cpu_sums.push_back(result.cpu_sums.back() + cpu);
+    result.cpu_time_sums.push_back(result.cpu_time_sums.back() +
+                                   cpu * static_cast<double>(part.in));
   }
-  return work;
+  result.freed = std::move(freed);
+  return result;
+}
+
+double WorkWithin(const FreeingTimes& freeing, Micros time) {
+  const auto end = std::lower_bound(
+      freeing.freed.begin(), freeing.freed.end(), time,
+      [](const FreedCpu& part, Micros until) { return part.in < until; });
+  const auto count = static_cast<size_t>(end - freeing.freed.begin());
+  return freeing.cpu_sums[count] * static_cast<double>(time) -
+         freeing.cpu_time_sums[count];
 }
 
 std::vector<OverloadRefusal> ReviewWaitingJobs(
@@ -342,7 +353,7 @@
                                     : std::min(job.deadline, job.value_ends_at);
     const Micros latest_start = useful_until - job.shortest_run_time;
     return promised[job.service].CertainWork() >
-                   WorkUntil(capacity->second, now, latest_start)
+                   WorkWithin(capacity->second, latest_start - now)
                ? OverloadRefusal::kCapacityPromised
                : OverloadRefusal::kNone;
   };
--- a/pool/overload_control.h
+++ b/pool/overload_control.h
@@ -53,13 +53,27 @@
   return kOverloadRefusalNames[static_cast<size_t>(refusal)];
 }
 
-// When CPU of the workers of one service becomes free, in thousandths of a
-// core, sorted by time.
-using FreeingTimes = std::vector<std::pair<Micros, int64_t>>;
+// CPU that becomes free, in thousandths of a core.
+struct FreedCpu {
+  Micros in = 0;  // time from now
+  int64_t cpu_millis = 0;
+};
+
+// When CPU of the workers of one service becomes free.
+struct FreeingTimes {
+  std::vector<FreedCpu> freed;  // sorted by time
+  // For each prefix of `freed`: the sums of the CPU, and of the CPU times the
+  // time at which it becomes free.
+  std::vector<double> cpu_sums = {0};
+  std::vector<double> cpu_time_sums = {0};
+};
+
+// Sorts `freed` and computes the sums.
+FreeingTimes MakeFreeingTimes(std::vector<FreedCpu> freed);
 
-// Returns the CPU work that fits between `now` and `until`, in thousandths of a
+// Returns the CPU work that fits into the time from now, in thousandths of a
 // core times microseconds.
-double WorkUntil(const FreeingTimes& freeing, Micros now, Micros until);
+double WorkWithin(const FreeingTimes& freeing, Micros time);
 
 // A job with waiting tasks, as overload control sees it.
 struct WaitingJob {
--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -31,10 +31,19 @@
                            bool pool_is_known = true) {
   // One worker of 16 cores, free at 1 s: 72 core seconds until 5.5 s.
   const std::map<std::string, FreeingTimes> freeing = {
-      {"bells", {{kSecond, 16'000}}}};
+      {"bells", MakeFreeingTimes({{kSecond, 16'000}})}};
   return ReviewWaitingJobs(jobs, freeing, pool_is_known, 0).back();
 }
 
+TEST_CASE("WorkWithin: counts capacity from the time at which it is free") {
+  const FreeingTimes freeing =
+      MakeFreeingTimes({{200, 3}, {0, 2}, {0, 1}, {400, 5}});
+  CHECK(WorkWithin(freeing, -10) == 0);
+  CHECK(WorkWithin(freeing, 100) == 100 * 3);
+  CHECK(WorkWithin(freeing, 300) == 300 * 3 + 100 * 3);
+  CHECK(WorkWithin(freeing, 500) == 500 * 3 + 300 * 3 + 100 * 5);
+}
+
 TEST_CASE("ReviewWaitingJobs: refuses only jobs that are certainly of no use") {
   WaitingJob late = MakeWaiting();
   late.can_be_on_time = false;
