--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -174,7 +174,7 @@
 struct Outcome {
   std::array<Served, 3> by_kind;
   std::array<Served, 3> by_domain;
-  Served widest_long;
+  Served widest_long;  // with 10 tasks or more
   Served all;
 
   // On time, of the kind that is served worst.
@@ -290,16 +290,6 @@
   return options;
 }
 
-// Reports a figure of both runs when a check fails.
-void Report(const char* name, const Served& off, const Served& on) {
-  for (const Served* s : {&off, &on}) {
-    UNSCOPED_INFO(name << ": " << s->jobs << " jobs, on time " << s->OnTime()
-                       << ", late " << s->Part(s->late) << ", refused "
-                       << s->Part(s->refused) << ", left waiting "
-                       << s->Part(s->left_waiting));
-  }
-}
-
 Outcome Play(bool overload_control, double load, double long_factor) {
   constexpr double kSlots = 288;  // 144 workers with room for two tasks
   FakePool pool(PoolWith(overload_control, 1));
@@ -321,11 +311,6 @@
 void ComparePools(double load, double long_factor) {
   const Outcome off = Play(false, load, long_factor);
   const Outcome on = Play(true, load, long_factor);
-  Report("short", off.by_kind[0], on.by_kind[0]);
-  Report("small", off.by_kind[1], on.by_kind[1]);
-  Report("long", off.by_kind[2], on.by_kind[2]);
-  Report("widest tenth of long", off.widest_long, on.widest_long);
-  Report("all", off.all, on.all);
   // The least urgent kind and its widest jobs do not starve.
   CHECK(on.by_kind[2].OnTime() > off.by_kind[2].OnTime());
   CHECK(on.widest_long.OnTime() > off.widest_long.OnTime());
