--- a/pool/end_estimate.cc
+++ b/pool/end_estimate.cc
@@ -1,9 +1,9 @@
 #include "pool/end_estimate.h"
 
 #include <algorithm>
-#include <tuple>
 
 #include "pool/choose_worker.h"
+#include "pool/pool_jobs.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_profile.h"
 
@@ -60,9 +60,8 @@
   const double factor = AverageFactor(board, job.order, step, now);
   std::vector<TaskGroup> ahead;
   for (const auto& [key, waiting] : board.waiting) {
-    if (std::tie(key.expected_lateness, key.priority, key.objective_at) >
-        std::make_tuple(ExpectedLateness::kOnTime, job.order.priority(),
-                        job.objective_at)) {
+    // The job's tasks come after those of earlier jobs with an equal key.
+    if (key > WaitingKeyOf(job, 0, 0)) {
       break;
     }
     ahead.push_back(
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -8,6 +8,7 @@
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_step.h"
+#include "pool/retry_after.h"
 #include "pool/standby.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
@@ -21,6 +22,7 @@
 using detail::HandlePermissionRequest;
 using detail::HoldJob;
 using detail::MayHoldJobs;
+using detail::RefusalDelayMs;
 using detail::Reply;
 using detail::RequestCancel;
 using detail::SendCancel;
@@ -45,7 +47,7 @@
                 {"queue", job.queue},
                 {"reason", reason},
                 {"configuration", std::to_string(board.routing.version())}});
-  Reply(board, job.token, wire::JOB_REFUSED, board.options.retry_after_ms,
+  Reply(board, job.token, wire::JOB_REFUSED, RefusalDelayMs(board, job.job_id),
         actions);
 }
 
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -8,7 +8,9 @@
 #include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_order_check.h"
+#include "pool/overload_control.h"
 #include "pool/pool_jobs.h"
+#include "pool/retry_after.h"
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
 
@@ -17,12 +19,6 @@
 
 // For this long after its start, a daemon may not know all workers yet.
 constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
-constexpr int64_t kLongestRetryAfterMs = 10'000;
-
-int64_t RetryAfterMs(Micros time_to_end, Micros budget) {
-  return std::clamp((time_to_end - budget) / kMillisecond,
-                    kShortestRetryAfterMs, kLongestRetryAfterMs);
-}
 
 // Returns the key that identifies the order: entry daemon, its incarnation and
 // the order number.
@@ -106,6 +102,26 @@
                      });
 }
 
+// Returns whether a later order of the same entry daemon process has replaced
+// `order`.
+bool IsSuperseded(const wire::JobOrder& order, const wire::JobOrder& present) {
+  return order.entry() == present.entry() &&
+         order.entry_incarnation() == present.entry_incarnation() &&
+         order.order() < present.order();
+}
+
+// Makes `order` the order of the job. What is to run stays as it was first
+// sent: tasks of it may be queued or running under the first priority and
+// steps.
+void ReplaceOrder(PoolJob& job, const wire::JobOrder& order) {
+  job.order.set_order(order.order());
+  job.order.set_entry(order.entry());
+  job.order.set_entry_incarnation(order.entry_incarnation());
+  job.order.set_budget_ms(order.budget_ms());
+  job.order.set_seen_sequence(order.seen_sequence());
+  job.order.set_forwarded(order.forwarded());
+}
+
 // Attaches the order to the job that already exists here for the same job id.
 // Returns true if the order needs no new job: it was attached, or it repeats
 // the order of that job.
@@ -119,7 +135,8 @@
   }
   const std::string old_key = known->second;
   const auto found = board.jobs.find(old_key);
-  if (found == board.jobs.end() || old_key == JobKeyOf(order)) {
+  if (found == board.jobs.end() || old_key == JobKeyOf(order) ||
+      IsSuperseded(order, found->second->order)) {
     return true;
   }
   std::unique_ptr<PoolJob> job = std::move(found->second);
@@ -128,7 +145,7 @@
   // job to another control daemon.
   SendJobEnd(job->order, wire::JOB_UNKNOWN, "sent_again", 0, false, actions);
   job->key = JobKeyOf(order);
-  job->order = order;
+  ReplaceOrder(*job, order);
   job->deadline = now + order.budget_ms() * kMillisecond;
   // The new entry daemon has not given a start permission yet. If the job has
   // started, the permission is requested at once, so that the entry daemon does
@@ -229,15 +246,16 @@
       return;
     }
   }
+  RecordOfferedWork(board, order, now);
   const Micros budget = order.budget_ms() * kMillisecond;
   if (estimate >= kNever) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_workers",
-                  kShortestRetryAfterMs, true, actions);
+                  RetryAfterMs(board, *job, now), true, actions);
     return;
   }
   if (estimate > budget) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
-                  RetryAfterMs(estimate, budget), false, actions);
+                  RetryAfterMs(board, order, estimate, now), false, actions);
     return;
   }
   LogAccepted(board, *job, estimate, actions);
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pool/load_report.h"
+#include "pool/retry_after.h"
 #include "pool/standby.h"
 
 namespace goldcrest::detail {
@@ -170,7 +171,8 @@
     HoldJob(board, Renumber(board, order_number), now, actions);
   } else {
     Finish(board, order_number, wire::JOB_REFUSED, reason,
-           board.options.retry_after_ms, now, actions);
+           RefusalDelayMs(board, board.pending.at(order_number).job_id), now,
+           actions);
   }
 }
 
@@ -213,6 +215,11 @@
   }
 }
 
+int64_t RefusalDelayMs(const EntryBoard& board, const std::string& job_id) {
+  return EntryRetryAfterMs(board.options.features, board.options.retry_after_ms,
+                           job_id);
+}
+
 void SendCancel(const EntryBoard& board,
                 const PendingJob& job,
                 PoolActions& actions) {
@@ -392,7 +399,8 @@
       Finish(board, order_number, wire::JOB_CANCELLED, reason, 0, now, actions);
     } else if (now >= job.deadline) {
       Finish(board, order_number, wire::JOB_REFUSED, reason,
-             board.options.retry_after_ms, now, actions);
+             RefusalDelayMs(board, board.pending.at(order_number).job_id), now,
+             actions);
     } else if (!ResendToAnotherControl(board, order_number, reason, now,
                                        actions)) {
       HoldOrRefuse(board, order_number, reason, now, actions);
@@ -426,7 +434,8 @@
     Finish(board, order_number,
            cancelling ? wire::JOB_CANCELLED : wire::JOB_REFUSED,
            cancelling ? "never_taken" : "no_control_daemon",
-           board.options.retry_after_ms, now, actions);
+           RefusalDelayMs(board, board.pending.at(order_number).job_id), now,
+           actions);
   }
 }
 
--- a/pool/pending_jobs.h
+++ b/pool/pending_jobs.h
@@ -20,6 +20,10 @@
            int64_t retry_after_ms,
            PoolActions& actions);
 
+// Returns when a caller that this daemon itself refuses is to return, in
+// milliseconds.
+int64_t RefusalDelayMs(const EntryBoard& board, const std::string& job_id);
+
 // Sends a cancellation of the job to its control daemon, if it has one.
 void SendCancel(const EntryBoard& board,
                 const PendingJob& job,
--- a/pool/placement_input.cc
+++ b/pool/placement_input.cc
@@ -29,6 +29,7 @@
   }
   switch (job.expected_lateness) {
     case ExpectedLateness::kOnTime:
+    case ExpectedLateness::kAtRisk:
       return job.objective_at - remaining;
     case ExpectedLateness::kLate:
       return job.received_at +
