--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -70,7 +70,7 @@
   job->key = JobKeyOf(order);
   job->order = order;
   job->sequence = board.next_sequence++;
-  job->received_at = now;
+  job->received_at = now - order.waited_ms() * kMillisecond;
   job->last_contact_at = now;
   job->deadline = now + order.budget_ms() * kMillisecond;
   Micros sequential_run_time = 0;
@@ -83,7 +83,7 @@
     sequential_run_time += new_step.expected_run_time;
   }
   job->objective_at =
-      now +
+      job->received_at +
       static_cast<Micros>(order.stretch() *
                           static_cast<double>(sequential_run_time)) +
       order.target_ms() * kMillisecond;
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -202,6 +202,12 @@
                                                          : "control_not_heard";
 }
 
+// Returns whether jobs may have been held before they are sent, so that the
+// control daemon has to know for how long.
+bool ReportsWaitedTime(const EntryOptions& options) {
+  return options.hold_requests != 0 || options.features.standby_after != 0;
+}
+
 }  // namespace
 
 void Reply(EntryBoard& board,
@@ -295,6 +301,10 @@
   pending.message.set_seen_sequence(
       NewestHeartbeatSequence(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
+  if (ReportsWaitedTime(board.options)) {
+    pending.message.set_waited_ms(
+        static_cast<uint32_t>((now - pending.received_at) / kMillisecond));
+  }
   wire::PoolMessage message;
   *message.mutable_job_order() = pending.message;
   SendTo(actions, control, std::move(message));
--- a/pool/testing/request_hold_test.cc
+++ b/pool/testing/request_hold_test.cc
@@ -91,6 +91,7 @@
   EntryStep(board, job, {kSecond, 0}, actions);
   REQUIRE(board.pending.size() == 1);
   CHECK(board.pending.begin()->second.message.budget_ms() == 700);
+  CHECK(board.pending.begin()->second.message.waited_ms() == 300);
 }
 
 }  // namespace
