Placement with lookahead keeps the rank of overload control

A plan compared tasks of the same lateness only, so a job that comes first by its queue's floor could be passed over by any other job until its latest start. Plan tasks now carry the rank, and both the choice for a worker and reservations stop where lateness or rank changes.

placement_plan_test passes; the new check fails without the change.

--- a/pool/placement_input.cc
+++ b/pool/placement_input.cc
@@ -146,6 +146,7 @@
   task.run_time = job.steps[step].expected_run_time;
   task.latest_start = LatestStart(job) - now;
   task.lateness = job.expected_lateness;
+  task.rank = job.rank;
   task.begun = job.started;
   task.startable = job.start_permitted;
   return task;
--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -30,6 +30,12 @@
 // use a reserved worker only if it ends this much earlier.
 constexpr Micros kErrorDivisor = 4;
 
+// Returns whether the order of the tasks in the queue is decided by priority and
+// objective only, so that one may be started before the other.
+bool IsSameClass(const PlanTask& a, const PlanTask& b) {
+  return a.lateness == b.lateness && a.rank == b.rank;
+}
+
 class Planner {
  public:
   Planner(const std::vector<PlanWorker>& workers,
@@ -234,7 +240,7 @@
   std::tuple<bool, int64_t, bool> best_rank;
   for (size_t i = 0; i < tasks_.size(); ++i) {
     const PlanTask& task = tasks_[i];
-    if (best && task.lateness != tasks_[best->task].lateness) {
+    if (best && !IsSameClass(task, tasks_[best->task])) {
       break;
     }
     ++compared_;
@@ -338,7 +344,7 @@
         std::max(most_free.accelerators, free.accelerators);
   }
   for (size_t task = 0; task < tasks_.size(); ++task) {
-    if (tasks_[task].lateness != tasks_[0].lateness) {
+    if (!IsSameClass(tasks_[task], tasks_[0])) {
       return;
     }
     if (FitsSomewhere(task, most_free)) {
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -53,6 +53,7 @@
   // Tasks that come later in the queue may be started before it until then.
   Micros latest_start = 0;
   ExpectedLateness lateness = ExpectedLateness::kOnTime;
+  QueueRank rank = QueueRank::kByPriority;
   bool begun = false;     // another task of its job has started
   bool startable = true;  // its job has a start permission
   // By worker; empty: every worker may be used without a limit.
@@ -89,10 +90,10 @@
 // startable tasks fit, each gets the worker that ChooseWorker() prefers.
 // Otherwise the first tasks that fit nowhere reserve the workers that can hold
 // them first, and each worker's free capacity is given to the task that uses it
-// best: among the tasks of the same lateness as the first that fits, up to the
-// first whose latest start is near, the one that leaves the smallest remainder
-// that no waiting task can use; of about equal ones, one of a job that has
-// begun. A task that ends before the reservation, or leaves enough capacity for
+// best: among the tasks of the same lateness and rank as the first that fits, up
+// to the first whose latest start is near, the one that leaves the smallest
+// remainder that no waiting task can use; of about equal ones, one of a job that
+// has begun. A task that ends before the reservation, or leaves enough capacity for
 // it, may use a reserved worker.
 PlacementPlan MakePlacementPlan(const std::vector<PlanWorker>& workers,
                                 const std::vector<PlanTask>& tasks,
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -64,6 +64,10 @@
   tasks[0].latest_start = kLongSlack;
   tasks[1].lateness = tasks[2].lateness = ExpectedLateness::kLate;
   CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 0);
+  // Guards against a plan that ignores the floors of queues.
+  tasks[1].lateness = tasks[2].lateness = ExpectedLateness::kOnTime;
+  tasks[0].rank = QueueRank::kFirst;
+  CHECK(StartedTasks(MakePlacementPlan(workers, tasks))[0] == 0);
 }
 
 TEST_CASE(
