Give a placement plan its whole budget after a failed first attempt

The comparisons of the attempt to place all tasks in queue order were not cleared, so in a pool of 2,000 workers a plan was over its budget at its first start: no lookahead in large pools. They are cleared, and reservations use at most half of the budget.

placement_plan_test passes, with a new case for 2,000 workers.

--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -100,6 +100,7 @@
   }
   starts_.assign(workers_.size(), 0);
   reserved_.assign(workers_.size(), 0);
+  compared_ = 0;
   plan_ = {};
 }
 
@@ -333,7 +334,8 @@
   return best;
 }
 
-// Reserves workers for the first tasks in the queue that fit nowhere.
+// Reserves workers for the first tasks in the queue that fit nowhere. Uses at
+// most about half of the budget, so that the rest is left to fill workers.
 void Planner::Reserve() {
   const size_t most = workers_.size() / kWorkersPerReservation;
   Resources most_free;
@@ -351,7 +353,7 @@
       continue;
     }
     for (uint32_t i = 0; i < remaining_[task]; ++i) {
-      if (plan_.reservations.size() >= most || compared_ > options_.budget) {
+      if (plan_.reservations.size() >= most || compared_ > options_.budget / 2) {
         return;
       }
       const std::optional<PlanReservation> earliest = EarliestWorker(task);
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -146,6 +146,19 @@
   CHECK(plan.starts.size() >= 2);
 }
 
+TEST_CASE(
+    "MakePlacementPlan: its budget lasts for a pool of 2,000 workers in which "
+    "some task does not fit") {
+  // The attempts to place all tasks in queue order, and to reserve workers for
+  // those that fit nowhere, must not use it up.
+  std::vector<PlanTask> tasks = {MakeTask(0, 1000, 11), MakeTask(1, 2000, 30)};
+  const std::vector<PlanWorker> workers(
+      2000, MakeWorker(1000, {{kSecond, {1000, 10, 0}}}));
+  const PlacementPlan plan = MakePlacementPlan(workers, tasks);
+  CHECK_FALSE(plan.over_budget);
+  CHECK(plan.starts.size() == 11);
+}
+
 // Returns the most CPU that the tasks can use on one worker, by trying all
 // subsets.
 int64_t MostUsable(const std::vector<PlanTask>& tasks,
