Lookahead respects avoided workers; unpermitted jobs do not end its scan

A task that had just failed on a worker, or whose data is in another rack, started there if that worker was filled first. Such a task is now left to a better worker while it could start on one; a second pass over the workers starts the tasks for which no better worker remained.

64 groups of tasks without a start permission, as of a paused entry daemon, ended the scan of the queue and left the pool idle.

placement_plan_test passes, with a new case for each.

--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -71,6 +71,8 @@
   bool Avoids(size_t task, size_t worker) const;
   void Start(size_t task, size_t worker, bool ahead);
   void FillWorkers();
+  bool FillInOrder(const std::vector<size_t>& order);
+  bool IsBetterWorkerFree(size_t task, size_t worker);
   std::optional<PlanStart> ChooseTask(size_t worker);
   void Reserve();
   bool FitsSomewhere(size_t task, const Resources& most_free) const;
@@ -84,6 +86,13 @@
   std::vector<uint32_t> remaining_;  // by task
   std::vector<size_t> reserved_;     // by worker: index + 1 of its reservation
   std::optional<WaitingSizes> sizes_;
+  // By task: no earlier worker can start it without being avoided. Capacity only
+  // decreases while workers are filled.
+  std::vector<size_t> first_better_;
+  // Whether tasks are left to workers that they do not avoid, and whether that
+  // has happened.
+  bool may_postpone_ = false;
+  bool postponed_ = false;
   Micros release_gap_ = 0;  // expected time between two ends in the pool
   size_t compared_ = 0;
   PlacementPlan plan_;
@@ -233,6 +242,21 @@
   }
 }
 
+// Returns true if the task avoids the worker and could start on another that it
+// does not avoid.
+bool Planner::IsBetterWorkerFree(size_t task, size_t worker) {
+  const std::vector<PlanMatch>& matches = tasks_[task].matches;
+  if (matches.empty() || !matches[worker].avoid) {
+    return false;
+  }
+  size_t& better = first_better_[task];
+  while (better < workers_.size() &&
+         (Avoids(task, better) || !CanStart(task, better))) {
+    ++better;
+  }
+  return better < workers_.size();
+}
+
 // Returns the task for the worker's free capacity; nullopt if none fits.
 std::optional<PlanStart> Planner::ChooseTask(size_t worker) {
   const int64_t step =
@@ -244,9 +268,16 @@
     if (best && !IsSameClass(task, tasks_[best->task])) {
       break;
     }
+    if (!task.startable || remaining_[i] == 0) {
+      continue;
+    }
     ++compared_;
     if (task.required.cpu_millis > free_[worker].cpu_millis ||
-        !task.startable || remaining_[i] == 0 || !CanStart(i, worker)) {
+        !CanStart(i, worker)) {
+      continue;
+    }
+    if (may_postpone_ && IsBetterWorkerFree(i, worker)) {
+      postponed_ = true;
       continue;
     }
     const int64_t left = free_[worker].cpu_millis - task.required.cpu_millis;
@@ -284,16 +315,28 @@
            std::make_tuple(workers_[b].suspect, workers_[b].run_time_factor,
                            free_[b].cpu_millis, b);
   });
+  first_better_.assign(tasks_.size(), 0);
+  may_postpone_ = true;
+  if (FillInOrder(order) && postponed_) {
+    // The better workers may have been filled with other tasks since.
+    may_postpone_ = false;
+    FillInOrder(order);
+  }
+}
+
+// Returns false if the budget did not last; the rest was placed in queue order.
+bool Planner::FillInOrder(const std::vector<size_t>& order) {
   for (const size_t worker : order) {
     while (const std::optional<PlanStart> start = ChooseTask(worker)) {
       Start(start->task, worker, start->ahead);
       if (compared_ > options_.budget) {
         plan_.over_budget = true;
         StartInOrder();
-        return;
+        return false;
       }
     }
   }
+  return true;
 }
 
 bool Planner::FitsSomewhere(size_t task, const Resources& most_free) const {
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -130,7 +130,9 @@
 // Start permissions are requested for this many waiting tasks if placement
 // looks ahead: only jobs with a permission can be chosen for a hole.
 constexpr int kMaxLookaheadRequests = 64;
-// A plan chooses among this many groups of equal waiting tasks of one job.
+// A plan chooses among this many groups of equal waiting tasks of one job that
+// have a start permission. Others do not count, so that many of them at the head
+// of the queue, as of an entry daemon that is paused, do not idle the pool.
 constexpr size_t kMaxPlannedGroups = 64;
 
 // Equal waiting tasks of one job: their position in the queue and their number.
@@ -164,15 +166,18 @@
                                        Micros now,
                                        PoolActions& actions) {
   std::vector<WaitingGroup> groups;
+  size_t startable_groups = 0;
   int unpermitted_tasks = 0;
   auto position = board.waiting.begin();
-  while (position != board.waiting.end() && groups.size() < kMaxPlannedGroups &&
+  while (position != board.waiting.end() &&
+         startable_groups < kMaxPlannedGroups &&
          unpermitted_tasks < kMaxUnpermittedTasks) {
     const WaitingKey key = position->first;
     PoolJob& job = *position->second.job;
     if (IsTooLateToStart(job, key.step, now)) {
       // Another step of the job may be in the list already.
       while (!groups.empty() && groups.back().first->second.job == &job) {
+        startable_groups -= job.start_permitted ? 1 : 0;
         groups.pop_back();
       }
       EndJob(board, job.key,
@@ -188,6 +193,7 @@
       }
       unpermitted_tasks += static_cast<int>(group.count);
     }
+    startable_groups += job.start_permitted ? 1 : 0;
     groups.push_back(group);
     std::advance(position, group.count);
   }
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -146,6 +146,28 @@
   CHECK(plan.starts.size() >= 2);
 }
 
+TEST_CASE(
+    "MakePlacementPlan: a task avoids a worker while another one is free") {
+  // The first worker is filled first. A last task that fits nowhere makes the
+  // plan fill workers one by one.
+  std::vector<PlanTask> tasks = {MakeTask(0, 8000), MakeTask(1, 8000),
+                                 MakeTask(2, 20'000)};
+  tasks[0].matches = {{UINT32_MAX, true}, {UINT32_MAX, false}};
+  std::vector<PlanWorker> workers = {MakeWorker(8000), MakeWorker(8000)};
+  PlacementPlan plan = MakePlacementPlan(workers, tasks);
+  REQUIRE(plan.starts.size() == 2);
+  CHECK(plan.starts[0].task == 1);
+  CHECK(plan.starts[0].worker == 0);
+  CHECK(plan.starts[1].worker == 1);
+  // Not if the better worker is used by a more urgent task.
+  std::swap(tasks[0], tasks[1]);
+  tasks[0].matches = {{0, false}, {UINT32_MAX, false}};
+  plan = MakePlacementPlan(workers, tasks);
+  REQUIRE(plan.starts.size() == 2);
+  CHECK(plan.starts[1].task == 1);
+  CHECK(plan.starts[1].worker == 0);
+}
+
 TEST_CASE(
     "MakePlacementPlan: its budget lasts for a pool of 2,000 workers in which "
     "some task does not fit") {
@@ -232,10 +254,8 @@
   }
 }
 
-TEST_CASE(
-    "Placement with lookahead starts no step of a job of which another step is "
-    "too late") {
-  PoolBoard board;
+// Switches lookahead on and adds a worker of 16 cores.
+PoolWorker& AddWorker(PoolBoard& board) {
   board.options.features.placement_lookahead = true;
   PoolWorker& worker = board.workers["w"];
   worker.status.set_id("w");
@@ -243,6 +263,38 @@
   worker.session = SessionState::kReady;
   worker.clock_ms = 1;
   board.owned["w"] = &worker;
+  return worker;
+}
+
+TEST_CASE(
+    "Placement with lookahead starts a job behind 100 jobs without a start "
+    "permission") {
+  // Guards against a pool that is idle while an entry daemon is paused.
+  PoolBoard board;
+  PoolWorker& worker = AddWorker(board);
+  for (int i = 0; i <= 100; ++i) {
+    auto job = std::make_unique<PoolJob>();
+    job->key = std::to_string(i);
+    job->sequence = board.next_sequence++;
+    job->start_permitted = i == 100;
+    job->deadline = kSecond;
+    job->order.add_steps()->set_tasks(1);
+    job->steps.emplace_back().tasks.resize(1);
+    job->steps[0].open_tasks = 1;
+    QueueUnblockedTasks(board, *job);
+    board.jobs[job->key] = std::move(job);
+  }
+  PoolActions actions;
+  PlaceWaitingTasks(board, 1, actions);
+  CHECK(worker.attempts.size() == 1);
+  CHECK(board.waiting.size() == 100);
+}
+
+TEST_CASE(
+    "Placement with lookahead starts no step of a job of which another step is "
+    "too late") {
+  PoolBoard board;
+  PoolWorker& worker = AddWorker(board);
   auto job = std::make_unique<PoolJob>();
   job->key = "job";
   job->start_permitted = true;
