Refuse waiting jobs less early when little is known about their value

- With a queue's default objective, the expected run time, each waiting job was soon counted as without value.
The rule now applies only if the objective is longer than the expected run time; otherwise the caller's timeout counts.
Likewise there is no margin for the estimation error where the objective leaves none.
- A job that a worker can hold now is kept, and jobs that need certain workers do not count as waiting for the capacity of all.
- That no worker of the service exists counts only once the pool is known.
- The earliest possible end used the sum of all steps, though steps may run at the same time; it uses the longest open step.

--- a/pool/overload_control.cc
+++ b/pool/overload_control.cc
@@ -127,6 +127,24 @@
   return false;
 }
 
+// Returns the run time of the longest step that is not done. Steps may run at
+// the same time, so the job may end as soon as that.
+Micros LongestOpenStep(const PoolJob& job) {
+  Micros longest = 0;
+  for (const PoolJobStep& step : job.steps) {
+    longest =
+        std::max(longest, step.open_tasks > 0 ? step.expected_run_time : 0);
+  }
+  return longest;
+}
+
+// Returns false if the job is late unless it starts when it arrives, as with
+// the defaults of a queue: its objective then says nothing about the value of a
+// later answer.
+bool HasUsefulObjective(const PoolJob& job) {
+  return job.objective_at - job.received_at > RemainingSequentialRunTime(job);
+}
+
 WaitingJob MakeWaitingJob(const QueuedJob& queued,
                           const std::vector<PoolWorker*>& by_free_cpu) {
   const PoolJob& job = *queued.job;
@@ -135,11 +153,11 @@
   result.started = job.started;
   result.can_be_on_time = job.expected_lateness <= ExpectedLateness::kAtRisk;
   result.fits_now = FitsNow(by_free_cpu, job, StepOf(job, queued.tasks[0]));
-  result.shortest_run_time =
-      static_cast<Micros>(kShortestRunTimePart *
-                          static_cast<double>(RemainingSequentialRunTime(job)));
+  result.shortest_run_time = static_cast<Micros>(
+      kShortestRunTimePart * static_cast<double>(LongestOpenStep(job)));
   result.deadline = job.deadline;
-  result.value_ends_at = ValueEndsAt(job);
+  result.value_ends_at =
+      HasUsefulObjective(job) ? ValueEndsAt(job) : job.deadline;
   for (const WaitingKey& key : queued.tasks) {
     const wire::JobStep& step = StepOf(job, key);
     result.uses_any_worker &= step.required_label().empty();
@@ -324,7 +342,8 @@
   // The services in which a job that can be on time waits for capacity.
   std::map<std::string, bool> others_wait;
   for (const WaitingJob& job : jobs) {
-    others_wait[job.service] |= job.can_be_on_time && !job.fits_now;
+    others_wait[job.service] |=
+        job.can_be_on_time && !job.fits_now && job.uses_any_worker;
   }
   std::map<std::string, Promised> promised;
   std::vector<OverloadRefusal> refusals;
@@ -339,9 +358,10 @@
     }
     const auto capacity = freeing.find(job.service);
     // Without value, it is kept only if it can run at nobody's expense.
-    const bool capacity_is_idle =
-        capacity != freeing.end() && !others_wait[job.service];
-    if (earliest_end > job.value_ends_at && !capacity_is_idle) {
+    const bool is_useless = capacity == freeing.end()
+                                ? pool_is_known
+                                : others_wait[job.service] && !job.fits_now;
+    if (earliest_end > job.value_ends_at && is_useless) {
       return OverloadRefusal::kNoValueLeft;
     }
     if (!pool_is_known || job.fits_now || capacity == freeing.end()) {
--- a/pool/overload_control.h
+++ b/pool/overload_control.h
@@ -86,9 +86,11 @@
   // Whether its tasks may run on every worker of the service, so that they use
   // the capacity that others wait for.
   bool uses_any_worker = true;
-  // The shortest run time that is plausible, given the error of the estimate.
+  // The shortest run time that is plausible, given the error of the estimate and
+  // steps that may run at the same time.
   Micros shortest_run_time = 0;
   Micros deadline = 0;
+  // The deadline if its objective does not tell.
   Micros value_ends_at = 0;
   // Of its waiting tasks, in thousandths of a core times microseconds.
   double work = 0;
@@ -96,7 +98,8 @@
 
 // Decides for each job, in the order of the queue, whether it is refused.
 // `freeing` holds the capacity by service. Jobs are refused for promised
-// capacity only if `pool_is_known`: the daemon knows all workers of its pool.
+// capacity, or because no worker of their service exists, only if
+// `pool_is_known`: the daemon knows all workers of its pool.
 std::vector<OverloadRefusal> ReviewWaitingJobs(
     const std::vector<WaitingJob>& jobs,
     const std::map<std::string, FreeingTimes>& freeing,
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -58,14 +58,17 @@
 }
 
 // Returns how late a job will be if it starts now. It is at risk if it would be
-// late with run times that are longer than estimated by the part `margin`.
+// late with run times that are longer than estimated by the part `margin`. There
+// is no margin if the objective leaves none even to a job that starts when it
+// arrives: all jobs of its queue would always be at risk.
 ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
                                     double margin,
                                     Micros now) {
   const Micros expected = RemainingSequentialRunTime(job);
   const auto longest =
       static_cast<Micros>((1 + margin) * static_cast<double>(expected));
-  if (now + longest <= job.objective_at) {
+  const bool has_margin = job.received_at + longest < job.objective_at;
+  if (now + (has_margin ? longest : expected) <= job.objective_at) {
     return ExpectedLateness::kOnTime;
   }
   if (now + expected <= job.objective_at) {
