Book returns of refused callers by intervals

Jobs of different waits shared one cursor: a job with a wait of 10 s set it past the longest time, the next one reset it to 1 s, and all callers were told to return after exactly 1 s or 10 s. Each job now books the first interval of 100 ms after its own wait that has time left. All jobs with a wait of 10 s or more still return after 10 s.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -415,9 +415,8 @@
 // What overload control remembers; all of it may be lost.
 struct OverloadState {
   std::map<std::string, OfferedWork> offered;  // by queue
-  // When the next refused job may return, if those that were refused before
-  // return as they were told.
-  Micros next_return_at = 0;
+  // The times at which refused jobs were told to return; see BookReturn().
+  std::map<Micros, Micros> returns;
 };
 
 // State of one control daemon, or of the part of an entry daemon that owns
--- a/pool/retry_after.cc
+++ b/pool/retry_after.cc
@@ -14,6 +14,9 @@
 // the jobs that arrive for the first time take all of it, but a caller that has
 // waited must not be refused for that reason again and again.
 constexpr double kLeastReturnShare = 0.25;
+// Returns are booked by intervals of this length: short enough to spread a
+// wave, long enough for a table of 100 entries.
+constexpr Micros kReturnInterval = 100 * kMillisecond;
 // An entry daemon spreads its own refusals over this time.
 constexpr int64_t kEntrySpreadMs = 3000;
 constexpr Micros kShortestRetryAfter = kShortestRetryAfterMs * kMillisecond;
@@ -58,18 +61,32 @@
 
 Micros BookReturn(const ReturnTimes& times,
                   Micros now,
-                  Micros& next_return_at) {
+                  std::map<Micros, Micros>& returns) {
+  returns.erase(returns.begin(), returns.lower_bound(now));
   const Micros latest = now + kLongestRetryAfter;
   const Micros earliest =
       std::clamp(now + times.wait, now + kShortestRetryAfter, latest);
-  if (next_return_at < earliest || next_return_at > latest) {
-    next_return_at = earliest;
+  const Micros first = earliest - earliest % kReturnInterval;
+  Micros chosen = first;
+  for (Micros start = first; start < latest; start += kReturnInterval) {
+    if (returns[start] / kReturnInterval < returns[chosen] / kReturnInterval) {
+      chosen = start;
+    }
   }
-  const Micros return_at = next_return_at;
-  next_return_at +=
+  const Micros return_at = chosen + returns[chosen] % kReturnInterval;
+  auto needed =
       static_cast<Micros>(std::min(times.work / times.rate_cpu_millis,
                                    static_cast<double>(kLongestRetryAfter)));
-  return return_at - now;
+  // What does not fit into the interval takes time of the next ones.
+  for (Micros start = chosen; needed > 0 && start <= latest;
+       start += kReturnInterval) {
+    Micros& booked = returns[start];
+    const Micros part =
+        std::min(needed, kReturnInterval - booked % kReturnInterval);
+    booked += part;
+    needed -= part;
+  }
+  return std::clamp(return_at, earliest, latest) - now;
 }
 
 int64_t RetryAfterMs(PoolBoard& board,
@@ -82,7 +99,7 @@
                       kShortestRetryAfterMs, kLongestRetryAfterMs);
   }
   return BookReturn(ReturnTimesOf(board, order, time_to_end, now), now,
-                    board.overload.next_return_at) /
+                    board.overload.returns) /
          kMillisecond;
 }
 
--- a/pool/retry_after.h
+++ b/pool/retry_after.h
@@ -9,6 +9,7 @@
 // overload control, each refused job books the next free time at the rate at
 // which the pool can serve returning work beside the work that arrives anyway.
 
+#include <map>
 #include <string>
 
 #include "pool/pool_board.h"
@@ -25,12 +26,17 @@
   double rate_cpu_millis = 0;  // capacity for returning work; more than 0
 };
 
-// Returns the time until the job is to return, from 1 to 10 s, and advances
-// `next_return_at`, the time at which the next refused job may return. Jobs
-// refused first return first. When the returns of 10 s are booked, they are
-// booked a second time from the start: the wave is even, though it is larger
-// than the pool can serve. The HTTP header rounds the time up to whole seconds.
-Micros BookReturn(const ReturnTimes& times, Micros now, Micros& next_return_at);
+// Returns the time until the job is to return, from 1 to 10 s, and books it in
+// `returns`: for each interval of 100 ms, by its start, the time that the pool
+// needs for the jobs that return in it. The job gets the first interval after
+// its wait that has time left, so that jobs of different waits do not affect
+// each other. Jobs of the same wait that are refused first return first. When
+// the intervals up to 10 s are booked, they are booked a second time from the
+// start: the wave is even, though it is larger than the pool can serve. The
+// HTTP header rounds the time up to whole seconds.
+Micros BookReturn(const ReturnTimes& times,
+                  Micros now,
+                  std::map<Micros, Micros>& returns);
 
 // Returns the Retry-After of a refused order in milliseconds, from 1 to 10 s.
 // `time_to_end` is the expected time until the job would end if it was accepted
--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -66,8 +66,16 @@
     other = MakeWaiting();
     other.service = "chimes";
     CHECK(ReviewLast({other, late}) == OverloadRefusal::kNone);
+    // Others that need certain workers do not wait for this capacity.
+    other = MakeWaiting();
+    other.uses_any_worker = false;
+    CHECK(ReviewLast({other, late}) == OverloadRefusal::kNone);
+    late.fits_now = true;
+    CHECK(ReviewLast({MakeWaiting(), late}) == OverloadRefusal::kNone);
+    late.fits_now = false;
     late.service = "chimes";  // no worker has it
     CHECK(ReviewLast({late}) == OverloadRefusal::kNoValueLeft);
+    CHECK(ReviewLast({late}, false) == OverloadRefusal::kNone);
   }
   SECTION("a job whose capacity is promised, with a margin for the error") {
     // 16 jobs ahead: their work is certain up to 2 x 0.4 / 4, that is 20%. 90
@@ -92,6 +100,49 @@
   }
 }
 
+// Adds a waiting job with two steps of 1 s that run at the same time.
+PoolJob& AddJob(PoolBoard& board, const std::string& key, Micros objective_at) {
+  auto job = std::make_unique<PoolJob>();
+  job->key = key;
+  job->sequence = board.next_sequence++;
+  job->received_at = kSecond;
+  job->objective_at = objective_at;
+  for (int step = 0; step < 2; ++step) {
+    wire::JobStep& added = *job->order.add_steps();
+    added.set_tasks(1);
+    added.set_cpu_millis(20'000);
+    job->steps.emplace_back().tasks.resize(1);
+    job->steps.back().open_tasks = 1;
+    job->steps.back().expected_run_time = kSecond;
+  }
+  QueueUnblockedTasks(board, *job);
+  return *(board.jobs[key] = std::move(job));
+}
+
+TEST_CASE(
+    "OverloadTick: a job whose queue has no useful objective is kept until its "
+    "caller's timeout") {
+  // Guards against refusals in queues with the default objective, which is the
+  // expected run time, and of jobs whose steps run at the same time.
+  PoolBoard board;
+  board.options.features.overload_control = true;
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_cpu_millis(16'000);
+  worker.session = SessionState::kReady;
+  board.owned["w"] = &worker;
+  const Micros now = 20 * kSecond;
+  AddJob(board, "waits", 30 * kSecond).deadline = 40 * kSecond;
+  const Micros deadline = now + 600 * kMillisecond;
+  AddJob(board, "default_objective", 3 * kSecond).deadline = deadline;
+  // The same job with a useful objective has no value any more.
+  AddJob(board, "useful_objective", 4 * kSecond).deadline = deadline;
+  PoolActions actions;
+  OverloadTick(board, now, actions);
+  CHECK(board.jobs.count("waits") == 1);
+  CHECK(board.jobs.count("default_objective") == 1);
+  CHECK(board.jobs.count("useful_objective") == 0);
+}
+
 TEST_CASE(
     "ChooseFirstJobs: a queue below its floor and begun jobs come first") {
   std::map<std::string, QueueShare> shares = {{"short", {60'000, 90'000, 0}},
@@ -119,31 +170,56 @@
   ReturnTimes times;
   times.rate_cpu_millis = 16'000;
   times.work = 0.02 * 16'000 * kSecond;  // 50 jobs per second
-  Micros next = 0;
+  std::map<Micros, Micros> booked;
   std::vector<Micros> returns;
   returns.reserve(400);
   for (int i = 0; i < 400; ++i) {
-    returns.push_back(BookReturn(times, 0, next));
+    returns.push_back(BookReturn(times, 0, booked));
   }
   CHECK(std::is_sorted(returns.begin(), returns.end()));
   CHECK(returns.front() == kSecond);
   CHECK(returns.back() == Approx(1e6 + 399 * 0.02 * 1e6).margin(1000));
   // More than 10 s of work: every second gets its part of the rest.
   std::map<Micros, int> by_second;
-  next = 0;
+  booked.clear();
   for (int i = 0; i < 900; ++i) {
-    ++by_second[BookReturn(times, 0, next) / kSecond];
+    ++by_second[BookReturn(times, 0, booked) / kSecond];
   }
   for (Micros second = 1; second < 10; ++second) {
     CHECK(by_second[second] >= 99);
     CHECK(by_second[second] <= 101);
   }
   // Not before capacity is free, and never later than 10 s.
-  next = 0;
+  booked.clear();
   times.wait = 4 * kSecond;
-  CHECK(BookReturn(times, 0, next) == 4 * kSecond);
+  CHECK(BookReturn(times, 0, booked) == 4 * kSecond);
   times.wait = kMinute;
-  CHECK(BookReturn(times, 0, next) == 10 * kSecond);
+  CHECK(BookReturn(times, 0, booked) == 10 * kSecond);
+}
+
+TEST_CASE("BookReturn: jobs of different waits do not affect each other") {
+  // Guards against two waves, one at the shortest and one at the longest time.
+  ReturnTimes soon;
+  soon.rate_cpu_millis = 16'000;
+  soon.work = 0.02 * 16'000 * kSecond;  // 50 jobs per second
+  ReturnTimes late = soon;
+  late.wait = kMinute;
+  ReturnTimes between = soon;
+  between.wait = 4 * kSecond;
+  std::map<Micros, Micros> booked;
+  std::map<Micros, int> by_second;
+  for (int i = 0; i < 200; ++i) {
+    CHECK(BookReturn(late, 0, booked) == 10 * kSecond);
+    ++by_second[BookReturn(soon, 0, booked) / kSecond];
+    const Micros return_in = BookReturn(between, 0, booked);
+    CHECK(return_in >= between.wait);
+    ++by_second[return_in / kSecond];
+  }
+  // 400 jobs, 50 in each second.
+  for (Micros second = 1; second < 9; ++second) {
+    CHECK(by_second[second] >= 49);
+    CHECK(by_second[second] <= 51);
+  }
 }
 
 // A kind of job; see docs/HARD_LOAD.md.
