--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -30,6 +30,12 @@
 // use a reserved worker only if it ends this much earlier.
 constexpr Micros kErrorDivisor = 4;
 
+// Returns whether the order of the tasks in the queue is decided by priority and
+// objective only, so that one may be started before the other.
+bool IsSameClass(const PlanTask& a, const PlanTask& b) {
+  return a.lateness == b.lateness && a.rank == b.rank;
+}
+
 class Planner {
  public:
   Planner(const std::vector<PlanWorker>& workers,
@@ -65,6 +71,8 @@
   bool Avoids(size_t task, size_t worker) const;
   void Start(size_t task, size_t worker, bool ahead);
   void FillWorkers();
+  bool FillInOrder(const std::vector<size_t>& order);
+  bool IsBetterWorkerFree(size_t task, size_t worker);
   std::optional<PlanStart> ChooseTask(size_t worker);
   void Reserve();
   bool FitsSomewhere(size_t task, const Resources& most_free) const;
@@ -78,6 +86,13 @@
   std::vector<uint32_t> remaining_;  // by task
   std::vector<size_t> reserved_;     // by worker: index + 1 of its reservation
   std::optional<WaitingSizes> sizes_;
+  // By task: no earlier worker can start it without being avoided. Capacity only
+  // decreases while workers are filled.
+  std::vector<size_t> first_better_;
+  // Whether tasks are left to workers that they do not avoid, and whether that
+  // has happened.
+  bool may_postpone_ = false;
+  bool postponed_ = false;
   Micros release_gap_ = 0;  // expected time between two ends in the pool
   size_t compared_ = 0;
   PlacementPlan plan_;
@@ -94,6 +109,7 @@
   }
   starts_.assign(workers_.size(), 0);
   reserved_.assign(workers_.size(), 0);
+  compared_ = 0;
   plan_ = {};
 }
 
@@ -226,6 +242,21 @@
   }
 }
 
+// Returns true if the task avoids the worker and could start on another that it
+// does not avoid.
+bool Planner::IsBetterWorkerFree(size_t task, size_t worker) {
+  const std::vector<PlanMatch>& matches = tasks_[task].matches;
+  if (matches.empty() || !matches[worker].avoid) {
+    return false;
+  }
+  size_t& better = first_better_[task];
+  while (better < workers_.size() &&
+         (Avoids(task, better) || !CanStart(task, better))) {
+    ++better;
+  }
+  return better < workers_.size();
+}
+
 // Returns the task for the worker's free capacity; nullopt if none fits.
 std::optional<PlanStart> Planner::ChooseTask(size_t worker) {
   const int64_t step =
@@ -234,12 +265,19 @@
   std::tuple<bool, int64_t, bool> best_rank;
   for (size_t i = 0; i < tasks_.size(); ++i) {
     const PlanTask& task = tasks_[i];
-    if (best && task.lateness != tasks_[best->task].lateness) {
+    if (best && !IsSameClass(task, tasks_[best->task])) {
       break;
     }
+    if (!task.startable || remaining_[i] == 0) {
+      continue;
+    }
     ++compared_;
     if (task.required.cpu_millis > free_[worker].cpu_millis ||
-        !task.startable || remaining_[i] == 0 || !CanStart(i, worker)) {
+        !CanStart(i, worker)) {
+      continue;
+    }
+    if (may_postpone_ && IsBetterWorkerFree(i, worker)) {
+      postponed_ = true;
       continue;
     }
     const int64_t left = free_[worker].cpu_millis - task.required.cpu_millis;
@@ -277,16 +315,28 @@
            std::make_tuple(workers_[b].suspect, workers_[b].run_time_factor,
                            free_[b].cpu_millis, b);
   });
+  first_better_.assign(tasks_.size(), 0);
+  may_postpone_ = true;
+  if (FillInOrder(order) && postponed_) {
+    // The better workers may have been filled with other tasks since.
+    may_postpone_ = false;
+    FillInOrder(order);
+  }
+}
+
+// Returns false if the budget did not last; the rest was placed in queue order.
+bool Planner::FillInOrder(const std::vector<size_t>& order) {
   for (const size_t worker : order) {
     while (const std::optional<PlanStart> start = ChooseTask(worker)) {
       Start(start->task, worker, start->ahead);
       if (compared_ > options_.budget) {
         plan_.over_budget = true;
         StartInOrder();
-        return;
+        return false;
       }
     }
   }
+  return true;
 }
 
 bool Planner::FitsSomewhere(size_t task, const Resources& most_free) const {
@@ -327,7 +377,8 @@
   return best;
 }
 
-// Reserves workers for the first tasks in the queue that fit nowhere.
+// Reserves workers for the first tasks in the queue that fit nowhere. Uses at
+// most about half of the budget, so that the rest is left to fill workers.
 void Planner::Reserve() {
   const size_t most = workers_.size() / kWorkersPerReservation;
   Resources most_free;
@@ -338,14 +389,14 @@
         std::max(most_free.accelerators, free.accelerators);
   }
   for (size_t task = 0; task < tasks_.size(); ++task) {
-    if (tasks_[task].lateness != tasks_[0].lateness) {
+    if (!IsSameClass(tasks_[task], tasks_[0])) {
       return;
     }
     if (FitsSomewhere(task, most_free)) {
       continue;
     }
     for (uint32_t i = 0; i < remaining_[task]; ++i) {
-      if (plan_.reservations.size() >= most || compared_ > options_.budget) {
+      if (plan_.reservations.size() >= most || compared_ > options_.budget / 2) {
         return;
       }
       const std::optional<PlanReservation> earliest = EarliestWorker(task);
