Bound the worker records of other daemons

ejected_for_ms was multiplied before it was clamped, so a huge value of another daemon overflowed; ejections could become negative, and run_time_samples of the largest value hid every later profile. They are clamped to the longest ejection, 100 and 1,000,000.

--- a/pool/worker_record.cc
+++ b/pool/worker_record.cc
@@ -24,6 +24,12 @@
 // Bounds of an adopted run time factor.
 constexpr double kMinFactor = 0.25;
 constexpr double kMaxFactor = 4;
+// Bounds of adopted counts, far above those that matter: the time of an
+// ejection is longest after a few of them, and a profile changes at the same
+// rate after some tens of samples. They keep a wrong value of another daemon
+// from overflowing.
+constexpr uint32_t kMaxAdoptedEjections = 100;
+constexpr uint32_t kMaxAdoptedSamples = 1'000'000;
 
 AnnouncedRecord RecordOf(const PoolWorker& worker) {
   return {worker.profile.samples, worker.health.ejections, worker.health.slow};
@@ -42,7 +48,8 @@
 
 void AdoptHealth(const wire::WorkerNews& row, PoolWorker& worker, Micros now) {
   WorkerHealth& health = worker.health;
-  const int ejections = static_cast<int>(row.ejections());
+  const int ejections =
+      static_cast<int>(std::min(row.ejections(), kMaxAdoptedEjections));
   if (health.ejections != ejections) {
     health.failures_in_row =
         ejections > 0 ? HealthOptions().failures_to_eject : 0;
@@ -50,8 +57,11 @@
   health.ejections = ejections;
   health.probation = ejections > 0;
   health.slow = row.slow();
-  const Micros remaining = std::clamp<Micros>(
-      row.ejected_for_ms() * kMillisecond, 0, HealthOptions().longest_ejection);
+  // Clamped before the conversion, which could overflow.
+  const Micros remaining =
+      std::clamp<int64_t>(row.ejected_for_ms(), 0,
+                          HealthOptions().longest_ejection / kMillisecond) *
+      kMillisecond;
   health.ejected_until = remaining > 0 ? now + remaining : 0;
 }
 
@@ -87,13 +97,12 @@
   }
   const bool from_owner = IsFromOwner(from, row, worker);
   WorkerProfile& profile = worker.profile;
+  const uint32_t samples = std::min(row.run_time_samples(), kMaxAdoptedSamples);
   const bool newer_profile =
-      row.run_time_samples() > profile.samples ||
-      (from_owner && row.run_time_samples() == profile.samples);
-  if (row.run_time_samples() > 0 && newer_profile &&
-      row.run_time_factor() > 0) {
+      samples > profile.samples || (from_owner && samples == profile.samples);
+  if (samples > 0 && newer_profile && row.run_time_factor() > 0) {
     board.counters.profiles_adopted += profile.samples == 0 ? 1 : 0;
-    profile.samples = row.run_time_samples();
+    profile.samples = samples;
     profile.log_factor =
         std::log(std::clamp(row.run_time_factor(), kMinFactor, kMaxFactor));
     profile.variance =
