Keep worker profiles from drifting, and use samples of own workers only

The average that is moved into the ratios of the queues included workers without samples, whose factor is not shifted: after a restart of the workers of a kind, its outdated factor shifted the other workers and the queues at each tick. Only workers with samples count now, the factors of the kinds of the service are shifted as well, and all are clamped after the shift. A sample is used only if its process is ordered by this daemon. worker_profile_test, which now has cases for these and for the bounds of adopted records, passes.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -313,6 +313,7 @@
 // Run time of a completed task.
 struct RunTimeSample {
   std::string worker;    // id
+  int64_t born_ms = 0;   // of the worker's process
   double log_ratio = 0;  // logarithm of the run time divided by the estimate
   double relative = 0;   // run time divided by that expected on this worker
 };
@@ -374,6 +375,8 @@
   // Steps from which each queue's ratio was learned.
   std::map<std::string, uint32_t> queue_samples;
   std::map<std::string, std::string> queue_service;  // each queue's service
+  // Service of the workers from which each kind's factor was learned.
+  std::map<std::string, std::string> kind_service;
   // Variance of the logarithm of the run times of one step's tasks.
   double task_variance = 0.04;
   // Decaying sums over completed steps: of their work (run time times CPU), and
--- a/pool/testing/worker_profile_test.cc
+++ b/pool/testing/worker_profile_test.cc
@@ -156,6 +156,77 @@
   CHECK(pool.LargestError() < 0.25);
 }
 
+// Guards against values of other daemons that overflow or eject for ever.
+TEST_CASE("WorkerProfile: adopted values are bounded") {
+  NoisyPool pool(OneInFourHalfAsFast());
+  PoolWorker& worker = pool.Worker(3);
+  worker.session = SessionState::kNone;
+  wire::WorkerNews row = worker.status;
+  row.set_owner("other");
+  row.set_run_time_factor(1);
+  row.set_run_time_samples(UINT32_MAX);
+  row.set_ejections(UINT32_MAX);
+  row.set_ejected_for_ms(INT64_MAX);
+  AdoptProfile(pool.board, "other", row, worker, kSecond);
+  CHECK(worker.profile.samples == 1'000'000);
+  CHECK(worker.health.ejections == 100);
+  CHECK(worker.health.ejected_until == 9 * kSecond);
+  for (const int64_t remaining_ms : {int64_t{-1}, INT64_MIN}) {
+    row.set_ejected_for_ms(remaining_ms);
+    AdoptProfile(pool.board, "other", row, worker, kSecond);
+    CHECK(worker.health.ejected_until == 0);
+  }
+}
+
+// Guards against sampled workers and queues that drift because of workers that
+// have only an outdated factor of their kind.
+TEST_CASE("WorkerProfile: restarted workers of a stale kind cause no drift") {
+  NoisyPool pool(OneInFourHalfAsFast());
+  for (size_t i = 0; i < pool.factors.size(); ++i) {
+    pool.Worker(i).status.add_labels(i % 4 == 0 ? "slow" : "fast");
+  }
+  pool.Run(40, 2);
+  const double slow_before = RunTimeFactor(pool.board, pool.Worker(0));
+  const double fast_before = RunTimeFactor(pool.board, pool.Worker(1));
+  const double ratio_before = pool.board.run_times.queue_ratio.at("bells");
+  for (size_t i = 0; i < pool.factors.size(); i += 4) {
+    pool.Worker(i).profile = {};
+  }
+  for (int tick = 0; tick < 1000; ++tick) {
+    CenterProfiles(pool.board);
+  }
+  const double ratio = pool.board.run_times.queue_ratio.at("bells");
+  // The sampled workers are the average now; no expected run time has changed.
+  CHECK(RunTimeFactor(pool.board, pool.Worker(1)) * ratio ==
+        Approx(fast_before * ratio_before).epsilon(0.001));
+  CHECK(RunTimeFactor(pool.board, pool.Worker(0)) * ratio ==
+        Approx(slow_before * ratio_before).epsilon(0.1));
+  CHECK(ratio < 1.5 * ratio_before);
+}
+
+// Guards against samples that change the profile of a later process, or that of
+// a worker that another daemon orders.
+TEST_CASE("WorkerProfile: samples count for the ordered process only") {
+  for (const bool restarted : {true, false}) {
+    NoisyPool pool({1, 1});
+    PoolJob job;
+    job.order.add_steps()->set_estimate_ms(kEstimateMs);
+    job.steps.resize(1);
+    job.steps[0].tasks.resize(2);
+    job.steps[0].open_tasks = 2;
+    LearnRunTime(pool.board, job, 0, pool.Worker(0), kSecond);
+    if (restarted) {
+      pool.Worker(0).status.set_born_ms(1);
+    } else {
+      pool.Worker(0).session = SessionState::kNone;
+    }
+    job.steps[0].open_tasks = 1;
+    LearnRunTime(pool.board, job, 0, pool.Worker(1), kSecond);
+    CHECK(pool.Worker(0).profile.samples == 0);
+    CHECK(pool.Worker(1).profile.samples == 1);
+  }
+}
+
 // Guards against marking a worker because of one job, or of one job's tasks.
 TEST_CASE("SlowEvidence: only several jobs, or no progress, mark a worker") {
   WorkerHealth health;
--- a/pool/worker_profile.cc
+++ b/pool/worker_profile.cc
@@ -109,25 +109,34 @@
   task_variance = std::min(task_variance, kMaxTaskVariance);
 }
 
-// Returns one sample for each worker of the step that is still known: the mean
-// of its tasks, since they share the error of the estimate.
+// Returns whether this daemon orders the process of the worker from which the
+// sample is. A profile that another daemon owns, or that of a later process, is
+// not changed.
+bool IsUsable(const PoolBoard& board, const RunTimeSample& sample) {
+  const auto found = board.workers.find(sample.worker);
+  return found != board.workers.end() && IsInPool(found->second) &&
+         found->second.session != SessionState::kNone &&
+         found->second.status.born_ms() == sample.born_ms;
+}
+
+// Returns one sample for each worker of the step that is still ordered by this
+// daemon: the mean of its tasks, since they share the error of the estimate.
 std::vector<ProfileSample> SamplesByWorker(PoolBoard& board,
                                            const PoolJobStep& step) {
   std::map<std::string, std::pair<double, size_t>> sums;
   for (const RunTimeSample& sample : step.samples) {
-    auto& [sum, count] = sums[sample.worker];
-    sum += sample.log_ratio;
-    ++count;
+    if (IsUsable(board, sample)) {
+      auto& [sum, count] = sums[sample.worker];
+      sum += sample.log_ratio;
+      ++count;
+    }
   }
   std::vector<ProfileSample> samples;
   for (const auto& [id, sum] : sums) {
-    const auto found = board.workers.find(id);
-    if (found == board.workers.end() || !IsInPool(found->second)) {
-      continue;
-    }
-    WorkerProfile& profile = found->second.profile;
+    PoolWorker& worker = board.workers.at(id);
+    WorkerProfile& profile = worker.profile;
     if (profile.samples == 0) {
-      profile.log_factor = LogFactor(board, found->second);
+      profile.log_factor = LogFactor(board, worker);
       profile.variance = Square(kPriorDeviation);
     }
     samples.push_back({&profile, Mean(sum.first, sum.second)});
@@ -207,7 +216,8 @@
     const double expected = static_cast<double>(job_step.expected_run_time) *
                             ProfileFactor(board, worker);
     job_step.samples.push_back(
-        {worker.status.id(), std::log(static_cast<double>(took) / estimate),
+        {worker.status.id(), worker.status.born_ms(),
+         std::log(static_cast<double>(took) / estimate),
          static_cast<double>(took) / std::max(expected, 1.0)});
   }
   if (job_step.open_tasks <= 1) {
@@ -266,17 +276,31 @@
 void CenterProfiles(PoolBoard& board) {
   RunTimes& run_times = board.run_times;
   std::map<std::string, std::pair<double, size_t>> services;  // sum, count
+  // Workers without samples are not shifted below, so they must not count: an
+  // outdated factor of their kind would shift the others at each tick.
   for (const auto& [id, worker] : board.owned) {
-    auto& [sum, count] = services[worker->status.service()];
-    sum += LogFactor(board, *worker);
-    ++count;
+    if (worker->profile.samples > 0) {
+      auto& [sum, count] = services[worker->status.service()];
+      sum += worker->profile.log_factor;
+      ++count;
+    }
+  }
+  for (auto& [kind, factor] : run_times.kind_factor) {
+    const auto found = services.find(run_times.kind_service[kind]);
+    if (found != services.end()) {
+      const double mean = Mean(found->second.first, found->second.second);
+      factor = std::exp(
+          std::clamp(std::log(factor) - mean, -kMaxLogFactor, kMaxLogFactor));
+    }
   }
   std::map<std::string, std::pair<double, double>> kinds;  // sum, weight
   for (const auto& [id, worker] : board.owned) {
     WorkerProfile& profile = worker->profile;
     if (profile.samples > 0) {
       const auto& [sum, count] = services[worker->status.service()];
-      profile.log_factor -= Mean(sum, count);
+      profile.log_factor = std::clamp(profile.log_factor - Mean(sum, count),
+                                      -kMaxLogFactor, kMaxLogFactor);
+      run_times.kind_service[KindOf(*worker)] = worker->status.service();
       auto& [weighted, weight] = kinds[KindOf(*worker)];
       const double samples = std::min(profile.samples, kMaxKindWeight);
       weighted += samples * profile.log_factor;
@@ -286,7 +310,9 @@
   for (auto& [queue, ratio] : run_times.queue_ratio) {
     const auto found = services.find(run_times.queue_service[queue]);
     if (found != services.end()) {
-      ratio *= std::exp(Mean(found->second.first, found->second.second));
+      const double mean = Mean(found->second.first, found->second.second);
+      ratio = std::exp(
+          std::clamp(std::log(ratio) + mean, -kMaxLogRatio, kMaxLogRatio));
     }
   }
   for (const auto& [kind, sums] : kinds) {
