--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -415,6 +415,7 @@
   worker.clock_ms = 0;
   worker.health = {};
   worker.profile = {};
+  worker.announced = {};
   RemoveAttemptsIf(board, worker, AttemptEnd::kLeaseExpired, false, now,
                    actions,
                    [](const TaskName&, const WorkerAttempt&) { return true; });
