Ignore copies of third daemons while a worker's owner is unknown

After a worker refused this daemon, an outdated copy of a third daemon ended the search for the owner, and could lead to a claim of a worker in use. Only the owner names itself now, and only its release counts.

--- a/pool/handover.cc
+++ b/pool/handover.cc
@@ -88,7 +88,15 @@
                    });
   size_t allowed = CountAllowedReleases(board);
   size_t released = 0;
+  // Sent before any release, which the new owner believes only from a daemon
+  // that it knows to be the owner.
   wire::PoolMessage answer;
+  for (const PoolWorker* worker : requested) {
+    *answer.mutable_worker_news()->add_workers() = worker->status;
+  }
+  if (answer.worker_news().workers_size() > 0) {
+    SendTo(actions, from, std::move(answer));
+  }
   for (PoolWorker* worker : requested) {
     const bool last_one =
         !board.waiting.empty() && CountReadyWorkers(board) == 1;
@@ -97,13 +105,8 @@
       ++released;
       worker->session = SessionState::kReleasing;
       SessionTick(board, *worker, now, actions);
-    } else {
-      *answer.mutable_worker_news()->add_workers() = worker->status;
     }
   }
-  if (answer.worker_news().workers_size() > 0) {
-    SendTo(actions, from, std::move(answer));
-  }
   if (released == 0) {
     return;
   }
@@ -117,13 +120,13 @@
 
 bool NamesPresentOwner(const PoolBoard& board,
                        const std::string& from,
-                       const wire::WorkerNews& row,
-                       const PoolWorker& worker) {
+                       const wire::WorkerNews& row) {
   if (row.owner().empty() || board.options.features.standby_after == 0) {
     return !row.owner().empty();
   }
-  return row.owner() != board.mesh.options.self &&
-         (row.owner() == from || row.token() > worker.status.token());
+  // A third daemon's copy may be older than the session of the present owner,
+  // whatever token it names.
+  return row.owner() != board.mesh.options.self && row.owner() == from;
 }
 
 bool ReportsRelease(const PoolBoard& board,
@@ -133,6 +136,11 @@
   if (board.options.features.standby_after == 0 || !row.owner().empty()) {
     return false;
   }
+  // After this daemon was refused by the worker, a third daemon's copy may be
+  // older than the session of the present owner.
+  if (worker.fenced_at != 0 && worker.status.owner() != from) {
+    return false;
+  }
   // A token that is not known here is that of a session that has begun and
   // ended since.
   return row.token() > worker.status.token() ||
--- a/pool/handover.h
+++ b/pool/handover.h
@@ -29,15 +29,16 @@
 
 // Returns whether the update `row` from the daemon at `from` names the daemon
 // that owns the worker now, rather than one that owned it before this daemon
-// was refused. Called before the update is applied.
+// was refused. With PoolFeatures::standby_after, only the owner itself names
+// itself. Called before the update is applied.
 bool NamesPresentOwner(const PoolBoard& board,
                        const std::string& from,
-                       const wire::WorkerNews& row,
-                       const PoolWorker& worker);
+                       const wire::WorkerNews& row);
 
 // Returns whether the update `row` from the daemon at `from` reports that the
 // present owner of the worker has released it, so that it can be claimed at
-// once. Called before the update is applied.
+// once. While its owner is unknown, only a release by the owner named last
+// counts. Called before the update is applied.
 bool ReportsRelease(const PoolBoard& board,
                     const std::string& from,
                     const wire::WorkerNews& row,
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -364,7 +364,7 @@
         worker.status.set_gone(true);
       }
     }
-    if (NamesPresentOwner(board, from, row, worker)) {
+    if (NamesPresentOwner(board, from, row)) {
       worker.fenced_at = 0;
     }
     if (ReportsRelease(board, from, row, worker)) {
