Hold jobs that standbys do not accept, and find standbys in any state

With standby_after, a job that a standby did not accept was refused, although one whose standby failed is held. It is held too now, and sent again after 50 ms, for 0.5 s in total; not after a refusal by a control daemon, which would get the job again and again while it is full. A held job may be sent to any daemon again.

An entry daemon without workers and without control daemons chose a standby only while it was one itself, which one probe peer that hears a control daemon prevents. The same holds for forwarded jobs.

Held jobs were sent in the order of their numbers, all to the same daemon: they are sent in the order of arrival now, and the known load of the daemon is adjusted after each.

--- a/pool/entry.h
+++ b/pool/entry.h
@@ -142,6 +142,10 @@
   // Since when the job waits for a daemon that can take it; 0: it was sent to
   // one (PoolFeatures::standby_after).
   Micros held_since = 0;
+  // A held job is not sent before this time.
+  Micros retry_at = 0;
+  // When a standby first did not accept the job; 0: none has refused it.
+  Micros first_not_accepted_at = 0;
 };
 
 struct EntryCounters {
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -28,10 +28,18 @@
 }
 
 // Returns whether jobs may be forwarded to the member: a control daemon, or
-// another entry daemon if this one is a standby (standby.h).
-bool TakesForwardedJobs(const PoolBoard& board, const MeshMember& member) {
-  return !member.last_heartbeat.draining() &&
-         (member.last_heartbeat.control() || IsQuickStandby(board));
+// another entry daemon if this one is a standby (standby.h). One probe peer
+// that hears a control daemon ends that state while workers are still ordered
+// here, so with `standby_after` it is enough that this daemon hears none.
+bool TakesForwardedJobs(const PoolBoard& board,
+                        const MeshMember& member,
+                        Micros now) {
+  if (member.last_heartbeat.draining()) {
+    return false;
+  }
+  return member.last_heartbeat.control() || IsQuickStandby(board) ||
+         (board.options.features.standby_after != 0 &&
+          !board.mesh.options.control && !HearsAnyControl(board.mesh, now));
 }
 
 // Returns the neighbour with the shortest queue, if that is so much shorter
@@ -44,7 +52,7 @@
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.last_heartbeat.load();
     const bool eligible =
-        TakesForwardedJobs(board, member) && load.workers() > 0 &&
+        TakesForwardedJobs(board, member, now) && load.workers() > 0 &&
         IsLoadFresh(member, now) &&
         kMinWaitRatio * (load.wait_ms() + kForwardingDelayMs) < own_wait_ms;
     if (eligible && (best == nullptr ||
@@ -64,7 +72,7 @@
   const int64_t cpu = InitialCpuDemand(order);
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.last_heartbeat.load();
-    const bool eligible = TakesForwardedJobs(board, member) &&
+    const bool eligible = TakesForwardedJobs(board, member, now) &&
                           IsLoadFresh(member, now) && load.wait_ms() == 0 &&
                           load.free_cpu_millis() >= cpu + cpu / 4;
     if (eligible && (best == nullptr ||
@@ -96,18 +104,21 @@
                 {"their_free_cpu_millis",
                  std::to_string(to.last_heartbeat.load().free_cpu_millis())},
                 {"waiting_here", std::to_string(board.waiting.size())}});
-  // Until the neighbour's next heartbeat, its known load is adjusted by the
-  // forwarded job.
-  wire::PoolLoad& load = *to.last_heartbeat.mutable_load();
+  AddToKnownLoad(to, order);
+}
+
+}  // namespace
+
+void AddToKnownLoad(MeshMember& member, const wire::JobOrder& order) {
+  wire::PoolLoad& load = *member.last_heartbeat.mutable_load();
   const int64_t cpu = InitialCpuDemand(order);
-  const int64_t work_ms = cpu * order.steps(0).estimate_ms();
+  const int64_t work_ms =
+      order.steps_size() > 0 ? cpu * order.steps(0).estimate_ms() : 0;
   load.set_free_cpu_millis(load.free_cpu_millis() - cpu);
   load.set_wait_ms(load.wait_ms() +
                    work_ms / std::max<int64_t>(load.capacity_cpu_millis(), 1));
 }
 
-}  // namespace
-
 bool ForwardJob(PoolBoard& board,
                 const wire::JobOrder& order,
                 Micros now,
--- a/pool/job_forwarding.h
+++ b/pool/job_forwarding.h
@@ -20,6 +20,10 @@
                 Micros now,
                 PoolActions& actions);
 
+// Adjusts the known load of a daemon by an order that was sent to it, until its
+// next heartbeat.
+void AddToKnownLoad(MeshMember& member, const wire::JobOrder& order);
+
 }  // namespace goldcrest
 
 #endif  // POOL_JOB_FORWARDING_H_
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/job_forwarding.h"
 #include "pool/load_report.h"
 #include "pool/retry_after.h"
 #include "pool/standby.h"
@@ -18,6 +19,10 @@
 // probes began.
 constexpr Micros kMaxHold = 500 * kMillisecond;
 
+// Delay until a job that a standby did not accept is sent again; without it,
+// the job would be sent at each tick while the standby is full.
+constexpr Micros kNotAcceptedDelay = 50 * kMillisecond;
+
 // Answers the caller of a pending job and removes the job.
 void Finish(EntryBoard& board,
             uint64_t order_number,
@@ -103,7 +108,8 @@
   const wire::PoolLoad& other =
       board.pool.mesh.members.at(control).last_heartbeat.load();
   const int64_t cpu = InitialCpuDemand(order);
-  if (own.free_cpu_millis() >= cpu) {
+  // Free capacity alone may be that left by waiting tasks that do not fit.
+  if (own.wait_ms() == 0 && own.free_cpu_millis() >= cpu) {
     return true;
   }
   const bool other_can_start =
@@ -129,9 +135,10 @@
   return board.pending.at(number);
 }
 
-// Sends a pending job to another control daemon. The present one must not have
-// accepted the job, or must not have its start permission. Returns false if
-// there is no other control daemon.
+// Sends a pending job to another daemon: a control daemon, or with
+// `standby_after` also a standby. The present one must not have accepted the
+// job, or must not have its start permission. Returns false if there is no
+// other daemon that can take the job.
 bool ResendToAnotherControl(EntryBoard& board,
                             uint64_t order_number,
                             const std::string& reason,
@@ -161,21 +168,40 @@
 
 // Holds a job that could not be sent to another daemon, or refuses it. The
 // daemon that has the order cannot start it any more, since it needs the
-// permission for the previous order number.
+// permission for the previous order number. A refused caller is told to return
+// after `retry_after_ms`.
 void HoldOrRefuse(EntryBoard& board,
                   uint64_t order_number,
                   const std::string& reason,
+                  int64_t retry_after_ms,
                   Micros now,
                   PoolActions& actions) {
   if (MayHoldJobs(board, now)) {
     HoldJob(board, Renumber(board, order_number), now, actions);
   } else {
-    Finish(board, order_number, wire::JOB_REFUSED, reason,
-           RefusalDelayMs(board, board.pending.at(order_number).job_id), now,
+    Finish(board, order_number, wire::JOB_REFUSED, reason, retry_after_ms, now,
            actions);
   }
 }
 
+// Returns whether a job that its daemon did not accept may be held and sent
+// again: if that was a standby, whose capacity changes while workers are
+// claimed, for kMaxHold in total. A control daemon that is full would get the
+// job again and again.
+bool MayRetry(EntryBoard& board, PendingJob& job, Micros now) {
+  const auto member = board.pool.mesh.members.find(job.control_address);
+  const bool by_control = member != board.pool.mesh.members.end() &&
+                          member->second.last_heartbeat.control();
+  if (!HasQuickStandby(board) || by_control || job.start_permitted ||
+      job.cancelling || now >= job.deadline) {
+    return false;
+  }
+  if (job.first_not_accepted_at == 0) {
+    job.first_not_accepted_at = now;
+  }
+  return now - job.first_not_accepted_at < kMaxHold;
+}
+
 // Returns the reason to end a pending job or to send it to another control
 // daemon: its time has passed, or its control daemon has restarted or is
 // unreachable. Returns an empty string if there is none.
@@ -202,6 +228,23 @@
                                                          : "control_not_heard";
 }
 
+// Returns the order numbers of the held jobs, the earliest request first.
+std::vector<uint64_t> HeldInOrderOfArrival(const EntryBoard& board) {
+  std::vector<std::pair<Micros, uint64_t>> held;
+  for (const auto& [order_number, job] : board.pending) {
+    if (job.held_since != 0) {
+      held.emplace_back(job.received_at, order_number);
+    }
+  }
+  std::sort(held.begin(), held.end());
+  std::vector<uint64_t> numbers;
+  numbers.reserve(held.size());
+  for (const auto& [received_at, order_number] : held) {
+    numbers.push_back(order_number);
+  }
+  return numbers;
+}
+
 }  // namespace
 
 void Reply(EntryBoard& board,
@@ -252,7 +295,9 @@
                      ? std::nullopt
                      : ChooseControl(board.pool.mesh, now, tried);
   if (!HasReadyWorkers(board.pool) || tried.contains(self)) {
-    return IsQuickStandby(board.pool)
+    // Also if this daemon is no standby itself: one probe peer that hears a
+    // control daemon prevents that, while others have workers.
+    return !control && HasQuickStandby(board)
                ? ChooseStandby(board.pool.mesh, tried, now)
                : control;
   }
@@ -274,6 +319,8 @@
              PoolActions& actions) {
   job.held_since = now;
   job.control_address.clear();
+  // Safe since the order has a new number: no daemon can start an earlier one.
+  job.tried_controls.clear();
   ++board.counters.held;
   LogPoolEvent(actions, LogLevel::kInfo, "job_held", {{"job", job.job_id}});
 }
@@ -369,6 +416,13 @@
       ResendToAnotherControl(board, end.order(), end.reason(), now, actions)) {
     return;
   }
+  if (not_accepted && found != board.pending.end() &&
+      MayRetry(board, found->second, now)) {
+    found->second.retry_at = now + kNotAcceptedDelay;
+    HoldOrRefuse(board, end.order(), end.reason(), end.retry_after_ms(), now,
+                 actions);
+    return;
+  }
   Finish(board, end.order(), end.fate(), end.reason(), end.retry_after_ms(),
          now, actions);
 }
@@ -403,7 +457,8 @@
              actions);
     } else if (!ResendToAnotherControl(board, order_number, reason, now,
                                        actions)) {
-      HoldOrRefuse(board, order_number, reason, now, actions);
+      HoldOrRefuse(board, order_number, reason,
+                   RefusalDelayMs(board, job.job_id), now, actions);
     }
   }
 }
@@ -416,15 +471,18 @@
     board.last_served_at = now;
   }
   std::vector<uint64_t> refused;
-  for (auto& [order_number, job] : board.pending) {
-    if (job.held_since == 0) {
-      continue;
-    }
-    const auto daemon = job.cancelling ? std::nullopt
-                                       : ChooseDaemon(board, job.message,
-                                                      job.tried_controls, now);
+  for (const uint64_t order_number : HeldInOrderOfArrival(board)) {
+    PendingJob& job = board.pending.at(order_number);
+    const bool may_send = !job.cancelling && now >= job.retry_at;
+    const auto daemon =
+        may_send ? ChooseDaemon(board, job.message, job.tried_controls, now)
+                 : std::nullopt;
     if (daemon) {
       SendOrderTo(board, job, *daemon, now, actions);
+      const auto member = board.pool.mesh.members.find(*daemon);
+      if (member != board.pool.mesh.members.end()) {
+        AddToKnownLoad(member->second, job.message);
+      }
     } else if (job.cancelling || now - job.held_since > kMaxHold) {
       refused.push_back(order_number);
     }
--- a/pool/pending_jobs.h
+++ b/pool/pending_jobs.h
@@ -48,7 +48,8 @@
 // could take jobs a short time ago.
 bool MayHoldJobs(const EntryBoard& board, Micros now);
 
-// Holds a pending job that was not sent to any daemon.
+// Holds a pending job that no daemon has under its present order number. All
+// daemons may be tried again.
 void HoldJob(EntryBoard& board,
              PendingJob& job,
              Micros now,
--- a/pool/standby.cc
+++ b/pool/standby.cc
@@ -79,16 +79,6 @@
                 {"workers_known", std::to_string(board.workers.size())}});
 }
 
-bool HearsAnyControl(const Mesh& mesh, Micros now) {
-  return std::any_of(
-      mesh.members.begin(), mesh.members.end(), [&](const auto& entry) {
-        const MeshMember& member = entry.second;
-        return member.last_heartbeat.control() &&
-               member.last_received_at != 0 &&
-               now - member.last_received_at < mesh.options.standby_after;
-      });
-}
-
 // Returns whether at least half of the probe peers have answered a probe of
 // this silence that they hear no control daemon, and none that it hears one.
 bool ProbePeersHearNoControl(const Mesh& mesh, Micros now) {
@@ -197,6 +187,16 @@
   return probe_peers;
 }
 
+bool HearsAnyControl(const Mesh& mesh, Micros now) {
+  return std::any_of(
+      mesh.members.begin(), mesh.members.end(), [&](const auto& entry) {
+        const MeshMember& member = entry.second;
+        return member.last_heartbeat.control() &&
+               member.last_received_at != 0 &&
+               now - member.last_received_at < mesh.options.standby_after;
+      });
+}
+
 bool IsQuickStandby(const PoolBoard& board) {
   return board.standby && board.mesh.options.standby_after != 0;
 }
--- a/pool/standby.h
+++ b/pool/standby.h
@@ -31,7 +31,8 @@
 void StandbyTick(PoolBoard& board, Micros now, PoolActions& actions);
 
 // Returns the entry daemons that the entry daemon `to` should ask about control
-// daemons: at most 8, those of its own failure domain first.
+// daemons: at most 8, with PoolFeatures::standby_after at most 16; those of its
+// own failure domain first.
 std::vector<std::string> ProbePeersFor(const Mesh& mesh,
                                        const std::string& to,
                                        Micros now);
@@ -41,6 +42,10 @@
 // as unreachable, although they were heard within the usual timeouts.
 bool IsQuickStandby(const PoolBoard& board);
 
+// Returns whether this daemon has heard a control daemon within
+// PoolFeatures::standby_after, which must be set.
+bool HearsAnyControl(const Mesh& mesh, Micros now);
+
 // Returns whether the pool of an entry daemon has workers that accept tasks.
 bool HasReadyWorkers(const PoolBoard& board);
 
--- a/pool/testing/entry_test.cc
+++ b/pool/testing/entry_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "pool/entry.h"
+#include "pool/pending_jobs.h"
 
 namespace goldcrest {
 namespace {
@@ -122,6 +123,127 @@
   }
 }
 
+constexpr char kStandby[] = "10.0.0.3:7720";
+
+// Returns an entry daemon that hears no control daemon, but a standby with
+// workers; it is no standby itself.
+EntryBoard BoardWithStandby(Micros now) {
+  EntryOptions options;
+  options.features.standby_after = 250 * kMillisecond;
+  EntryBoard board = MakeEntryBoard(options, MeshOptions());
+  wire::Queue& queue = *board.routing.add_queues();
+  queue.set_name("bells");
+  queue.set_timeout_ms(1500);
+  board.routing.set_version(1);
+  MeshMember& standby = board.pool.mesh.members[kStandby];
+  standby.address = kStandby;
+  standby.last_received_at = now;
+  standby.last_heartbeat_at = now;
+  standby.last_heartbeat.mutable_load()->set_workers(1);
+  standby.last_heartbeat.mutable_load()->set_free_cpu_millis(10'000);
+  standby.last_heartbeat.mutable_load()->set_capacity_cpu_millis(10'000);
+  return board;
+}
+
+// Guards against refusing jobs although a standby has workers, and against
+// sending them to a full standby without end.
+TEST_CASE("EntryStep: a job that a standby does not accept is held") {
+  EntryBoard board = BoardWithStandby(kSecond);
+  Step(board, EntryTimeAdvanced(), kSecond);
+  uint64_t order = Step(board, MakeCallerJob(), kSecond).order;
+  REQUIRE(order != 0);
+  Micros now = kSecond;
+  int refusals = 0;
+  StepResult result;
+  while (result.outcomes.empty() && refusals < 100) {
+    MeshMember& standby = board.pool.mesh.members.at(kStandby);
+    standby.last_received_at = now;
+    standby.last_heartbeat_at = now;
+    EntryMessageReceived end = MakeJobEnd(order, wire::JOB_REFUSED);
+    end.message.set_from(kStandby);
+    end.message.mutable_job_end()->set_try_elsewhere(true);
+    result = Step(board, end, now);
+    ++refusals;
+    if (result.outcomes.empty()) {
+      CHECK(Step(board, EntryTimeAdvanced(), now + 20 * kMillisecond).order ==
+            0);
+      now += 60 * kMillisecond;
+      const uint64_t again = Step(board, EntryTimeAdvanced(), now).order;
+      CHECK(again > order);
+      order = again;
+    }
+  }
+  CHECK(result.outcomes.at(7) == wire::JOB_REFUSED);
+  CHECK(now >= 1500 * kMillisecond);
+  CHECK(refusals <= 10);
+}
+
+// Guards against the last requests being served first, and all by one daemon.
+TEST_CASE("EntryStep: held jobs are sent in the order of arrival") {
+  EntryBoard board = BoardWithStandby(kSecond);
+  Step(board, EntryTimeAdvanced(), kSecond);
+  MeshMember& standby = board.pool.mesh.members.at(kStandby);
+  standby.last_heartbeat.mutable_load()->set_workers(0);
+  for (const int id : {1, 2, 3}) {
+    CallerJob job = MakeCallerJob();
+    job.token = id;
+    job.job_id = std::to_string(id);
+    job.held_for = id * 10 * kMillisecond;
+    job.steps.emplace_back().set_tasks(1);
+    job.steps.back().set_cpu_millis(1000);
+    CHECK(Step(board, job, kSecond).order == 0);
+  }
+  standby.last_heartbeat.mutable_load()->set_workers(1);
+  PoolActions actions;
+  EntryStep(board, EntryTimeAdvanced(), {kSecond + 1, 0}, actions);
+  std::vector<std::string> sent;
+  for (const PoolAction& action : actions) {
+    const auto* send = std::get_if<SendMessage>(&action);
+    if (send != nullptr && send->message.has_job_order()) {
+      sent.push_back(send->message.job_order().job_id());
+    }
+  }
+  CHECK(sent == std::vector<std::string>{"3", "2", "1"});
+  CHECK(standby.last_heartbeat.load().free_cpu_millis() == 7000);
+}
+
+// Gives the entry daemon one worker that accepts tasks.
+void AddReadyWorker(PoolBoard& board, Micros now) {
+  PoolWorker& worker = board.workers["worker"];
+  worker.status.set_id("worker");
+  worker.status.set_cpu_millis(10'000);
+  worker.session = SessionState::kReady;
+  worker.clock_ms = 1;
+  worker.last_received_at = now;
+  worker.last_answer_at = now;
+  board.owned["worker"] = &worker;
+}
+
+// Guards against jobs that queue behind others here although a control daemon
+// can start them, because the waiting ones do not fit into the free capacity.
+TEST_CASE("EntryStep: own workers are preferred only if no task waits") {
+  for (const bool waiting : {false, true}) {
+    EntryBoard board = BoardWithControl(kSecond);
+    board.options.features.standby_after = 250 * kMillisecond;
+    wire::PoolLoad& load =
+        *board.pool.mesh.members.at(kControl).last_heartbeat.mutable_load();
+    load.set_free_cpu_millis(10'000);
+    AddReadyWorker(board.pool, kSecond);
+    PoolJob job;
+    job.order.add_steps()->set_cpu_millis(20'000);
+    job.steps.resize(1);
+    job.steps[0].expected_run_time = kSecond;
+    if (waiting) {
+      board.pool.waiting[WaitingKey()] = {&job};
+    }
+    wire::JobOrder order;
+    order.add_steps()->set_tasks(1);
+    order.mutable_steps(0)->set_cpu_millis(1000);
+    const auto daemon = detail::ChooseDaemon(board, order, {}, kSecond);
+    CHECK(daemon == (waiting ? kControl : board.pool.mesh.options.self));
+  }
+}
+
 EntryMessageReceived MakeStartRequest(uint64_t order) {
   EntryMessageReceived event;
   event.message.set_from(kControl);
