Test the hard-load features under faults with a mixed overload

The random-fault cases of lookahead and overload control used a light load of equal tasks, which hardly reached the new code. Fake workers take the CPU of a task from its order.

A new case of operator_troubles_test sends a waiting job again with another priority or other steps.

--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -12,7 +12,6 @@
 
 constexpr Micros kTickPeriod = 20 * kMillisecond;
 constexpr Micros kReportPeriod = 1500 * kMillisecond;
-constexpr int64_t kTaskCpu = 6800;
 constexpr uint64_t kFirstVersion = 1;
 
 wire::Routing MakeRouting(uint64_t version) {
@@ -411,11 +410,12 @@
   const auto real_run_ms =
       static_cast<int64_t>(static_cast<double>(sent.run_ms) * error);
   answers_[job].run_ms = real_run_ms;
-  request.spec = std::to_string(real_run_ms);
+  request.spec =
+      std::to_string(real_run_ms) + '/' + std::to_string(sent.cpu_millis);
   request.caller_timeout_ms = sent.timeout_ms;
   wire::JobStep step;
   step.set_tasks(static_cast<uint32_t>(sent.tasks));
-  step.set_cpu_millis(kTaskCpu);
+  step.set_cpu_millis(static_cast<uint32_t>(sent.cpu_millis));
   step.set_memory_mb(64);
   step.set_estimate_ms(static_cast<uint32_t>(sent.estimate_ms));
   request.steps.push_back(step);
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -57,6 +57,7 @@
   int64_t estimate_ms = 0;  // the caller's estimate of run_ms
   // Index in kFakeQueues; it is also the priority of the queue.
   size_t queue = 0;
+  int64_t cpu_millis = 6800;  // of each task
 };
 
 // The queues of the configuration that all daemons get.
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -13,6 +13,10 @@
   return std::stoll(spec);
 }
 
+int64_t SpecCpuMillis(const std::string& spec) {
+  return std::stoll(spec.substr(spec.find('/') + 1));
+}
+
 Micros WorkerClock(const FakeWorker& worker, Micros now) {
   return now + worker.clock_offset;
 }
@@ -64,7 +68,8 @@
   if (order.lease_until_ms * kMillisecond <= WorkerClock(worker, now)) {
     return OrderOutcome::kTooLate;
   }
-  int64_t used = workers.task_cpu;
+  const int64_t cpu = SpecCpuMillis(order.spec);
+  int64_t used = cpu;
   for (const auto& [name, run] : worker.attempts) {
     used += run.cpu;
   }
@@ -75,7 +80,7 @@
   FakeWorker::Attempt run;
   run.number = order.attempt;
   run.started_at = now;
-  run.cpu = workers.task_cpu;
+  run.cpu = cpu;
   run.ends_at = now + worker.slow_factor * SpecRunMs(order.spec) * kMillisecond;
   if (worker.fails_all) {
     run.ends_at = now + kTimeToFailure;
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -61,14 +61,14 @@
 
 struct FakeWorkers {
   std::vector<FakeWorker> all;
-  int64_t task_cpu = 6800;  // thousandths of a core that each task takes
   std::map<TaskName, TaskRecord> tasks;
   // Descriptions of the invariants that were violated.
   std::vector<std::string> violations;
 };
 
 // Executes an order on a worker and returns the answer. The order's spec is the
-// run time of the task in milliseconds.
+// run time of the task in milliseconds, a slash, and the thousandths of a core
+// that it uses.
 WorkerAnswer ExecuteOrder(FakeWorkers& workers,
                           FakeWorker& worker,
                           const WorkerOrder& order,
--- a/pool/testing/operator_troubles_test.cc
+++ b/pool/testing/operator_troubles_test.cc
@@ -7,6 +7,8 @@
 #include <catch2/catch.hpp>
 
 #include "pool/end_estimate.h"
+#include "pool/job_admission.h"
+#include "pool/pool_jobs.h"
 #include "pool/testing/pool_load.h"
 #include "pool/worker_roster.h"
 
@@ -211,5 +213,49 @@
   }
 }
 
+// Found by reading: a job that was sent again took over the steps and the
+// priority of the second order, so that its queue entries were no longer found:
+// they remained after the job had ended, and pointed to it.
+TEST_CASE(
+    "JobAdmission: an order that is sent again with other steps or another "
+    "priority leaves one queue entry for each task") {
+  FakePool pool{FakePoolOptions()};
+  WaitUntilServing(pool);
+  PoolBoard& board = pool.controls()[0].board;
+  wire::JobOrder first;
+  first.set_order(1);
+  first.set_job_id("again");
+  first.set_queue("bells");
+  first.set_service("bells");
+  first.set_entry(board.mesh.options.self);
+  first.set_budget_ms(10'000);
+  for (int i = 0; i < 2; ++i) {
+    wire::JobStep& step = *first.add_steps();
+    step.set_tasks(2);
+    step.set_cpu_millis(1000);
+  }
+  std::vector<wire::JobOrder> orders(3, first);
+  orders[0].set_priority(2);
+  orders[1].mutable_steps(0)->set_tasks(5);
+  orders[2].mutable_steps()->RemoveLast();
+  PoolActions ignored;  // the job gets no start permission, so that it waits
+  for (wire::JobOrder& second : orders) {
+    OnJobOrder(board, first, pool.now(), ignored);
+    REQUIRE(board.waiting.size() == 4);
+    second.set_order(2);
+    OnJobOrder(board, second, pool.now(), ignored);
+    REQUIRE(board.jobs.size() == 1);
+    PoolJob& job = *board.jobs.begin()->second;
+    REQUIRE(job.order.order() == 2);
+    CHECK(job.order.priority() == first.priority());
+    REQUIRE(job.order.steps_size() == first.steps_size());
+    CHECK(job.order.steps(0).tasks() == first.steps(0).tasks());
+    MoveInQueue(board, job, ExpectedLateness::kLate, job.rank);
+    CHECK(board.waiting.size() == 4);
+    EndJob(board, job.key, wire::JOB_CANCELLED, "", pool.now(), ignored);
+    REQUIRE(board.waiting.empty());
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
--- a/pool/testing/pool_load.cc
+++ b/pool/testing/pool_load.cc
@@ -1,5 +1,6 @@
 #include "pool/testing/pool_load.h"
 
+#include <array>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -23,6 +24,21 @@
   }
 }
 
+void SubmitMixedLoad(FakePool& pool, Micros duration, Micros gap) {
+  constexpr std::array<int64_t, 4> kCpuMillis = {4000, 6800, 9000, 11'000};
+  constexpr std::array<int64_t, 3> kRunMs = {60, 200, 400};  // by queue
+  const Micros until = pool.now() + duration;
+  for (size_t i = 0; pool.now() < until; ++i) {
+    const size_t queue = i % kRunMs.size();
+    const int64_t run_ms = kRunMs[queue];
+    const int tasks = 1 + static_cast<int>(i % 5);
+    const int64_t cpu_millis = kCpuMillis[i % kCpuMillis.size()];
+    pool.Submit(i / 3 % pool.entries().size(),
+                {tasks, run_ms, 2000, run_ms, queue, cpu_millis});
+    pool.Run(gap);
+  }
+}
+
 size_t LeaderOf(FakePool& pool) {
   size_t leader = 0;
   for (size_t i = 0; i < pool.controls().size(); ++i) {
@@ -39,7 +55,8 @@
   CHECK(pool.CountRefusedAfterStart() == 0);
 }
 
-void InjectRandomFaults(const FakePoolOptions& options) {
+FaultsOutcome InjectRandomFaults(const FakePoolOptions& options,
+                                 bool overloaded) {
   const uint64_t seed = options.seed;
   FakePool pool(options);
   WaitUntilServing(pool);
@@ -79,8 +96,9 @@
     }
     ChangeResult result = ChangeResult::kUnknown;
     pool.ChangeConfiguration(random() % 3, version, &result);
-    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
-               15 * kMillisecond);
+    const auto duration = static_cast<Micros>(random() % 2000) * kMillisecond;
+    (overloaded ? SubmitMixedLoad : SubmitLoad)(pool, duration,
+                                                15 * kMillisecond);
     pool.Run(1500 * kMillisecond);
     acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
     ++version;
@@ -111,6 +129,12 @@
   SubmitLoad(pool, kSecond, 20 * kMillisecond);
   pool.Run(kSecond);
   CHECK(pool.CountAnswers(wire::JOB_COMPLETED) - completed == 50);
+  FaultsOutcome outcome;
+  outcome.overload_refusals = pool.CountLogged("overload_refusal");
+  for (const FakeControl& control : pool.controls()) {
+    outcome.starts_ahead += control.board.counters.starts_ahead;
+  }
+  return outcome;
 }
 
 }  // namespace goldcrest
--- a/pool/testing/pool_load.h
+++ b/pool/testing/pool_load.h
@@ -20,10 +20,23 @@
 // Fails the test if an invariant was violated.
 void RequireNoViolation(const FakePool& pool);
 
+// Submits a job every `gap` for `duration`, to each entry daemon in turn: jobs
+// of all queues, of 1 to 5 tasks with 4 to 11 cores.
+void SubmitMixedLoad(FakePool& pool, Micros duration, Micros gap);
+
+// What the daemons did under random faults. Daemons that were restarted since
+// count no earlier starts.
+struct FaultsOutcome {
+  uint64_t starts_ahead = 0;
+  int overload_refusals = 0;
+};
+
 // Injects crashes, pauses, network cuts, full disks and late orders at random.
 // Checks the invariants throughout, and after a time without faults that all
-// workers are ready and all jobs complete again.
-void InjectRandomFaults(const FakePoolOptions& options);
+// workers are ready and all jobs complete again. With `overloaded`, the load
+// during the faults is mixed and exceeds the capacity.
+FaultsOutcome InjectRandomFaults(const FakePoolOptions& options,
+                                 bool overloaded = false);
 
 }  // namespace goldcrest
 
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -516,24 +516,30 @@
 
 TEST_CASE(
     "Pool: random faults violate no invariant when placement looks ahead") {
+  uint64_t starts_ahead = 0;
   for (uint64_t seed = 201; seed <= 205; ++seed) {
     CAPTURE(seed);
     FakePoolOptions options;
     options.seed = seed;
     options.features.placement_lookahead = true;
-    InjectRandomFaults(options);
+    starts_ahead += InjectRandomFaults(options, true).starts_ahead;
   }
+  // Guards against a load that does not reach the code under test.
+  CHECK(starts_ahead > 0);
 }
 
 TEST_CASE("Pool: random faults violate no invariant with overload control") {
+  int refusals = 0;
   for (uint64_t seed = 201; seed <= 204; ++seed) {
     CAPTURE(seed);
     FakePoolOptions options;
     options.seed = seed;
     options.features.overload_control = true;
     options.features.queue_floor_percent = 30;
-    InjectRandomFaults(options);
+    refusals += InjectRandomFaults(options, true).overload_refusals;
   }
+  // Guards against a load that does not reach the code under test.
+  CHECK(refusals > 0);
 }
 
 }  // namespace
