Wrap comments and one condition at 80 columns

No change of behaviour; placement_plan_test, overload_control_test, pool_promises_test, operator_troubles_test, entry_test and choose_worker_test pass.

--- a/pool/overload_control.h
+++ b/pool/overload_control.h
@@ -86,8 +86,8 @@
   // Whether its tasks may run on every worker of the service, so that they use
   // the capacity that others wait for.
   bool uses_any_worker = true;
-  // The shortest run time that is plausible, given the error of the estimate and
-  // steps that may run at the same time.
+  // The shortest run time that is plausible, given the error of the estimate
+  // and steps that may run at the same time.
   Micros shortest_run_time = 0;
   Micros deadline = 0;
   // The deadline if its objective does not tell.
--- a/pool/placement_plan.cc
+++ b/pool/placement_plan.cc
@@ -30,8 +30,8 @@
 // use a reserved worker only if it ends this much earlier.
 constexpr Micros kErrorDivisor = 4;
 
-// Returns whether the order of the tasks in the queue is decided by priority and
-// objective only, so that one may be started before the other.
+// Returns whether the order of the tasks in the queue is decided by priority
+// and objective only, so that one may be started before the other.
 bool IsSameClass(const PlanTask& a, const PlanTask& b) {
   return a.lateness == b.lateness && a.rank == b.rank;
 }
@@ -86,8 +86,8 @@
   std::vector<uint32_t> remaining_;  // by task
   std::vector<size_t> reserved_;     // by worker: index + 1 of its reservation
   std::optional<WaitingSizes> sizes_;
-  // By task: no earlier worker can start it without being avoided. Capacity only
-  // decreases while workers are filled.
+  // By task: no earlier worker can start it without being avoided. Capacity
+  // only decreases while workers are filled.
   std::vector<size_t> first_better_;
   // Whether tasks are left to workers that they do not avoid, and whether that
   // has happened.
@@ -396,7 +396,8 @@
       continue;
     }
     for (uint32_t i = 0; i < remaining_[task]; ++i) {
-      if (plan_.reservations.size() >= most || compared_ > options_.budget / 2) {
+      if (plan_.reservations.size() >= most ||
+          compared_ > options_.budget / 2) {
         return;
       }
       const std::optional<PlanReservation> earliest = EarliestWorker(task);
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -90,11 +90,11 @@
 // startable tasks fit, each gets the worker that ChooseWorker() prefers.
 // Otherwise the first tasks that fit nowhere reserve the workers that can hold
 // them first, and each worker's free capacity is given to the task that uses it
-// best: among the tasks of the same lateness and rank as the first that fits, up
-// to the first whose latest start is near, the one that leaves the smallest
-// remainder that no waiting task can use; of about equal ones, one of a job that
-// has begun. A task that ends before the reservation, or leaves enough capacity for
-// it, may use a reserved worker.
+// best: among the tasks of the same lateness and rank as the first that fits,
+// up to the first whose latest start is near, the one that leaves the smallest
+// remainder that no waiting task can use; of about equal ones, one of a job
+// that has begun. A task that ends before the reservation, or leaves enough
+// capacity for it, may use a reserved worker.
 PlacementPlan MakePlacementPlan(const std::vector<PlanWorker>& workers,
                                 const std::vector<PlanTask>& tasks,
                                 const PlanOptions& options = {});
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -58,9 +58,9 @@
 }
 
 // Returns how late a job will be if it starts now. It is at risk if it would be
-// late with run times that are longer than estimated by the part `margin`. There
-// is no margin if the objective leaves none even to a job that starts when it
-// arrives: all jobs of its queue would always be at risk.
+// late with run times that are longer than estimated by the part `margin`.
+// There is no margin if the objective leaves none even to a job that starts
+// when it arrives: all jobs of its queue would always be at risk.
 ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
                                     double margin,
                                     Micros now) {
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -131,8 +131,9 @@
 // looks ahead: only jobs with a permission can be chosen for a hole.
 constexpr int kMaxLookaheadRequests = 64;
 // A plan chooses among this many groups of equal waiting tasks of one job that
-// have a start permission. Others do not count, so that many of them at the head
-// of the queue, as of an entry daemon that is paused, do not idle the pool.
+// have a start permission. Others do not count, so that many of them at the
+// head of the queue, as of an entry daemon that is paused, do not idle the
+// pool.
 constexpr size_t kMaxPlannedGroups = 64;
 
 // Equal waiting tasks of one job: their position in the queue and their number.
