--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -74,9 +74,6 @@
              0,
              "Part of the capacity, in percent, that --overload_control "
              "divides among the queues by demand; 0 to 50.");
-DEFINE_bool(move_waiting_jobs,
-            false,
-            "Waiting jobs move to pools that can start them earlier.");
 DEFINE_int32(standby_after_ms,
              0,
              "Time without a message of any control daemon after which an "
@@ -218,7 +215,6 @@
   features.placement_lookahead = FLAGS_placement_lookahead;
   features.overload_control = FLAGS_overload_control;
   features.queue_floor_percent = FLAGS_queue_floor_percent;
-  features.move_waiting_jobs = FLAGS_move_waiting_jobs;
   features.standby_after = FLAGS_standby_after_ms * kMillisecond;
   features.run_times_by_worker = FLAGS_run_times_by_worker;
   return features;
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -39,8 +39,6 @@
   // Part of the pool's capacity, in percent, that overload control divides
   // among the queues by demand, whatever their priority.
   int queue_floor_percent = 0;
-  // Waiting jobs move to pools that can start them earlier (pool_balance.h).
-  bool move_waiting_jobs = false;
   // An entry daemon that has received nothing from any control daemon for this
   // long probes them, and orders workers if its probe peers agree; 0: the
   // default timeouts apply (standby.h).
