Move waiting jobs between pools; loads that state what fits

Cause: a job moved at most once, at its arrival, on the total of the free CPU and an average wait, so queues of 129 and 409 tasks stood beside each other for seconds. The receiver confirms a forwarded job, and the entry daemon sends it elsewhere if it does not. JobOrder.waited_ms keeps the objective, JobOrder.moves limits the moves. Without the flag, no message and no decision changes.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -137,6 +137,9 @@
                  Micros now,
                  PoolActions& actions) {
   const auto found = board.pool.mesh.members.find(control);
+  if (found != board.pool.mesh.members.end()) {
+    AddSentJob(board, pending.message, found->second);
+  }
   const MeshMember member =
       found == board.pool.mesh.members.end() ? MeshMember() : found->second;
   const int64_t left_ms =
@@ -147,6 +150,10 @@
   pending.message.set_seen_sequence(
       NewestHeartbeatSequence(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
+  if (board.options.features.move_waiting_jobs) {
+    pending.message.set_waited_ms(
+        static_cast<uint32_t>((now - pending.received_at) / kMillisecond));
+  }
   wire::PoolMessage message;
   *message.mutable_job_order() = pending.message;
   SendTo(actions, control, std::move(message));
@@ -188,7 +195,8 @@
     RefuseCaller(board, job, "unsupported_" + job.unsupported, actions);
     return;
   }
-  std::optional<std::string> control = ChooseControl(board.pool.mesh, now);
+  wire::JobOrder order = MakeOrder(board, job, *queue, board.next_order);
+  std::optional<std::string> control = ChooseControlForOrder(board, order, now);
   if (!control && HasReadyWorkers(board.pool)) {
     // This daemon is a standby and orders workers itself.
     control = board.pool.mesh.options.self;
@@ -208,7 +216,7 @@
   pending.queue = job.queue;
   pending.received_at = now;
   pending.deadline = now + budget_ms * kMillisecond;
-  pending.message = MakeOrder(board, job, *queue, number);
+  pending.message = std::move(order);
   board.order_number_of_token[job.token] = number;
   board.order_number_of_job[job.job_id] = number;
   SendOrderTo(board, pending, *control, now, actions);
@@ -289,17 +297,28 @@
   board.pool.mesh.routing_source.clear();
 }
 
-// Records that the control daemon has forwarded a job to another one.
+// Records that the control daemon has forwarded a job to another one, or that
+// this one confirms it.
 void HandleJobForwarded(EntryBoard& board,
-                        const wire::JobMoved& moved,
+                        const wire::PoolMessage& message,
                         Micros now,
                         PoolActions& actions) {
+  const wire::JobMoved& moved = message.job_moved();
   const auto found = board.pending.find(moved.order());
+  if (found == board.pending.end() ||
+      !ApplyJobMoved(found->second, moved, message.from(), now)) {
+    return;
+  }
+  PendingJob& job = found->second;
   const auto member = board.pool.mesh.members.find(moved.to());
-  if (found != board.pending.end() && member != board.pool.mesh.members.end()) {
-    SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
-    found->second.control_address = moved.to();
-    found->second.control_incarnation = member->second.incarnation;
+  if (member == board.pool.mesh.members.end()) {
+    return;
+  }
+  SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
+  job.control_address = moved.to();
+  job.control_incarnation = member->second.incarnation;
+  if (job.cancelling && message.from() == moved.to()) {
+    RequestCancel(board, job, now, actions);
   }
 }
 
@@ -313,6 +332,7 @@
   job.order_number = number;
   job.message.set_order(number);
   job.start_permitted = false;
+  job.transfer_since = 0;
   if (job.token != kNoToken) {
     board.order_number_of_token[job.token] = number;
   }
@@ -335,8 +355,8 @@
   }
   const std::string before = found->second.control_address;
   found->second.tried_controls.insert(before);
-  const auto control =
-      ChooseControl(board.pool.mesh, now, found->second.tried_controls);
+  const auto control = ChooseControlForOrder(board, found->second.message, now,
+                                             found->second.tried_controls);
   if (!control) {
     return false;
   }
@@ -374,6 +394,7 @@
     return;
   }
   job.start_permitted = true;
+  job.transfer_since = 0;
   wire::PoolMessage answer;
   answer.mutable_job_go()->set_order(job.order_number);
   answer.mutable_job_go()->set_job_id(job.job_id);
@@ -440,7 +461,7 @@
   } else if (message.has_job_go()) {
     OnStartPermitted(board.pool, message.from(), message.job_go());
   } else if (message.has_job_moved()) {
-    HandleJobForwarded(board, message.job_moved(), now, actions);
+    HandleJobForwarded(board, message, now, actions);
   } else if (message.has_job_end()) {
     HandleJobEnd(board, message.job_end(), now, actions);
   }
@@ -480,6 +501,10 @@
   if (now > job.deadline + board.options.answer_slack) {
     return "time_is_up";
   }
+  if (job.transfer_since != 0 &&
+      now - job.transfer_since > board.options.transfer_timeout) {
+    return "transfer_unconfirmed";
+  }
   if (job.control_address == mesh.options.self) {
     return "";
   }
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -56,6 +56,9 @@
   // Requests are refused for this long after a pause of the process: they may
   // have waited in the sockets for an unknown time.
   Micros refuse_after_pause = 100 * kMillisecond;
+  // A forwarded job that its receiver has not confirmed within this time is
+  // sent to another control daemon, since the message may be lost.
+  Micros transfer_timeout = 200 * kMillisecond;
   int64_t retry_after_ms = 1000;
   // Used while this daemon orders workers as a standby.
   PoolFeatures features;
@@ -125,6 +128,10 @@
   uint64_t control_incarnation = 0;
   Micros received_at = 0;
   Micros deadline = 0;
+  // When it was forwarded to its present control daemon, which has not
+  // confirmed it yet; 0: confirmed, or no confirmation is expected. The number
+  // of its moves is in `message`.
+  Micros transfer_since = 0;
   // Whether the control daemon has the start permission. The job has certainly
   // not run before it is given.
   bool start_permitted = false;
@@ -192,6 +199,32 @@
     Micros now,
     const std::set<std::string>& tried = {});
 
+// Returns the address of the control daemon for this order, or nullopt if no
+// control daemon accepts jobs. Without PoolFeatures::move_waiting_jobs, the
+// order is ignored. Otherwise, the choice is that of ChoosePool()
+// (pool_choice.h) among the daemons with a recent load; if there is none, the
+// order is ignored.
+std::optional<std::string> ChooseControlForOrder(
+    const EntryBoard& board,
+    const wire::JobOrder& order,
+    Micros now,
+    const std::set<std::string>& tried = {});
+
+// Records in a pending job that its control daemon `from` has forwarded it, or
+// that the receiver `from` confirms it. Returns false if the message is older
+// than what is known, and then changes nothing.
+bool ApplyJobMoved(PendingJob& job,
+                   const wire::JobMoved& moved,
+                   const std::string& from,
+                   Micros now);
+
+// Adds a job that is being sent to a control daemon to that daemon's known
+// load, until its next heartbeat. Does nothing without
+// PoolFeatures::move_waiting_jobs.
+void AddSentJob(const EntryBoard& board,
+                const wire::JobOrder& order,
+                MeshMember& control);
+
 // Returns true if the load balancer should send callers to this daemon.
 bool IsReady(const EntryBoard& board, Micros now);
 
--- a/pool/entry_choices.cc
+++ b/pool/entry_choices.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 
 #include "pool/entry.h"
+#include "pool/load_report.h"
+#include "pool/pool_choice.h"
 
 namespace goldcrest {
 
@@ -46,4 +48,58 @@
   return best && std::get<0>(best_rank) ? best : std::nullopt;
 }
 
+std::optional<std::string> ChooseControlForOrder(
+    const EntryBoard& board,
+    const wire::JobOrder& order,
+    Micros now,
+    const std::set<std::string>& tried) {
+  const Mesh& mesh = board.pool.mesh;
+  if (!board.options.features.move_waiting_jobs) {
+    return ChooseControl(mesh, now, tried);
+  }
+  const InitialTasks initial = InitialTasksOf(order);
+  std::vector<std::string> addresses;
+  std::vector<PoolOffer> offers;
+  for (const auto& [address, member] : mesh.members) {
+    const wire::Presence& presence = member.last_heartbeat;
+    if (!presence.control() || presence.draining() || tried.contains(address) ||
+        presence.load().workers() == 0 || !IsLoadFresh(member, now) ||
+        !IsPeerReachable(mesh, address, now)) {
+      continue;
+    }
+    addresses.push_back(address);
+    offers.push_back(MakePoolOffer(member, initial, order.priority(),
+                                   mesh.options, order.job_id()));
+  }
+  const std::optional<size_t> chosen = ChoosePool(offers);
+  return chosen ? addresses[*chosen] : ChooseControl(mesh, now, tried);
+}
+
+void AddSentJob(const EntryBoard& board,
+                const wire::JobOrder& order,
+                MeshMember& control) {
+  if (board.options.features.move_waiting_jobs) {
+    AddJobToLoad(*control.last_heartbeat.mutable_load(), InitialTasksOf(order),
+                 order.priority(), 1);
+  }
+}
+
+bool ApplyJobMoved(PendingJob& job,
+                   const wire::JobMoved& moved,
+                   const std::string& from,
+                   Micros now) {
+  if (moved.moves() == 0) {
+    return true;  // no confirmation follows
+  }
+  const bool confirms = from == moved.to();
+  const bool outdated = confirms ? moved.moves() < job.message.moves()
+                                 : moved.moves() <= job.message.moves();
+  if (job.start_permitted || outdated) {
+    return false;
+  }
+  job.message.set_moves(moved.moves());
+  job.transfer_since = confirms ? 0 : now;
+  return true;
+}
+
 }  // namespace goldcrest
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -74,7 +74,8 @@
   job->key = JobKeyOf(order);
   job->order = order;
   job->sequence = board.next_sequence++;
-  job->received_at = now;
+  job->received_at = now - order.waited_ms() * kMillisecond;
+  job->accepted_at = now;
   job->last_contact_at = now;
   job->deadline = now + order.budget_ms() * kMillisecond;
   Micros sequential_run_time = 0;
@@ -87,7 +88,7 @@
     sequential_run_time += new_step.expected_run_time;
   }
   job->objective_at =
-      now +
+      job->received_at +
       static_cast<Micros>(order.stretch() *
                           static_cast<double>(sequential_run_time)) +
       order.target_ms() * kMillisecond;
@@ -204,6 +205,7 @@
     return;
   }
   if (AttachToExistingJob(board, order, now, actions)) {
+    ConfirmForwardedOrder(board, order, actions);
     return;
   }
   // An entry daemon that is a standby knows the workers of its own failure
@@ -237,7 +239,8 @@
   }
   if (estimate > budget) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
-                  RetryAfterMs(estimate, budget), false, actions);
+                  RetryAfterMs(estimate, budget),
+                  order.forwarded() && order.moves() > 0, actions);
     return;
   }
   LogAccepted(board, *job, estimate, actions);
@@ -245,6 +248,7 @@
   PoolJob& stored_job = *job;
   board.jobs[stored_job.key] = std::move(job);
   QueueUnblockedTasks(board, stored_job);
+  ConfirmForwardedOrder(board, order, actions);
 }
 
 }  // namespace goldcrest
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -2,28 +2,15 @@
 
 #include <algorithm>
 
+#include "pool/load_report.h"
+#include "pool/pool_choice.h"
+
 namespace goldcrest {
 namespace {
 
 // A job is forwarded if the neighbour's wait plus the forwarding delay is at
 // least this many times shorter than the wait here.
 constexpr int64_t kMinWaitRatio = 2;
-// Delay that is assumed for forwarding a job.
-constexpr int64_t kForwardingDelayMs = 20;
-// The wait that is assumed at this daemon while it drains.
-constexpr int64_t kDrainingWaitMs = 10'000;
-
-// Returns the CPU demand, in thousandths of a core, of the steps that can start
-// at once.
-int64_t InitialCpuDemand(const wire::JobOrder& order) {
-  int64_t cpu = 0;
-  for (const wire::JobStep& step : order.steps()) {
-    if (step.after_size() == 0) {
-      cpu += static_cast<int64_t>(step.tasks()) * step.cpu_millis();
-    }
-  }
-  return cpu;
-}
 
 // Returns the neighbour with the shortest queue, if that is so much shorter
 // than the queue of this pool that it outweighs the forwarding delay; else
@@ -31,13 +18,13 @@
 MeshMember* FindNeighbourWithShorterQueue(PoolBoard& board, Micros now) {
   MeshMember* best = nullptr;
   const int64_t own_wait_ms =
-      board.draining ? kDrainingWaitMs : board.mesh.load.wait_ms();
+      board.draining ? kNoServiceWaitMs : board.mesh.load.wait_ms();
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.last_heartbeat.load();
-    const bool eligible =
-        member.last_heartbeat.control() && !member.last_heartbeat.draining() &&
-        load.workers() > 0 && IsLoadFresh(member, now) &&
-        kMinWaitRatio * (load.wait_ms() + kForwardingDelayMs) < own_wait_ms;
+    const bool eligible = member.last_heartbeat.control() &&
+                          !member.last_heartbeat.draining() &&
+                          load.workers() > 0 && IsLoadFresh(member, now) &&
+                          OutweighsForwarding(load.wait_ms(), own_wait_ms);
     if (eligible && (best == nullptr ||
                      load.wait_ms() < best->last_heartbeat.load().wait_ms())) {
       best = &member;
@@ -52,7 +39,7 @@
                                       const wire::JobOrder& order,
                                       Micros now) {
   MeshMember* best = nullptr;
-  const int64_t cpu = InitialCpuDemand(order);
+  const int64_t cpu = InitialTasksOf(order).cpu_millis;
   for (auto& [address, member] : board.mesh.members) {
     const wire::PoolLoad& load = member.last_heartbeat.load();
     const bool eligible = member.last_heartbeat.control() &&
@@ -68,49 +55,139 @@
   return best;
 }
 
-void Forward(PoolBoard& board,
-             const wire::JobOrder& order,
-             MeshMember& to,
-             PoolActions& actions) {
+// Returns the wait of a job of this priority that is queued here now.
+int64_t OwnWaitMs(const PoolBoard& board, int32_t priority, Micros now) {
+  const int64_t cpu = WorkingCpuMillis(board, now);
+  if (board.draining || cpu == 0) {
+    return kNoServiceWaitMs;
+  }
+  // Computed anew, since the reported load is updated on ticks only and jobs
+  // of a burst arrive between them.
+  int64_t work = 0;
+  for (const auto& [key, waiting] : board.waiting) {
+    if (key.expected_lateness != ExpectedLateness::kOnTime) {
+      break;
+    }
+    work += key.priority <= priority ? WorkOf(key, *waiting.job) : 0;
+  }
+  return work / cpu;
+}
+
+// Returns the neighbour that can start all of the job at once, or that has so
+// much shorter a wait for its priority that it outweighs the cost; else null.
+MeshMember* FindBetterNeighbour(PoolBoard& board,
+                                const wire::JobOrder& order,
+                                Micros now) {
+  if (MovesOf(order) >= kMaxMoves) {
+    return nullptr;
+  }
+  const InitialTasks initial = InitialTasksOf(order);
+  const int64_t own_wait_ms = OwnWaitMs(board, order.priority(), now);
+  std::vector<MeshMember*> neighbours;
+  std::vector<PoolOffer> offers;
+  for (MeshMember* member : FindAvailableNeighbours(board, now)) {
+    const PoolOffer offer = MakePoolOffer(*member, initial, order.priority(),
+                                          board.mesh.options, order.job_id());
+    if (offer.holds_at_once ||
+        OutweighsForwarding(offer.wait_ms, own_wait_ms)) {
+      neighbours.push_back(member);
+      offers.push_back(offer);
+    }
+  }
+  const std::optional<size_t> chosen = ChoosePool(offers);
+  return chosen ? neighbours[*chosen] : nullptr;
+}
+
+}  // namespace
+
+void SendForwardedOrder(PoolBoard& board,
+                        const wire::JobOrder& order,
+                        MeshMember& to,
+                        Micros waited,
+                        PoolActions& actions) {
   ++board.counters.jobs_forwarded;
+  const wire::PoolLoad& load = to.last_heartbeat.load();
+  // Only a receiver with this feature confirms.
+  const uint32_t moves =
+      board.options.features.move_waiting_jobs && StatesHolesAndWaits(load)
+          ? MovesOf(order) + 1
+          : 0;
   wire::PoolMessage message;
-  *message.mutable_job_order() = order;
-  message.mutable_job_order()->set_forwarded(true);
-  message.mutable_job_order()->set_seen_sequence(to.last_heartbeat.sequence());
+  wire::JobOrder& forwarded = *message.mutable_job_order();
+  forwarded = order;
+  forwarded.set_forwarded(true);
+  forwarded.set_seen_sequence(to.last_heartbeat.sequence());
+  forwarded.set_moves(moves);
+  forwarded.set_waited_ms(static_cast<uint32_t>(waited / kMillisecond));
   SendTo(actions, to.address, std::move(message));
   wire::PoolMessage moved;
   moved.mutable_job_moved()->set_order(order.order());
   moved.mutable_job_moved()->set_to(to.address);
+  moved.mutable_job_moved()->set_moves(moves);
   SendTo(actions, order.entry(), std::move(moved));
-  LogPoolEvent(actions, LogLevel::kInfo, "job_forwarded",
-               {{"job", order.job_id()},
-                {"to", to.address},
-                {"their_free_cpu_millis",
-                 std::to_string(to.last_heartbeat.load().free_cpu_millis())},
-                {"waiting_here", std::to_string(board.waiting.size())}});
-  // Until the neighbour's next heartbeat, its known load is adjusted by the
-  // forwarded job.
-  wire::PoolLoad& load = *to.last_heartbeat.mutable_load();
-  const int64_t cpu = InitialCpuDemand(order);
-  const int64_t work_ms = cpu * order.steps(0).estimate_ms();
-  load.set_free_cpu_millis(load.free_cpu_millis() - cpu);
-  load.set_wait_ms(load.wait_ms() +
-                   work_ms / std::max<int64_t>(load.capacity_cpu_millis(), 1));
 }
 
-}  // namespace
+void ConfirmForwardedOrder(const PoolBoard& board,
+                           const wire::JobOrder& order,
+                           PoolActions& actions) {
+  if (order.moves() == 0) {
+    return;
+  }
+  wire::PoolMessage message;
+  message.mutable_job_moved()->set_order(order.order());
+  message.mutable_job_moved()->set_to(board.mesh.options.self);
+  message.mutable_job_moved()->set_moves(order.moves());
+  SendTo(actions, order.entry(), std::move(message));
+}
+
+uint32_t MovesOf(const wire::JobOrder& order) {
+  return std::max<uint32_t>(order.moves(), order.forwarded() ? 1 : 0);
+}
+
+std::vector<MeshMember*> FindAvailableNeighbours(PoolBoard& board, Micros now) {
+  std::vector<MeshMember*> available;
+  for (auto& [address, member] : board.mesh.members) {
+    const wire::Presence& heartbeat = member.last_heartbeat;
+    if (heartbeat.control() && !heartbeat.draining() &&
+        heartbeat.load().workers() > 0 && IsLoadFresh(member, now)) {
+      available.push_back(&member);
+    }
+  }
+  return available;
+}
+
+bool OutweighsForwarding(int64_t their_wait_ms, int64_t own_wait_ms) {
+  return kMinWaitRatio * (their_wait_ms + kForwardingCostMs) < own_wait_ms;
+}
 
 bool ForwardJob(PoolBoard& board,
                 const wire::JobOrder& order,
                 Micros now,
                 PoolActions& actions) {
-  MeshMember* neighbour = FindNeighbourWithCapacity(board, order, now);
-  neighbour = neighbour != nullptr ? neighbour
-                                   : FindNeighbourWithShorterQueue(board, now);
+  MeshMember* neighbour = nullptr;
+  if (board.options.features.move_waiting_jobs) {
+    neighbour = FindBetterNeighbour(board, order, now);
+  } else {
+    neighbour = FindNeighbourWithCapacity(board, order, now);
+    neighbour = neighbour != nullptr
+                    ? neighbour
+                    : FindNeighbourWithShorterQueue(board, now);
+  }
   if (neighbour == nullptr) {
     return false;
   }
-  Forward(board, order, *neighbour, actions);
+  SendForwardedOrder(board, order, *neighbour, order.waited_ms() * kMillisecond,
+                     actions);
+  wire::PoolLoad& load = *neighbour->last_heartbeat.mutable_load();
+  LogPoolEvent(
+      actions, LogLevel::kInfo, "job_forwarded",
+      {{"job", order.job_id()},
+       {"to", neighbour->address},
+       {"their_free_cpu_millis", std::to_string(load.free_cpu_millis())},
+       {"waiting_here", std::to_string(board.waiting.size())}});
+  // Until the neighbour's next heartbeat, its known load is adjusted by the
+  // forwarded job.
+  AddJobToLoad(load, InitialTasksOf(order), order.priority(), 1);
   return true;
 }
 
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -283,7 +283,10 @@
   std::string key;  // unique for an order: entry daemon, incarnation, number
   wire::JobOrder order;
   uint64_t sequence = 0;  // order of arrival; breaks ties among waiting tasks
+  // When a control daemon first received the job, and when this one accepted
+  // it. They differ if the job was forwarded.
   Micros received_at = 0;
+  Micros accepted_at = 0;
   Micros deadline = 0;      // when the caller's timeout expires
   Micros objective_at = 0;  // latency objective
   std::vector<PoolJobStep> steps;
@@ -327,6 +330,8 @@
   std::map<std::string, uint64_t> attempt_ends;
   uint64_t jobs_received = 0;
   uint64_t jobs_forwarded = 0;
+  // Jobs forwarded after admission; a part of jobs_forwarded.
+  uint64_t waiting_jobs_moved = 0;
   uint64_t starts = 0;
   uint64_t reconciliations = 0;
   uint64_t ejections = 0;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -257,23 +257,31 @@
   board.placement_due = true;
 }
 
-void EndJob(PoolBoard& board,
-            const std::string& key,
-            wire::JobFate fate,
-            const std::string& reason,
-            Micros now,
-            PoolActions& actions) {
+std::unique_ptr<PoolJob> RemoveJob(PoolBoard& board, const std::string& key) {
   const auto found = board.jobs.find(key);
   if (found == board.jobs.end()) {
-    return;
+    return nullptr;
   }
-  const std::unique_ptr<PoolJob> job = std::move(found->second);
+  std::unique_ptr<PoolJob> job = std::move(found->second);
   board.jobs.erase(found);
   RemoveFromQueue(board, *job);
   const auto by_id = board.job_keys.find(job->order.job_id());
   if (by_id != board.job_keys.end() && by_id->second == key) {
     board.job_keys.erase(by_id);
   }
+  return job;
+}
+
+void EndJob(PoolBoard& board,
+            const std::string& key,
+            wire::JobFate fate,
+            const std::string& reason,
+            Micros now,
+            PoolActions& actions) {
+  const std::unique_ptr<PoolJob> job = RemoveJob(board, key);
+  if (job == nullptr) {
+    return;
+  }
   ++board.counters.jobs_ended[std::string(ToString(fate))];
   const Micros waited =
       job->started ? job->first_start_at - job->received_at : 0;
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -14,6 +14,7 @@
 // given the permission therefore knows that the job has not run, even if this
 // control daemon fails.
 
+#include <memory>
 #include <string>
 
 #include "pool/pool_board.h"
@@ -47,6 +48,10 @@
             Micros now,
             PoolActions& actions);
 
+// Removes a job and its waiting tasks without a report, and returns it; null if
+// there is none with this key. Running attempts are not stopped.
+std::unique_ptr<PoolJob> RemoveJob(PoolBoard& board, const std::string& key);
+
 // Handles the end of an attempt. `never_ran` means that the attempt certainly
 // never started.
 void OnAttemptEnded(PoolBoard& board,
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -2,6 +2,7 @@
 
 #include "pool/job_admission.h"
 #include "pool/load_report.h"
+#include "pool/pool_balance.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/stragglers.h"
@@ -236,6 +237,7 @@
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
   }
+  BalanceTick(board, now, actions);
   board.placement_due = true;  // the ejection of a worker may have ended
   UpdateLoad(board, now);
 }
--- a/pool/pool_step.h
+++ b/pool/pool_step.h
@@ -89,9 +89,9 @@
                         PoolActions& actions);
 
 // Reviews worker ownership, updates jobs (deadlines, start permissions, order
-// of waiting tasks), moves stragglers, sends the lease renewals and
-// reconciliation orders that are due, and updates the reported load. Shared by
-// control daemons and entry daemons; called when time advances.
+// of waiting tasks), moves stragglers and waiting jobs, sends the lease
+// renewals and reconciliation orders that are due, and updates the reported
+// load. Shared by control daemons and entry daemons; called when time advances.
 void RunDuePoolWork(PoolBoard& board, Micros now, PoolActions& actions);
 
 // Detects a pause of the process of at least `pause_threshold` since the last
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -591,5 +591,16 @@
   }
 }
 
+// A job that moves between control daemons that crash must not run twice.
+TEST_CASE("Pool: random faults violate no invariant when waiting jobs move") {
+  for (uint64_t seed = 201; seed <= 208; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.features.move_waiting_jobs = true;
+    InjectRandomFaults(options);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
