Move jobs whose start permission is unused, too

Cause: after FakePool's drain of a full pool, 13 of 40 jobs had requested their permission, could not move, and waited 3 s beside idle pools. Change: a move returns the start permission: JobAsk, JobGo and JobMoved state the number of moves of the order, the entry daemon takes a later move as the return of an unused permission, and a control daemon ignores a permission from before a move. Only entry daemons that state this (JobOrder.permits_by_move) have their jobs moved. A job that has been at the head of the queue for long moves to a pool that can hold all of it.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -151,6 +151,7 @@
       NewestHeartbeatSequence(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
   if (board.options.features.move_waiting_jobs) {
+    pending.message.set_permits_by_move(true);
     pending.message.set_waited_ms(
         static_cast<uint32_t>((now - pending.received_at) / kMillisecond));
   }
@@ -331,6 +332,7 @@
   PendingJob& job = node.mapped();
   job.order_number = number;
   job.message.set_order(number);
+  job.message.set_moves(0);
   job.start_permitted = false;
   job.transfer_since = 0;
   if (job.token != kNoToken) {
@@ -387,6 +389,10 @@
     return;
   }
   PendingJob& job = found->second;
+  if (ask.moves() < job.message.moves()) {
+    return;  // sent before the job was moved from there
+  }
+  job.message.set_moves(ask.moves());
   job.control_address = message.from();
   job.control_incarnation = message.incarnation();
   if (job.cancelling) {
@@ -398,6 +404,7 @@
   wire::PoolMessage answer;
   answer.mutable_job_go()->set_order(job.order_number);
   answer.mutable_job_go()->set_job_id(job.job_id);
+  answer.mutable_job_go()->set_moves(ask.moves());
   SendTo(actions, job.control_address, std::move(answer));
 }
 
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -211,8 +211,9 @@
     const std::set<std::string>& tried = {});
 
 // Records in a pending job that its control daemon `from` has forwarded it, or
-// that the receiver `from` confirms it. Returns false if the message is older
-// than what is known, and then changes nothing.
+// that the receiver `from` confirms it. A start permission of the previous
+// control daemon is thereby returned unused. Returns false if the message is
+// older than what is known, and then changes nothing.
 bool ApplyJobMoved(PendingJob& job,
                    const wire::JobMoved& moved,
                    const std::string& from,
--- a/pool/entry_choices.cc
+++ b/pool/entry_choices.cc
@@ -94,9 +94,14 @@
   const bool confirms = from == moved.to();
   const bool outdated = confirms ? moved.moves() < job.message.moves()
                                  : moved.moves() <= job.message.moves();
-  if (job.start_permitted || outdated) {
+  if (outdated) {
     return false;
   }
+  if (moved.moves() > job.message.moves()) {
+    // A job moves only if it has not started, and its previous control daemon
+    // has forgotten it.
+    job.start_permitted = false;
+  }
   job.message.set_moves(moved.moves());
   job.transfer_since = confirms ? 0 : now;
   return true;
--- a/pool/pool_balance.cc
+++ b/pool/pool_balance.cc
@@ -12,8 +12,8 @@
 
 bool IsMovable(const PoolJob& job, const BalanceLimits& limits, Micros now) {
   const uint32_t moves = MovesOf(job.order);
-  return !job.started && !job.start_permitted &&
-         job.first_permission_request_at == 0 && moves < limits.moves_per_job &&
+  return !job.started && job.order.permits_by_move() &&
+         moves < limits.moves_per_job &&
          (moves == 0 || now - job.accepted_at >= limits.min_stay);
 }
 
@@ -34,16 +34,18 @@
   movable.priority = job.order.priority();
   movable.on_time = job.expected_lateness == ExpectedLateness::kOnTime;
   movable.wait_ms = wait_ms;
+  movable.stuck_ms =
+      job.first_permission_request_at != 0
+          ? (now - job.first_permission_request_at) / kMillisecond
+          : 0;
   movable.longest_wait_ms =
       (job.deadline - now - SequentialRunTime(job)) / kMillisecond;
   return movable;
 }
 
-// Returns how long the job would wait in a pool with this load.
-int64_t WaitThereMs(const wire::PoolLoad& load, const MovableJob& job) {
-  if (HoldsAtOnce(load, job.initial)) {
-    return 0;
-  }
+// Returns how long the job would wait in a pool with this load that cannot hold
+// all of it.
+int64_t QueueWaitMs(const wire::PoolLoad& load, const MovableJob& job) {
   // A late job is placed after all that can be on time, so it may wait for the
   // whole queue.
   return job.on_time ? ExpectedWaitMs(load, job.priority) : load.wait_ms();
@@ -57,16 +59,19 @@
   std::vector<PoolOffer> offers;
   for (size_t i = 0; i < targets.size(); ++i) {
     const MeshMember& member = *targets[i].member;
-    const int64_t wait_ms = WaitThereMs(member.last_heartbeat.load(), job);
-    if (!OutweighsForwarding(wait_ms, job.wait_ms) ||
-        wait_ms + kForwardingCostMs > job.longest_wait_ms) {
-      continue;
-    }
     PoolOffer offer =
         MakePoolOffer(member, job.initial, job.priority, self, job.job_id);
-    offer.wait_ms = wait_ms;
-    offers.push_back(offer);
-    moves.push_back({0, i, wait_ms});
+    offer.wait_ms = offer.holds_at_once
+                        ? 0
+                        : QueueWaitMs(member.last_heartbeat.load(), job);
+    // A job that does not fit here may not fit into another full pool either.
+    const int64_t own_wait_ms =
+        offer.holds_at_once ? std::max(job.wait_ms, job.stuck_ms) : job.wait_ms;
+    if (OutweighsForwarding(offer.wait_ms, own_wait_ms) &&
+        offer.wait_ms + kForwardingCostMs <= job.longest_wait_ms) {
+      offers.push_back(offer);
+      moves.push_back({0, i, offer.wait_ms});
+    }
   }
   const std::optional<size_t> chosen = ChoosePool(offers);
   return chosen ? std::optional(moves[*chosen]) : std::nullopt;
@@ -112,6 +117,7 @@
                 {"to", to.address},
                 {"waited_ms", std::to_string(waited / kMillisecond)},
                 {"wait_here_ms", std::to_string(movable.wait_ms)},
+                {"stuck_ms", std::to_string(movable.stuck_ms)},
                 {"wait_there_ms", std::to_string(move.their_wait_ms)},
                 {"moves", std::to_string(MovesOf(job->order) + 1)},
                 {"budget_ms", std::to_string(job->order.budget_ms())},
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -236,6 +236,7 @@
   wire::PoolMessage message;
   message.mutable_job_ask()->set_order(job.order.order());
   message.mutable_job_ask()->set_job_id(job.order.job_id());
+  message.mutable_job_ask()->set_moves(job.order.moves());
   SendTo(actions, job.order.entry(), std::move(message));
 }
 
@@ -250,6 +251,11 @@
       job->order.entry() != entry) {
     return;  // the job has ended, or belongs to another order
   }
+  // A permission from before the job was moved away and back is void: the entry
+  // daemon counts it as returned.
+  if (job->order.permits_by_move() && job->order.moves() != go.moves()) {
+    return;
+  }
   job->start_permitted = true;
   // The entry daemon may have answered any of the repeated requests, so only
   // the time of the first is certain to be no later than its answer.
