--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -156,6 +156,8 @@
                std::to_string(board.counters.jobs_received));
   AppendMetric(text, "jobs_forwarded_total", "counter",
                std::to_string(board.counters.jobs_forwarded));
+  AppendMetric(text, "waiting_jobs_moved_total", "counter",
+               std::to_string(board.counters.waiting_jobs_moved));
   AppendByLabel(text, "jobs_ended_total", "fate", board.counters.jobs_ended);
   AppendByLabel(text, "worker_orders_total", "outcome",
                 board.counters.order_outcomes);
@@ -173,6 +175,12 @@
                std::to_string(board.mesh.load.workers()));
   AppendMetric(text, "free_cpu_millis", "gauge",
                std::to_string(board.mesh.load.free_cpu_millis()));
+  AppendType(text, "expected_wait_seconds", "gauge");
+  for (const wire::PriorityWait& wait : board.mesh.load.waits()) {
+    AppendValue(text, "expected_wait_seconds",
+                "{priority=\"" + std::to_string(wait.priority()) + "\"}",
+                Seconds(wait.wait_ms() * kMillisecond));
+  }
   AppendMetric(text, "configuration_version", "gauge",
                std::to_string(board.agreement.committed.routing().version()));
   AppendMetric(text, "agreement_term", "gauge",
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -495,7 +495,8 @@
 // Injects crashes, pauses, network cuts, full disks and late orders at random.
 // Checks the invariants throughout, and after a time without faults that all
 // workers are ready and all jobs complete again.
-void InjectRandomFaults(const FakePoolOptions& options) {
+void InjectRandomFaults(const FakePoolOptions& options,
+                        Micros gap = 15 * kMillisecond) {
   const uint64_t seed = options.seed;
   FakePool pool(options);
   WaitUntilServing(pool);
@@ -535,8 +536,7 @@
     }
     ChangeResult result = ChangeResult::kUnknown;
     pool.ChangeConfiguration(random() % 3, version, &result);
-    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
-               15 * kMillisecond);
+    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond, gap);
     pool.Run(1500 * kMillisecond);
     acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
     ++version;
@@ -598,7 +598,8 @@
     FakePoolOptions options;
     options.seed = seed;
     options.features.move_waiting_jobs = true;
-    InjectRandomFaults(options);
+    // More than the pools can serve, so that jobs wait.
+    InjectRandomFaults(options, 7 * kMillisecond);
   }
 }
 
