Entry daemons choose a pool of their own domain; place late moves behind

A moved job that was late already was queued as on time until the next tick. Change: the choice is among the own failure domain while one of its control daemons with workers is heard; control daemons forward. A forwarded job enters the queue with its lateness.

--- a/pool/entry_choices.cc
+++ b/pool/entry_choices.cc
@@ -8,6 +8,31 @@
 #include "pool/pool_choice.h"
 
 namespace goldcrest {
+namespace {
+
+// Returns the control daemons that accept jobs and whose load is recent, except
+// those in `tried`.
+std::vector<const MeshMember*> FindCandidates(
+    const Mesh& mesh,
+    Micros now,
+    const std::set<std::string>& tried,
+    bool own_domain_only) {
+  std::vector<const MeshMember*> candidates;
+  for (const auto& [address, member] : mesh.members) {
+    const wire::Presence& presence = member.last_heartbeat;
+    const bool in_domain = !own_domain_only || presence.failure_domain() ==
+                                                   mesh.options.failure_domain;
+    const bool accepts_jobs = presence.control() && !presence.draining() &&
+                              presence.load().workers() > 0;
+    if (in_domain && accepts_jobs && !tried.contains(address) &&
+        IsLoadFresh(member, now) && IsPeerReachable(mesh, address, now)) {
+      candidates.push_back(&member);
+    }
+  }
+  return candidates;
+}
+
+}  // namespace
 
 const wire::Queue* FindQueue(const wire::Routing& routing,
                              const std::string& host,
@@ -57,22 +82,23 @@
   if (!board.options.features.move_waiting_jobs) {
     return ChooseControl(mesh, now, tried);
   }
+  // Heartbeats from other domains come at the reduced rate. The control daemons
+  // of this domain have newer loads of them, and forward the job if one of them
+  // is better.
+  std::vector<const MeshMember*> candidates =
+      FindCandidates(mesh, now, tried, true);
+  if (candidates.empty()) {
+    candidates = FindCandidates(mesh, now, tried, false);
+  }
   const InitialTasks initial = InitialTasksOf(order);
-  std::vector<std::string> addresses;
   std::vector<PoolOffer> offers;
-  for (const auto& [address, member] : mesh.members) {
-    const wire::Presence& presence = member.last_heartbeat;
-    if (!presence.control() || presence.draining() || tried.contains(address) ||
-        presence.load().workers() == 0 || !IsLoadFresh(member, now) ||
-        !IsPeerReachable(mesh, address, now)) {
-      continue;
-    }
-    addresses.push_back(address);
-    offers.push_back(MakePoolOffer(member, initial, order.priority(),
+  for (const MeshMember* candidate : candidates) {
+    offers.push_back(MakePoolOffer(*candidate, initial, order.priority(),
                                    mesh.options, order.job_id()));
   }
   const std::optional<size_t> chosen = ChoosePool(offers);
-  return chosen ? addresses[*chosen] : ChooseControl(mesh, now, tried);
+  return chosen ? candidates[*chosen]->address
+                : ChooseControl(mesh, now, tried);
 }
 
 void AddSentJob(const EntryBoard& board,
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -92,6 +92,9 @@
       static_cast<Micros>(order.stretch() *
                           static_cast<double>(sequential_run_time)) +
       order.target_ms() * kMillisecond;
+  // A forwarded job may already be late, and then has its place behind others.
+  job->expected_lateness = order.waited_ms() > 0 ? ExpectedLatenessOf(*job, now)
+                                                 : ExpectedLateness::kOnTime;
   return job;
 }
 
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -75,18 +75,6 @@
   return expected;
 }
 
-// Returns how late a job will be if it starts now.
-ExpectedLateness ExpectedLatenessOf(const PoolJob& job, Micros now) {
-  const Micros expected = RemainingSequentialRunTime(job);
-  const Micros objective = job.objective_at - job.received_at;
-  if (now + expected <= job.objective_at) {
-    return ExpectedLateness::kOnTime;
-  }
-  return now + expected <= job.received_at + kLateObjectiveFactor * objective
-             ? ExpectedLateness::kLate
-             : ExpectedLateness::kVeryLate;
-}
-
 // Moves the job's waiting tasks to the place in the queue for `lateness`.
 void MoveInQueue(PoolBoard& board, PoolJob& job, ExpectedLateness lateness) {
   RemoveFromQueue(board, job);
@@ -194,6 +182,17 @@
   }
 }
 
+ExpectedLateness ExpectedLatenessOf(const PoolJob& job, Micros now) {
+  const Micros expected = RemainingSequentialRunTime(job);
+  const Micros objective = job.objective_at - job.received_at;
+  if (now + expected <= job.objective_at) {
+    return ExpectedLateness::kOnTime;
+  }
+  return now + expected <= job.received_at + kLateObjectiveFactor * objective
+             ? ExpectedLateness::kLate
+             : ExpectedLateness::kVeryLate;
+}
+
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key) {
   const auto found = board.jobs.find(key);
   return found == board.jobs.end() ? nullptr : found->second.get();
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -91,6 +91,9 @@
 // Adds a task to the queue of waiting tasks.
 void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index);
 
+// Returns how late a job will be if it starts now.
+ExpectedLateness ExpectedLatenessOf(const PoolJob& job, Micros now);
+
 // Returns the job with this key, or null.
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key);
 
