Compute the hash of an offer only for pools worth moving to

Cause: each tick hashed every pair of a waiting job and a pool; an order without steps would have been read out of bounds.

--- a/pool/entry_choices.cc
+++ b/pool/entry_choices.cc
@@ -92,6 +92,7 @@
   }
   const InitialTasks initial = InitialTasksOf(order);
   std::vector<PoolOffer> offers;
+  offers.reserve(candidates.size());
   for (const MeshMember* candidate : candidates) {
     offers.push_back(MakePoolOffer(*candidate, initial, order.priority(),
                                    mesh.options, order.job_id()));
--- a/pool/load_report.cc
+++ b/pool/load_report.cc
@@ -207,6 +207,9 @@
 
 InitialTasks InitialTasksOf(const wire::JobOrder& order) {
   InitialTasks initial;
+  if (order.steps().empty()) {
+    return initial;
+  }
   for (const wire::JobStep& step : order.steps()) {
     if (step.after_size() > 0) {
       continue;
--- a/pool/pool_balance.cc
+++ b/pool/pool_balance.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "pool/pool_choice.h"
@@ -51,6 +52,20 @@
   return job.on_time ? ExpectedWaitMs(load, job.priority) : load.wait_ms();
 }
 
+// Returns the wait of the job in a pool with this load, or nullopt if a move
+// there does not outweigh its cost.
+std::optional<int64_t> WaitIfWorthMoving(const wire::PoolLoad& load,
+                                         const MovableJob& job) {
+  const bool holds_at_once = HoldsAtOnce(load, job.initial);
+  const int64_t wait_ms = holds_at_once ? 0 : QueueWaitMs(load, job);
+  // A job that does not fit here may not fit into another full pool either.
+  const int64_t own_wait_ms =
+      holds_at_once ? std::max(job.wait_ms, job.stuck_ms) : job.wait_ms;
+  const bool worth_it = OutweighsForwarding(wait_ms, own_wait_ms) &&
+                        wait_ms + kForwardingCostMs <= job.longest_wait_ms;
+  return worth_it ? std::optional(wait_ms) : std::nullopt;
+}
+
 // Returns the target for the job, or nullopt if no move outweighs its cost.
 std::optional<JobMove> ChooseTarget(const MovableJob& job,
                                     const std::vector<BalanceTarget>& targets,
@@ -59,18 +74,14 @@
   std::vector<PoolOffer> offers;
   for (size_t i = 0; i < targets.size(); ++i) {
     const MeshMember& member = *targets[i].member;
-    PoolOffer offer =
-        MakePoolOffer(member, job.initial, job.priority, self, job.job_id);
-    offer.wait_ms = offer.holds_at_once
-                        ? 0
-                        : QueueWaitMs(member.last_heartbeat.load(), job);
-    // A job that does not fit here may not fit into another full pool either.
-    const int64_t own_wait_ms =
-        offer.holds_at_once ? std::max(job.wait_ms, job.stuck_ms) : job.wait_ms;
-    if (OutweighsForwarding(offer.wait_ms, own_wait_ms) &&
-        offer.wait_ms + kForwardingCostMs <= job.longest_wait_ms) {
-      offers.push_back(offer);
-      moves.push_back({0, i, offer.wait_ms});
+    const std::optional<int64_t> wait_ms =
+        WaitIfWorthMoving(member.last_heartbeat.load(), job);
+    // The offer's hash is costly, so it is computed last.
+    if (wait_ms) {
+      offers.push_back(
+          MakePoolOffer(member, job.initial, job.priority, self, job.job_id));
+      offers.back().wait_ms = *wait_ms;
+      moves.push_back({0, i, *wait_ms});
     }
   }
   const std::optional<size_t> chosen = ChoosePool(offers);
@@ -134,18 +145,18 @@
   const bool serves = cpu > 0 && !board.draining;
   int64_t work = 0;  // of the tasks that are placed earlier
   size_t considered = 0;
-  const PoolJob* previous = nullptr;
+  uint64_t previous_job = 0;  // its sequence number; 0: none
   for (const auto& [key, waiting] : board.waiting) {
     if (considered++ == limits.tasks_per_tick) {
       break;
     }
     const PoolJob& job = *waiting.job;
     // The tasks of a job are next to each other in the queue.
-    if (&job != previous && IsMovable(job, limits, now)) {
+    if (key.sequence != previous_job && IsMovable(job, limits, now)) {
       movable.push_back(
           MakeMovableJob(job, serves ? work / cpu : kNoServiceWaitMs, now));
     }
-    previous = &job;
+    previous_job = key.sequence;
     work += WorkOf(key, job);
   }
   return movable;
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -12,7 +12,8 @@
 // It is requested when the job is close to the head of the queue, which costs
 // one message each way and occupies no capacity. An entry daemon that has not
 // given the permission therefore knows that the job has not run, even if this
-// control daemon fails.
+// control daemon fails. A job that moves to another control daemon before it
+// starts returns its permission (pool_balance.h).
 
 #include <memory>
 #include <string>
--- a/pool/testing/pool_balance_test.cc
+++ b/pool/testing/pool_balance_test.cc
@@ -93,6 +93,8 @@
   UpdateLoad(board, kSecond);
   CHECK(board.mesh.load.holes_size() <= 8);
   CHECK(board.mesh.load.waits_size() <= 8);
+  // It is in each heartbeat, 10 times a second to 43 daemons.
+  CHECK(board.mesh.load.ByteSizeLong() <= 160);
   CHECK(ExpectedWaitMs(board.mesh.load, -1) == 0);
   CHECK(ExpectedWaitMs(board.mesh.load, 0) <
         ExpectedWaitMs(board.mesh.load, 3));
@@ -136,6 +138,7 @@
         MeshOptions self;
         self.self = "entry" + std::to_string(entry);
         std::vector<PoolOffer> offers;
+        offers.reserve(pools.size());
         for (const MeshMember& pool : pools) {
           offers.push_back(
               MakePoolOffer(pool, job, 0, self, "j" + std::to_string(i)));
