Test which pools an entry daemon chooses among

Change: a case for the own domain first, another one if the own was tried, and loads that are too old.

--- a/pool/testing/pool_balance_test.cc
+++ b/pool/testing/pool_balance_test.cc
@@ -167,6 +167,29 @@
                     MakePoolOffer(filled, job, 0, self, "job")}) == 0);
 }
 
+// Loads of other domains are older: jobs went to pools that had become full.
+TEST_CASE(
+    "EntryChoices: another domain is chosen only if the own has no pool") {
+  EntryOptions options;
+  options.features.move_waiting_jobs = true;
+  MeshOptions mesh;
+  mesh.failure_domain = "a";
+  EntryBoard board = MakeEntryBoard(options, mesh);
+  auto& members = board.pool.mesh.members;
+  members["own"] = Neighbour("own", 0, 500, kSecond);
+  members["own"].last_heartbeat.set_failure_domain("a");
+  members["other"] = Neighbour("other", 40, 0, kSecond);
+  members["own"].last_received_at = kSecond;
+  members["other"].last_received_at = kSecond;
+  const wire::JobOrder order = OrderOf(2, 8000);
+  CHECK(ChooseControlForOrder(board, order, kSecond) == "own");
+  CHECK(ChooseControlForOrder(board, order, kSecond, {"own"}) == "other");
+  // A load that is too old is used if there is no other.
+  members["own"].last_heartbeat_at = kMillisecond;
+  members["other"].last_heartbeat_at = kMillisecond;
+  CHECK(ChooseControlForOrder(board, order, kSecond) == "own");
+}
+
 TEST_CASE("PoolBalance: no job moves that has started or moved too often") {
   PoolBoard board = BoardWithFreeCpu({0, 0}, kSecond);
   const BalanceLimits limits;
