--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -240,7 +240,7 @@
   } else if (message.has_job_go()) {
     OnStartPermitted(board.pool, message.from(), message.job_go());
   } else if (message.has_job_moved()) {
-    HandleJobForwarded(board, message.job_moved(), now, actions);
+    HandleJobForwarded(board, message, now, actions);
   } else if (message.has_job_end()) {
     HandleJobEnd(board, message.job_end(), now, actions);
   }
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -120,7 +120,9 @@
   PendingJob& job = node.mapped();
   job.order_number = number;
   job.message.set_order(number);
+  job.message.set_moves(0);
   job.start_permitted = false;
+  job.transfer_since = 0;
   if (job.token != kNoToken) {
     board.order_number_of_token[job.token] = number;
   }
@@ -147,7 +149,8 @@
       HasQuickStandby(board)
           ? ChooseDaemon(board, found->second.message,
                          found->second.tried_controls, now)
-          : ChooseControl(board.pool.mesh, now, found->second.tried_controls);
+          : ChooseControlForOrder(board, found->second.message, now,
+                                  found->second.tried_controls);
   if (!control) {
     return false;
   }
@@ -198,8 +201,13 @@
       member->second.incarnation != job.control_incarnation) {
     return "control_restarted";
   }
-  return IsPeerReachable(mesh, job.control_address, now) ? ""
-                                                         : "control_not_heard";
+  if (!IsPeerReachable(mesh, job.control_address, now)) {
+    return "control_not_heard";
+  }
+  const bool unconfirmed =
+      job.transfer_since != 0 &&
+      now - job.transfer_since > board.options.transfer_timeout;
+  return unconfirmed ? "transfer_unconfirmed" : "";
 }
 
 }  // namespace
@@ -250,7 +258,7 @@
   const std::string& self = board.pool.mesh.options.self;
   auto control = IsQuickStandby(board.pool)
                      ? std::nullopt
-                     : ChooseControl(board.pool.mesh, now, tried);
+                     : ChooseControlForOrder(board, order, now, tried);
   if (!HasReadyWorkers(board.pool) || tried.contains(self)) {
     return IsQuickStandby(board.pool)
                ? ChooseStandby(board.pool.mesh, tried, now)
@@ -284,6 +292,9 @@
                  Micros now,
                  PoolActions& actions) {
   const auto found = board.pool.mesh.members.find(control);
+  if (found != board.pool.mesh.members.end()) {
+    AddSentJob(board, pending.message, found->second);
+  }
   const MeshMember member =
       found == board.pool.mesh.members.end() ? MeshMember() : found->second;
   const int64_t left_ms =
@@ -295,6 +306,11 @@
   pending.message.set_seen_sequence(
       NewestHeartbeatSequence(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
+  if (board.options.features.move_waiting_jobs) {
+    pending.message.set_permits_by_move(true);
+    pending.message.set_waited_ms(
+        static_cast<uint32_t>((now - pending.received_at) / kMillisecond));
+  }
   wire::PoolMessage message;
   *message.mutable_job_order() = pending.message;
   SendTo(actions, control, std::move(message));
@@ -311,15 +327,25 @@
 }
 
 void HandleJobForwarded(EntryBoard& board,
-                        const wire::JobMoved& moved,
+                        const wire::PoolMessage& message,
                         Micros now,
                         PoolActions& actions) {
+  const wire::JobMoved& moved = message.job_moved();
   const auto found = board.pending.find(moved.order());
+  if (found == board.pending.end() ||
+      !ApplyJobMoved(found->second, moved, message.from(), now)) {
+    return;
+  }
+  PendingJob& job = found->second;
   const auto member = board.pool.mesh.members.find(moved.to());
-  if (found != board.pending.end() && member != board.pool.mesh.members.end()) {
-    SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
-    found->second.control_address = moved.to();
-    found->second.control_incarnation = member->second.incarnation;
+  if (member == board.pool.mesh.members.end()) {
+    return;
+  }
+  SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
+  job.control_address = moved.to();
+  job.control_incarnation = member->second.incarnation;
+  if (job.cancelling && message.from() == moved.to()) {
+    RequestCancel(board, job, now, actions);
   }
 }
 
@@ -338,6 +364,10 @@
     return;
   }
   PendingJob& job = found->second;
+  if (ask.moves() < job.message.moves()) {
+    return;  // sent before the job was moved from there
+  }
+  job.message.set_moves(ask.moves());
   job.control_address = message.from();
   job.control_incarnation = message.incarnation();
   if (job.cancelling) {
@@ -345,9 +375,11 @@
     return;
   }
   job.start_permitted = true;
+  job.transfer_since = 0;
   wire::PoolMessage answer;
   answer.mutable_job_go()->set_order(job.order_number);
   answer.mutable_job_go()->set_job_id(job.job_id);
+  answer.mutable_job_go()->set_moves(ask.moves());
   SendTo(actions, job.control_address, std::move(answer));
 }
 
--- a/pool/pending_jobs.h
+++ b/pool/pending_jobs.h
@@ -61,9 +61,10 @@
                  Micros now,
                  PoolActions& actions);
 
-// Records that the control daemon has forwarded a job to another one.
+// Records that the control daemon has forwarded a job to another one, or that
+// this one confirms it.
 void HandleJobForwarded(EntryBoard& board,
-                        const wire::JobMoved& moved,
+                        const wire::PoolMessage& message,
                         Micros now,
                         PoolActions& actions);
 
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -57,24 +57,6 @@
   }
 }
 
-// Returns how late a job will be if it starts now. It is at risk if it would be
-// late with run times that are longer than estimated by the part `margin`.
-ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
-                                    double margin,
-                                    Micros now) {
-  const Micros expected = RemainingSequentialRunTime(job);
-  const auto longest =
-      static_cast<Micros>((1 + margin) * static_cast<double>(expected));
-  if (now + longest <= job.objective_at) {
-    return ExpectedLateness::kOnTime;
-  }
-  if (now + expected <= job.objective_at) {
-    return ExpectedLateness::kAtRisk;
-  }
-  return now + expected <= ValueEndsAt(job) ? ExpectedLateness::kLate
-                                            : ExpectedLateness::kVeryLate;
-}
-
 // Counts the failure of an attempt against its worker, unless the job has
 // already failed on another worker and thus is likely to be at fault itself.
 void CountWorkerFailure(PoolBoard& board,
@@ -208,6 +190,22 @@
   }
 }
 
+ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
+                                    double margin,
+                                    Micros now) {
+  const Micros expected = RemainingSequentialRunTime(job);
+  const auto longest =
+      static_cast<Micros>((1 + margin) * static_cast<double>(expected));
+  if (now + longest <= job.objective_at) {
+    return ExpectedLateness::kOnTime;
+  }
+  if (now + expected <= job.objective_at) {
+    return ExpectedLateness::kAtRisk;
+  }
+  return now + expected <= ValueEndsAt(job) ? ExpectedLateness::kLate
+                                            : ExpectedLateness::kVeryLate;
+}
+
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key) {
   const auto found = board.jobs.find(key);
   return found == board.jobs.end() ? nullptr : found->second.get();
@@ -250,6 +248,7 @@
   wire::PoolMessage message;
   message.mutable_job_ask()->set_order(job.order.order());
   message.mutable_job_ask()->set_job_id(job.order.job_id());
+  message.mutable_job_ask()->set_moves(job.order.moves());
   SendTo(actions, job.order.entry(), std::move(message));
 }
 
@@ -264,6 +263,11 @@
       job->order.entry() != entry) {
     return;  // the job has ended, or belongs to another order
   }
+  // A permission from before the job was moved away and back is void: the entry
+  // daemon counts it as returned.
+  if (job->order.permits_by_move() && job->order.moves() != go.moves()) {
+    return;
+  }
   job->start_permitted = true;
   // The entry daemon may have answered any of the repeated requests, so only
   // the time of the first is certain to be no later than its answer.
@@ -271,6 +275,21 @@
   board.placement_due = true;
 }
 
+std::unique_ptr<PoolJob> RemoveJob(PoolBoard& board, const std::string& key) {
+  const auto found = board.jobs.find(key);
+  if (found == board.jobs.end()) {
+    return nullptr;
+  }
+  std::unique_ptr<PoolJob> job = std::move(found->second);
+  board.jobs.erase(found);
+  RemoveFromQueue(board, *job);
+  const auto by_id = board.job_keys.find(job->order.job_id());
+  if (by_id != board.job_keys.end() && by_id->second == key) {
+    board.job_keys.erase(by_id);
+  }
+  return job;
+}
+
 namespace {
 
 // Ends a job. A refused caller is told to return after `retry_after_ms`.
@@ -282,17 +301,10 @@
               bool try_elsewhere,
               Micros now,
               PoolActions& actions) {
-  const auto found = board.jobs.find(key);
-  if (found == board.jobs.end()) {
+  const std::unique_ptr<PoolJob> job = RemoveJob(board, key);
+  if (job == nullptr) {
     return;
   }
-  const std::unique_ptr<PoolJob> job = std::move(found->second);
-  board.jobs.erase(found);
-  RemoveFromQueue(board, *job);
-  const auto by_id = board.job_keys.find(job->order.job_id());
-  if (by_id != board.job_keys.end() && by_id->second == key) {
-    board.job_keys.erase(by_id);
-  }
   ++board.counters.jobs_ended[std::string(ToString(fate))];
   const Micros waited =
       job->started ? job->first_start_at - job->received_at : 0;
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -12,8 +12,10 @@
 // It is requested when the job is close to the head of the queue, which costs
 // one message each way and occupies no capacity. An entry daemon that has not
 // given the permission therefore knows that the job has not run, even if this
-// control daemon fails.
+// control daemon fails. A job that moves to another control daemon before it
+// starts returns its permission (pool_balance.h).
 
+#include <memory>
 #include <string>
 
 #include "pool/pool_board.h"
@@ -58,6 +60,10 @@
             Micros now,
             PoolActions& actions);
 
+// Removes a job and its waiting tasks without a report, and returns it; null if
+// there is none with this key. Running attempts are not stopped.
+std::unique_ptr<PoolJob> RemoveJob(PoolBoard& board, const std::string& key);
+
 // Handles the end of an attempt. `never_ran` means that the attempt certainly
 // never started.
 void OnAttemptEnded(PoolBoard& board,
@@ -115,6 +121,12 @@
                  ExpectedLateness lateness,
                  QueueRank rank);
 
+// Returns how late a job will be if it starts now. It is at risk if it would be
+// late with run times that are longer than estimated by the part `margin`.
+ExpectedLateness ExpectedLatenessOf(const PoolJob& job,
+                                    double margin,
+                                    Micros now);
+
 // Returns the job with this key, or null.
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key);
 
--- a/pool/testing/pool_load.cc
+++ b/pool/testing/pool_load.cc
@@ -39,7 +39,7 @@
   CHECK(pool.CountRefusedAfterStart() == 0);
 }
 
-void InjectRandomFaults(const FakePoolOptions& options) {
+void InjectRandomFaults(const FakePoolOptions& options, Micros gap) {
   const uint64_t seed = options.seed;
   FakePool pool(options);
   WaitUntilServing(pool);
@@ -79,8 +79,7 @@
     }
     ChangeResult result = ChangeResult::kUnknown;
     pool.ChangeConfiguration(random() % 3, version, &result);
-    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond,
-               15 * kMillisecond);
+    SubmitLoad(pool, static_cast<Micros>(random() % 2000) * kMillisecond, gap);
     pool.Run(1500 * kMillisecond);
     acknowledged = result == ChangeResult::kDurable ? version : acknowledged;
     ++version;
--- a/pool/testing/pool_load.h
+++ b/pool/testing/pool_load.h
@@ -22,8 +22,10 @@
 
 // Injects crashes, pauses, network cuts, full disks and late orders at random.
 // Checks the invariants throughout, and after a time without faults that all
-// workers are ready and all jobs complete again.
-void InjectRandomFaults(const FakePoolOptions& options);
+// workers are ready and all jobs complete again. A job is submitted every
+// `gap`.
+void InjectRandomFaults(const FakePoolOptions& options,
+                        Micros gap = 15 * kMillisecond);
 
 }  // namespace goldcrest
 
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -536,5 +536,17 @@
   }
 }
 
+// A job that moves between control daemons that crash must not run twice.
+TEST_CASE("Pool: random faults violate no invariant when waiting jobs move") {
+  for (uint64_t seed = 201; seed <= 208; ++seed) {
+    CAPTURE(seed);
+    FakePoolOptions options;
+    options.seed = seed;
+    options.features.move_waiting_jobs = true;
+    // More than the pools can serve, so that jobs wait.
+    InjectRandomFaults(options, 7 * kMillisecond);
+  }
+}
+
 }  // namespace
 }  // namespace goldcrest
