Mend the review findings of the load balancing between pools

- Only jobs whose start permission was not requested are moved, except from a draining daemon: a permission could be on its way.
- JobMoved states the job and the incarnation of the entry daemon, which ignored neither the order numbers of its earlier incarnation nor confirmations of a receiver that has restarted since.
- The limit of moves holds over order numbers (JobOrder.moves_before).
- A second daemon that requests the start permission for the same move is told to cancel the job, and what it reports about the job is ignored.
- An order that attaches to a job sets accepted_at and takes its moves; a superseded order is not confirmed.
- A forwarded job that no other daemon could take is kept while its receiver is reachable, and a pause of the process does not count as time without confirmation.
An entry daemon without the feature awaits no confirmation.
- The work of the queue is summed once per tick and then adjusted by accepted jobs, not summed for each arrival.
Tasks that come first whatever their priority count for all priorities.

With all features off, the messages and decisions are unchanged.

--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -242,7 +242,7 @@
   } else if (message.has_job_moved()) {
     HandleJobForwarded(board, message, now, actions);
   } else if (message.has_job_end()) {
-    HandleJobEnd(board, message.job_end(), now, actions);
+    HandleJobEnd(board, message, now, actions);
   }
 }
 
@@ -303,8 +303,10 @@
                PoolActions& actions) {
   board.pool.wall_ms = now.wall_ms;
   // MakeEntryBoard() has no clock, so last_step_at is 0 in the first step.
+  const Micros since_last_step = now.mono - board.pool.last_step_at;
   if (board.pool.last_step_at != 0 &&
       HandleProcessPause(board.pool, now.mono, actions)) {
+    detail::ExcludePauseFromTransfers(board, since_last_step);
     board.refuse_until = now.mono + board.options.refuse_after_pause;
   }
   board.pool.last_step_at = now.mono;
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -8,6 +8,7 @@
 #include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_order_check.h"
+#include "pool/load_report.h"
 #include "pool/overload_control.h"
 #include "pool/pool_jobs.h"
 #include "pool/retry_after.h"
@@ -127,24 +128,35 @@
   job.order.set_budget_ms(order.budget_ms());
   job.order.set_seen_sequence(order.seen_sequence());
   job.order.set_forwarded(order.forwarded());
+  job.order.set_moves(order.moves());
+  job.order.set_moves_before(order.moves_before());
+  job.order.set_permits_by_move(order.permits_by_move());
 }
 
+// What an order is to this daemon.
+enum class OrderRelation : uint8_t {
+  kNewJob,      // no job with this id is known
+  kHeld,        // its job is held here under this order now
+  kSuperseded,  // a later order has replaced it
+};
+
 // Attaches the order to the job that already exists here for the same job id.
-// Returns true if the order needs no new job: it was attached, or it repeats
-// the order of that job.
-bool AttachToExistingJob(PoolBoard& board,
-                         const wire::JobOrder& order,
-                         Micros now,
-                         PoolActions& actions) {
+// An order that repeats the one of that job changes nothing.
+OrderRelation AttachToExistingJob(PoolBoard& board,
+                                  const wire::JobOrder& order,
+                                  Micros now,
+                                  PoolActions& actions) {
   const auto known = board.job_keys.find(order.job_id());
   if (known == board.job_keys.end()) {
-    return false;
+    return OrderRelation::kNewJob;
   }
   const std::string old_key = known->second;
   const auto found = board.jobs.find(old_key);
-  if (found == board.jobs.end() || old_key == JobKeyOf(order) ||
-      IsSuperseded(order, found->second->order)) {
-    return true;
+  if (found == board.jobs.end() || old_key == JobKeyOf(order)) {
+    return OrderRelation::kHeld;
+  }
+  if (IsSuperseded(order, found->second->order)) {
+    return OrderRelation::kSuperseded;
   }
   std::unique_ptr<PoolJob> job = std::move(found->second);
   board.jobs.erase(found);
@@ -153,6 +165,7 @@
   SendJobEnd(job->order, wire::JOB_UNKNOWN, "sent_again", 0, false, actions);
   job->key = JobKeyOf(order);
   ReplaceOrder(*job, order);
+  job->accepted_at = now;
   job->deadline = now + order.budget_ms() * kMillisecond;
   // The new entry daemon has not given a start permission yet. If the job has
   // started, the permission is requested at once, so that the entry daemon does
@@ -177,7 +190,7 @@
   known->second = job->key;
   const std::string key = job->key;
   board.jobs[key] = std::move(job);
-  return true;
+  return OrderRelation::kHeld;
 }
 
 void LogAccepted(const PoolBoard& board,
@@ -227,8 +240,12 @@
                   kShortestRetryAfterMs, true, actions);
     return;
   }
-  if (AttachToExistingJob(board, order, now, actions)) {
+  const OrderRelation relation =
+      AttachToExistingJob(board, order, now, actions);
+  if (relation == OrderRelation::kHeld) {
     ConfirmForwardedOrder(board, order, actions);
+  }
+  if (relation != OrderRelation::kNewJob) {
     return;
   }
   // An entry daemon that is a standby knows the workers of its own failure
@@ -272,6 +289,7 @@
   PoolJob& stored_job = *job;
   board.jobs[stored_job.key] = std::move(job);
   QueueUnblockedTasks(board, stored_job);
+  AddToQueueWork(board, stored_job);
   ConfirmForwardedOrder(board, order, actions);
 }
 
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -62,21 +62,39 @@
 }
 
 // Returns the wait of a job of this priority that is queued here now.
-int64_t OwnWaitMs(const PoolBoard& board, int32_t priority, Micros now) {
-  const int64_t cpu = WorkingCpuMillis(board, now);
-  if (board.draining || cpu == 0) {
+int64_t OwnWaitMs(const PoolBoard& board, int32_t priority) {
+  const QueueWork& queue = board.queue_work;
+  if (board.draining || queue.cpu_millis == 0) {
     return kNoServiceWaitMs;
   }
-  // Computed anew, since the reported load is updated on ticks only and jobs
-  // of a burst arrive between them.
-  int64_t work = 0;
-  for (const auto& [key, waiting] : board.waiting) {
-    if (key.expected_lateness != ExpectedLateness::kOnTime) {
-      break;
-    }
-    work += key.priority <= priority ? WorkOf(key, *waiting.job) : 0;
+  int64_t work = queue.first;
+  for (const auto& [other_priority, other_work] : queue.by_priority) {
+    work += other_priority <= priority ? other_work : 0;
+  }
+  return work / queue.cpu_millis;
+}
+
+// Returns how often the job was forwarded under its present order number.
+uint32_t MovesOfNumber(const wire::JobOrder& order) {
+  return std::max<uint32_t>(order.moves(), order.forwarded() ? 1 : 0);
+}
+
+// Reports to the entry daemon of the order that the daemon `to` holds the job.
+void SendJobMoved(const PoolBoard& board,
+                  const wire::JobOrder& order,
+                  const std::string& to,
+                  uint32_t moves,
+                  PoolActions& actions) {
+  wire::PoolMessage message;
+  wire::JobMoved& moved = *message.mutable_job_moved();
+  moved.set_order(order.order());
+  moved.set_to(to);
+  moved.set_moves(moves);
+  if (board.options.features.move_waiting_jobs || moves > 0) {
+    moved.set_job_id(order.job_id());
+    moved.set_entry_incarnation(order.entry_incarnation());
   }
-  return work / cpu;
+  SendTo(actions, order.entry(), std::move(message));
 }
 
 // Returns the neighbour that can start all of the job at once, or that has so
@@ -88,7 +106,7 @@
     return nullptr;
   }
   const InitialTasks initial = InitialTasksOf(order);
-  const int64_t own_wait_ms = OwnWaitMs(board, order.priority(), now);
+  const int64_t own_wait_ms = OwnWaitMs(board, order.priority());
   std::vector<MeshMember*> neighbours;
   std::vector<PoolOffer> offers;
   for (MeshMember* member : FindAvailableNeighbours(board, now)) {
@@ -116,7 +134,7 @@
   // Only a receiver with this feature confirms.
   const uint32_t moves =
       board.options.features.move_waiting_jobs && StatesHolesAndWaits(load)
-          ? MovesOf(order) + 1
+          ? MovesOfNumber(order) + 1
           : 0;
   wire::PoolMessage message;
   wire::JobOrder& forwarded = *message.mutable_job_order();
@@ -126,11 +144,7 @@
   forwarded.set_moves(moves);
   forwarded.set_waited_ms(static_cast<uint32_t>(waited / kMillisecond));
   SendTo(actions, to.address, std::move(message));
-  wire::PoolMessage moved;
-  moved.mutable_job_moved()->set_order(order.order());
-  moved.mutable_job_moved()->set_to(to.address);
-  moved.mutable_job_moved()->set_moves(moves);
-  SendTo(actions, order.entry(), std::move(moved));
+  SendJobMoved(board, order, to.address, moves, actions);
 }
 
 void ConfirmForwardedOrder(const PoolBoard& board,
@@ -139,15 +153,11 @@
   if (order.moves() == 0) {
     return;
   }
-  wire::PoolMessage message;
-  message.mutable_job_moved()->set_order(order.order());
-  message.mutable_job_moved()->set_to(board.mesh.options.self);
-  message.mutable_job_moved()->set_moves(order.moves());
-  SendTo(actions, order.entry(), std::move(message));
+  SendJobMoved(board, order, board.mesh.options.self, order.moves(), actions);
 }
 
 uint32_t MovesOf(const wire::JobOrder& order) {
-  return std::max<uint32_t>(order.moves(), order.forwarded() ? 1 : 0);
+  return MovesOfNumber(order) + order.moves_before();
 }
 
 std::vector<MeshMember*> FindAvailableNeighbours(PoolBoard& board, Micros now) {
--- a/pool/job_forwarding.h
+++ b/pool/job_forwarding.h
@@ -44,8 +44,8 @@
 // A job is forwarded at most this many times in total.
 inline constexpr uint32_t kMaxMoves = 2;
 
-// Returns how often the job was forwarded. A daemon without
-// PoolFeatures::move_waiting_jobs counts only that it was.
+// Returns how often the job was forwarded, under all of its order numbers. A
+// daemon without PoolFeatures::move_waiting_jobs counts only that it was.
 uint32_t MovesOf(const wire::JobOrder& order);
 
 // Returns the neighbours to which a job may be forwarded, by address.
--- a/pool/load_report.cc
+++ b/pool/load_report.cc
@@ -153,22 +153,30 @@
 
 // Only tasks that can still be on time count: a task that arrives now is placed
 // before the others.
-void AddWaits(const PoolBoard& board, Micros now, wire::PoolLoad& load) {
-  std::map<int32_t, int64_t> work_by_priority;
+QueueWork SumQueueWork(const PoolBoard& board, Micros now) {
+  QueueWork queue;
+  queue.cpu_millis = WorkingCpuMillis(board, now);
   for (const auto& [key, job] : board.jobs) {
-    work_by_priority[job->order.priority()];
+    queue.by_priority[job->order.priority()];
   }
   for (const auto& [key, waiting] : board.waiting) {
-    const bool counts = key.expected_lateness == ExpectedLateness::kOnTime;
-    work_by_priority[key.priority] += counts ? WorkOf(key, *waiting.job) : 0;
-  }
-  // One entry shows that this daemon reports waits.
-  if (work_by_priority.empty()) {
-    work_by_priority[0] = 0;
+    if (key.expected_lateness != ExpectedLateness::kOnTime) {
+      break;
+    }
+    const int64_t work = WorkOf(key, *waiting.job);
+    if (key.rank == QueueRank::kFirst) {
+      queue.first += work;
+    } else {
+      queue.by_priority[key.priority] += work;
+    }
   }
-  const int64_t cpu = std::max<int64_t>(WorkingCpuMillis(board, now), 1);
-  int64_t work = 0;
-  for (const auto& [priority, own_work] : work_by_priority) {
+  return queue;
+}
+
+void AddWaits(const QueueWork& queue, wire::PoolLoad& load) {
+  const int64_t cpu = std::max<int64_t>(queue.cpu_millis, 1);
+  int64_t work = queue.first;
+  for (const auto& [priority, own_work] : queue.by_priority) {
     work += own_work;
     // Beyond the maximum, the last entry stands for all less urgent ones.
     if (load.waits_size() < static_cast<int>(kMaxClasses)) {
@@ -176,6 +184,10 @@
     }
     load.mutable_waits(load.waits_size() - 1)->set_wait_ms(work / cpu);
   }
+  // One entry shows that this daemon reports waits.
+  if (queue.by_priority.empty()) {
+    load.add_waits()->set_wait_ms(work / cpu);
+  }
 }
 
 }  // namespace
@@ -200,7 +212,8 @@
   load.set_wait_ms(cpu_demand / std::max<int64_t>(capacity, 1));
   if (board.options.features.move_waiting_jobs) {
     AddHoles(board, ready, load);
-    AddWaits(board, now, load);
+    board.queue_work = SumQueueWork(board, now);
+    AddWaits(board.queue_work, load);
   }
   board.mesh.load = load;
 }
@@ -282,6 +295,15 @@
   }
 }
 
+void AddToQueueWork(PoolBoard& board, const PoolJob& job) {
+  if (!board.options.features.move_waiting_jobs) {
+    return;
+  }
+  const InitialTasks initial = InitialTasksOf(job.order);
+  board.queue_work.by_priority[job.order.priority()] +=
+      initial.cpu_millis * (job.steps[0].expected_run_time / kMillisecond);
+}
+
 int64_t WorkingCpuMillis(const PoolBoard& board, Micros now) {
   int64_t free = 0;
   int64_t capacity = 0;
--- a/pool/load_report.h
+++ b/pool/load_report.h
@@ -52,6 +52,10 @@
                   int32_t priority,
                   int64_t times);
 
+// Adds a job that was accepted since the last UpdateLoad() to
+// PoolBoard::queue_work. Does nothing without PoolFeatures::move_waiting_jobs.
+void AddToQueueWork(PoolBoard& board, const PoolJob& job);
+
 // Returns the CPU, in thousandths of a core, that works on the queue: the total
 // of the workers that accept tasks, or if tasks are waiting, the part in use,
 // since the rest is free capacity that they do not fit into. 0 if no worker
--- a/pool/pending_jobs.cc
+++ b/pool/pending_jobs.cc
@@ -120,6 +120,8 @@
   PendingJob& job = node.mapped();
   job.order_number = number;
   job.message.set_order(number);
+  job.message.set_moves_before(job.message.moves_before() +
+                               job.message.moves());
   job.message.set_moves(0);
   job.start_permitted = false;
   job.transfer_since = 0;
@@ -131,6 +133,18 @@
   return board.pending.at(number);
 }
 
+// Returns another daemon than the present one for the job, of those that it was
+// not sent to yet; nullopt if there is none.
+std::optional<std::string> ChooseAnotherDaemon(EntryBoard& board,
+                                               const PendingJob& job,
+                                               Micros now) {
+  std::set<std::string> tried = job.tried_controls;
+  tried.insert(job.control_address);
+  return HasQuickStandby(board)
+             ? ChooseDaemon(board, job.message, tried, now)
+             : ChooseControlForOrder(board, job.message, now, tried);
+}
+
 // Sends a pending job to another control daemon. The present one must not have
 // accepted the job, or must not have its start permission. Returns false if
 // there is no other control daemon.
@@ -144,13 +158,8 @@
     return false;
   }
   const std::string before = found->second.control_address;
+  const auto control = ChooseAnotherDaemon(board, found->second, now);
   found->second.tried_controls.insert(before);
-  const auto control =
-      HasQuickStandby(board)
-          ? ChooseDaemon(board, found->second.message,
-                         found->second.tried_controls, now)
-          : ChooseControlForOrder(board, found->second.message, now,
-                                  found->second.tried_controls);
   if (!control) {
     return false;
   }
@@ -210,6 +219,41 @@
   return unconfirmed ? "transfer_unconfirmed" : "";
 }
 
+// Returns whether the message is about this job. It may be about a job of an
+// earlier incarnation of this daemon, which used the same order numbers.
+bool IsAboutJob(const EntryBoard& board,
+                const PendingJob& job,
+                const wire::JobMoved& moved) {
+  if (moved.moves() == 0 && moved.job_id().empty()) {
+    return true;  // the sender does not state it
+  }
+  return moved.job_id() == job.job_id &&
+         moved.entry_incarnation() == board.pool.mesh.options.incarnation;
+}
+
+// Sends a cancellation of the job to a daemon that is not its present one.
+void SendCancelTo(const EntryBoard& board,
+                  const PendingJob& job,
+                  const std::string& to,
+                  PoolActions& actions) {
+  PendingJob addressed;
+  addressed.order_number = job.order_number;
+  addressed.job_id = job.job_id;
+  addressed.control_address = to;
+  SendCancel(board, addressed, actions);
+}
+
+// Returns whether to wait longer for the confirmation of a forwarded job: no
+// other daemon could take it, and FailureReason() returns
+// "transfer_unconfirmed" only while its receiver is reachable.
+bool AwaitsConfirmation(EntryBoard& board,
+                        const PendingJob& job,
+                        const std::string& reason,
+                        Micros now) {
+  return reason == "transfer_unconfirmed" && !job.cancelling &&
+         now < job.deadline && !ChooseAnotherDaemon(board, job, now);
+}
+
 }  // namespace
 
 void Reply(EntryBoard& board,
@@ -331,20 +375,34 @@
                         Micros now,
                         PoolActions& actions) {
   const wire::JobMoved& moved = message.job_moved();
+  const bool confirms = message.from() == moved.to();
   const auto found = board.pending.find(moved.order());
+  const auto member = board.pool.mesh.members.find(moved.to());
+  const bool known = member != board.pool.mesh.members.end();
   if (found == board.pending.end() ||
-      !ApplyJobMoved(found->second, moved, message.from(), now)) {
+      !IsAboutJob(board, found->second, moved)) {
+    return;
+  }
+  // The receiver may have restarted since it sent the confirmation.
+  if (confirms &&
+      (!known || member->second.incarnation > message.incarnation())) {
     return;
   }
   PendingJob& job = found->second;
-  const auto member = board.pool.mesh.members.find(moved.to());
-  if (member == board.pool.mesh.members.end()) {
+  if (!ApplyJobMoved(job, moved, message.from(), now)) {
+    return;
+  }
+  if (!board.options.features.move_waiting_jobs) {
+    job.transfer_since = 0;
+  }
+  if (!known) {
     return;
   }
   SwitchToFullRate(board.pool.mesh, moved.to(), now, actions);
   job.control_address = moved.to();
-  job.control_incarnation = member->second.incarnation;
-  if (job.cancelling && message.from() == moved.to()) {
+  job.control_incarnation =
+      confirms ? message.incarnation() : member->second.incarnation;
+  if (job.cancelling && confirms) {
     RequestCancel(board, job, now, actions);
   }
 }
@@ -367,6 +425,12 @@
   if (ask.moves() < job.message.moves()) {
     return;  // sent before the job was moved from there
   }
+  if (board.options.features.move_waiting_jobs && job.start_permitted &&
+      ask.moves() == job.message.moves() &&
+      message.from() != job.control_address) {
+    SendCancelTo(board, job, message.from(), actions);
+    return;
+  }
   job.message.set_moves(ask.moves());
   job.control_address = message.from();
   job.control_incarnation = message.incarnation();
@@ -384,10 +448,17 @@
 }
 
 void HandleJobEnd(EntryBoard& board,
-                  const wire::JobEnd& end,
+                  const wire::PoolMessage& message,
                   Micros now,
                   PoolActions& actions) {
+  const wire::JobEnd& end = message.job_end();
   const auto found = board.pending.find(end.order());
+  if (found != board.pending.end() &&
+      board.options.features.move_waiting_jobs &&
+      found->second.start_permitted &&
+      message.from() != found->second.control_address) {
+    return;
+  }
   const bool cancelling =
       found != board.pending.end() && found->second.cancelling;
   const bool not_accepted =
@@ -413,6 +484,12 @@
   }
 }
 
+void ExcludePauseFromTransfers(EntryBoard& board, Micros pause) {
+  for (auto& [order_number, job] : board.pending) {
+    job.transfer_since += job.transfer_since != 0 ? pause : 0;
+  }
+}
+
 void ResolveFailedJobs(EntryBoard& board, Micros now, PoolActions& actions) {
   std::vector<std::pair<uint64_t, std::string>> failed;
   for (const auto& [order_number, job] : board.pending) {
@@ -422,7 +499,11 @@
     }
   }
   for (const auto& [order_number, reason] : failed) {
-    const PendingJob& job = board.pending.at(order_number);
+    PendingJob& job = board.pending.at(order_number);
+    if (AwaitsConfirmation(board, job, reason, now)) {
+      job.transfer_since = now;
+      continue;
+    }
     // The control daemon may still receive messages and run the job.
     SendCancel(board, job, actions);
     if (job.start_permitted) {
--- a/pool/pending_jobs.h
+++ b/pool/pending_jobs.h
@@ -71,18 +71,25 @@
 // Handles a request for a start permission. The permission is given unless the
 // job has ended, is being cancelled or has been sent again under a new order
 // number. A control daemon that asks under the present number holds the job: it
-// was sent or forwarded to it.
+// was sent or forwarded to it. With PoolFeatures::move_waiting_jobs, a daemon
+// that asks when another one has the permission for the same move is told to
+// cancel the job.
 void HandlePermissionRequest(EntryBoard& board,
                              const wire::PoolMessage& message,
                              Micros now,
                              PoolActions& actions);
 
-// Handles the outcome of a job as reported by its control daemon.
+// Handles the outcome of a job as reported by its control daemon. With
+// PoolFeatures::move_waiting_jobs, the outcome of a job whose start permission
+// another daemon has is ignored.
 void HandleJobEnd(EntryBoard& board,
-                  const wire::JobEnd& end,
+                  const wire::PoolMessage& message,
                   Micros now,
                   PoolActions& actions);
 
+// Excludes a pause of this process from the time since jobs were forwarded.
+void ExcludePauseFromTransfers(EntryBoard& board, Micros pause);
+
 // Sends to another daemon, or ends, the jobs whose control daemon has
 // restarted, is unreachable or does not answer in time.
 void ResolveFailedJobs(EntryBoard& board, Micros now, PoolActions& actions);
--- a/pool/pool_balance.cc
+++ b/pool/pool_balance.cc
@@ -11,9 +11,13 @@
 namespace goldcrest {
 namespace {
 
-bool IsMovable(const PoolJob& job, const BalanceLimits& limits, Micros now) {
+bool IsMovable(const PoolBoard& board,
+               const PoolJob& job,
+               const BalanceLimits& limits,
+               Micros now) {
   const uint32_t moves = MovesOf(job.order);
   return !job.started && job.order.permits_by_move() &&
+         (job.last_permission_request_at == 0 || board.draining) &&
          moves < limits.moves_per_job &&
          (moves == 0 || now - job.accepted_at >= limits.min_stay);
 }
@@ -35,10 +39,6 @@
   movable.priority = job.order.priority();
   movable.on_time = job.expected_lateness == ExpectedLateness::kOnTime;
   movable.wait_ms = wait_ms;
-  movable.stuck_ms =
-      job.first_permission_request_at != 0
-          ? (now - job.first_permission_request_at) / kMillisecond
-          : 0;
   movable.longest_wait_ms =
       (job.deadline - now - SequentialRunTime(job)) / kMillisecond;
   return movable;
@@ -58,10 +58,7 @@
                                          const MovableJob& job) {
   const bool holds_at_once = HoldsAtOnce(load, job.initial);
   const int64_t wait_ms = holds_at_once ? 0 : QueueWaitMs(load, job);
-  // A job that does not fit here may not fit into another full pool either.
-  const int64_t own_wait_ms =
-      holds_at_once ? std::max(job.wait_ms, job.stuck_ms) : job.wait_ms;
-  const bool worth_it = OutweighsForwarding(wait_ms, own_wait_ms) &&
+  const bool worth_it = OutweighsForwarding(wait_ms, job.wait_ms) &&
                         wait_ms + kForwardingCostMs <= job.longest_wait_ms;
   return worth_it ? std::optional(wait_ms) : std::nullopt;
 }
@@ -128,7 +125,6 @@
                 {"to", to.address},
                 {"waited_ms", std::to_string(waited / kMillisecond)},
                 {"wait_here_ms", std::to_string(movable.wait_ms)},
-                {"stuck_ms", std::to_string(movable.stuck_ms)},
                 {"wait_there_ms", std::to_string(move.their_wait_ms)},
                 {"moves", std::to_string(MovesOf(job->order) + 1)},
                 {"budget_ms", std::to_string(job->order.budget_ms())},
@@ -152,7 +148,7 @@
     }
     const PoolJob& job = *waiting.job;
     // The tasks of a job are next to each other in the queue.
-    if (key.sequence != previous_job && IsMovable(job, limits, now)) {
+    if (key.sequence != previous_job && IsMovable(board, job, limits, now)) {
       movable.push_back(
           MakeMovableJob(job, serves ? work / cpu : kNoServiceWaitMs, now));
     }
--- a/pool/pool_balance.h
+++ b/pool/pool_balance.h
@@ -8,12 +8,14 @@
 // The load that this module addresses: six pools, of which some have 400
 // waiting tasks and others 100.
 //
-// Only jobs of which no task has started are moved. This daemon forgets the job
-// before it sends it, so there is never a second owner, and a start permission
-// that was requested or granted here is void: the number of moves in JobMoved
-// tells the entry daemon that it was returned unused, and a permission from
-// before a move is not accepted after it. A lost message is noticed by the
-// entry daemon, to which the receiver confirms the job (JobMoved).
+// Only jobs of which no task has started, and whose start permission was not
+// requested, are moved. A daemon that drains moves the latter too. This daemon
+// forgets the job before it sends it, so there is never a second owner, and a
+// start permission that was requested or granted here is void: the number of
+// moves in JobMoved tells the entry daemon that it was returned unused, and a
+// permission from before a move is not accepted after it. A lost message is
+// noticed by the entry daemon, to which the receiver confirms the job
+// (JobMoved).
 //
 // Loads are up to 350 ms old, and several pools see the same idle neighbour.
 // Three rules keep jobs from going back and forth: the waits must differ by a
@@ -55,10 +57,6 @@
   // Whether it can still be on time, and thus is placed before late jobs.
   bool on_time = true;
   int64_t wait_ms = 0;  // expected wait here, from the tasks ahead of it
-  // Time since its start permission was requested, that is, since it came to
-  // the head of the queue; 0 before. If this is long, its tasks do not fit into
-  // the holes here, and it is expected to wait as long again.
-  int64_t stuck_ms = 0;
   // Wait, in milliseconds, after which it could no longer end before its
   // caller's timeout.
   int64_t longest_wait_ms = 0;
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -417,6 +417,16 @@
   Micros updated_at = 0;
 };
 
+// Work of the waiting tasks that can still be on time, in thousandths of a core
+// times milliseconds, as of the last tick, plus that of the jobs accepted
+// since: a burst brings many jobs between two ticks, and walking the queue for
+// each of them would cost too much. Kept with move_waiting_jobs only.
+struct QueueWork {
+  int64_t cpu_millis = 0;  // CPU that works on the queue
+  int64_t first = 0;       // of the tasks with QueueRank::kFirst
+  std::map<int32_t, int64_t> by_priority;  // of the others
+};
+
 // What overload control remembers; all of it may be lost.
 struct OverloadState {
   std::map<std::string, OfferedWork> offered;  // by queue
@@ -440,6 +450,7 @@
   std::map<WaitingKey, WaitingTask> waiting;
   RunTimes run_times;
   OverloadState overload;
+  QueueWork queue_work;
   PoolCounters counters;
   int64_t wall_ms = 0;  // wall clock time of the current step
   Micros started_at = 0;
