Move a straggling task that makes progress once at most

Change: with run_times_by_worker, such a task is moved only once; one that reports no progress may move again.

--- a/pool/stragglers.cc
+++ b/pool/stragglers.cc
@@ -66,6 +66,17 @@
   LogPoolEvent(actions, LogLevel::kInfo, "worker_slow", std::move(fields));
 }
 
+// Returns whether a straggling task may be stopped and started elsewhere. With
+// run times by worker, a task that makes progress is moved once at most: one
+// that is slow on two workers takes long by itself, and each further move would
+// repeat its work until its caller's timeout.
+bool MayMoveAgain(const PoolBoard& board,
+                  const PoolTask& task,
+                  const AttemptProgress& progress) {
+  return !board.options.features.run_times_by_worker ||
+         task.attempt_count <= 1 || progress.percent <= 0;
+}
+
 void StopStraggler(PoolBoard& board,
                    PoolWorker& worker,
                    const TaskName& name,
@@ -180,7 +191,9 @@
         continue;
       }
       const Micros new_run_time = job->steps[name.step].expected_run_time;
-      if (IsWorthMoving(progress, new_run_time, job->deadline - now) &&
+      const PoolTask& task = job->steps[name.step].tasks[name.index];
+      if (MayMoveAgain(board, task, progress) &&
+          IsWorthMoving(progress, new_run_time, job->deadline - now) &&
           HasCapacityElsewhere(ready, worker, attempt)) {
         StopStraggler(board, *worker, name, progress, now, actions);
       }
--- a/pool/testing/worker_profile_test.cc
+++ b/pool/testing/worker_profile_test.cc
@@ -326,6 +326,20 @@
   CHECK(100 * on.marked_slow <= off.marked_slow);
 }
 
+// Guards against a task that takes long by itself and is stopped and started
+// again until its caller's timeout.
+TEST_CASE("WorkerProfile: a task that takes long by itself is moved once") {
+  FakePoolOptions options;
+  options.features.run_times_by_worker = true;
+  options.long_job_share = 1;
+  FakePool pool(options);
+  WaitUntilServing(pool);
+  const int job = pool.Submit(0, 1, 300, 8000);
+  pool.Run(8 * kSecond);
+  CHECK(pool.answers().at(job).fate == wire::JOB_COMPLETED);
+  CHECK(pool.CountLogged("straggler_stopped") <= 1);
+}
+
 // Guards against tasks on workers that slow down or hang.
 TEST_CASE("WorkerProfile: workers that slow down or hang are still marked") {
   FakePoolOptions options;
