--- a/soak/soak_deployment.cc
+++ b/soak/soak_deployment.cc
@@ -156,6 +156,8 @@
       "--mesh_bind=" + daemon.ip + kMeshPort,
       "--seeds=" + seeds,
       "--metrics_port=" + std::string(kMetricsPort + 1)};
+  arguments.insert(arguments.end(), options_.daemon_flags.begin(),
+                   options_.daemon_flags.end());
   if (daemon.is_control) {
     arguments.push_back("--control_address=" + daemon.ip + kHttpPort);
     arguments.push_back("--disk=" + DiskPath(daemon));
--- a/soak/soak_deployment.h
+++ b/soak/soak_deployment.h
@@ -25,6 +25,8 @@
 
 struct SoakDeploymentOptions {
   std::string entry_program;
+  // Further flags of all daemons, as "--name=value".
+  std::vector<std::string> daemon_flags;
   std::string control_program;
   std::string folder;  // for logs and disks; emptied at the start
   int network = 10;    // second byte of the loopback addresses 127.NETWORK.x.y
