One copy of the late limit and of the discovery time; clearer comments

Cause: reading the diff: two constants stood twice, a comment described another result than its function has. Change: placement_input uses ValueEndsAt() and RemainingSequentialRunTime(), kWorkerDiscoveryTime is in pool_jobs.h; comments and a test name.

--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -17,9 +17,6 @@
 namespace goldcrest {
 namespace {
 
-// For this long after its start, a daemon may not know all workers yet.
-constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
-
 // Returns the key that identifies the order: entry daemon, its incarnation and
 // the order number.
 std::string JobKeyOf(const wire::JobOrder& order) {
--- a/pool/overload_control.cc
+++ b/pool/overload_control.cc
@@ -25,8 +25,6 @@
 // Demand is averaged over this time: long enough for queues with a few jobs per
 // second, short enough to follow a burst of seconds.
 constexpr Micros kOfferedWorkPeriod = 2 * kSecond;
-// For this long after its start, a daemon may not own all of its workers yet.
-constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
 
 double Decayed(const OfferedWork& offered, Micros now) {
   const auto age = static_cast<double>(now - offered.updated_at);
@@ -357,7 +355,7 @@
       return OverloadRefusal::kNoTimeLeft;
     }
     const auto capacity = freeing.find(job.service);
-    // Without value, it is kept only if it can run at nobody's expense.
+    // Without value, it is kept only if it takes no capacity from others.
     const bool is_useless = capacity == freeing.end()
                                 ? pool_is_known
                                 : others_wait[job.service] && !job.fits_now;
--- a/pool/placement_input.cc
+++ b/pool/placement_input.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "pool/pool_jobs.h"
 #include "pool/run_times.h"
 #include "pool/stragglers.h"
 #include "pool/task_requirements.h"
@@ -10,9 +11,6 @@
 namespace goldcrest {
 namespace {
 
-// An answer has little value for its caller after this many times the latency
-// objective; a late job may be passed over until then.
-constexpr int kLateObjectiveFactor = 3;
 // An overdue attempt is expected to run for this part of its expected run time
 // longer, which is the error of the estimates.
 constexpr Micros kOverdueDivisor = 4;
@@ -23,18 +21,13 @@
 // Returns the time by which the job must start to be no later than it is
 // expected to be.
 Micros LatestStart(const PoolJob& job) {
-  Micros remaining = 0;
-  for (const PoolJobStep& step : job.steps) {
-    remaining += step.open_tasks > 0 ? step.expected_run_time : 0;
-  }
+  const Micros remaining = RemainingSequentialRunTime(job);
   switch (job.expected_lateness) {
     case ExpectedLateness::kOnTime:
     case ExpectedLateness::kAtRisk:
       return job.objective_at - remaining;
     case ExpectedLateness::kLate:
-      return job.received_at +
-             kLateObjectiveFactor * (job.objective_at - job.received_at) -
-             remaining;
+      return ValueEndsAt(job) - remaining;
     case ExpectedLateness::kVeryLate:
       break;
   }
--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -101,9 +101,9 @@
 
 // The CPU requirements of waiting tasks, to judge the remainder of a worker.
 // Exact for a remainder that one task fills; for more, the remainder is rounded
-// down to a part of the smallest requirement. The task
-// that leaves a remainder counts as a user of it, too: this matters only in a
-// short queue, and tasks of its size are likely to arrive.
+// down to a part of the smallest requirement. The task that leaves a remainder
+// counts as a user of it, too: this matters only in a short queue, and tasks of
+// its size are likely to arrive.
 class WaitingSizes {
  public:
   // `largest_cpu_millis` is the largest remainder that will be asked for.
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -20,6 +20,9 @@
 
 namespace goldcrest {
 
+// For this long after its start, a daemon may not know all workers yet.
+inline constexpr Micros kWorkerDiscoveryTime = 5 * kSecond;
+
 // The shortest time after which a refused caller is told to come back.
 inline constexpr int64_t kShortestRetryAfterMs = 1000;
 
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -142,8 +142,8 @@
   uint32_t count = 0;
 };
 
-// Returns the position after the tasks of the group that begins at `position`:
-// the waiting tasks of the same step that avoid the same worker.
+// Returns the group that begins at `position`: the next waiting tasks of the
+// same step that avoid the same worker.
 WaitingGroup GroupAt(PoolBoard& board,
                      std::map<WaitingKey, WaitingTask>::iterator position) {
   const WaitingKey& key = position->first;
--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -507,7 +507,9 @@
   RequireNoViolation(pool);
 }
 
-TEST_CASE("OverloadControl: after a loss of workers, no job waits in vain") {
+TEST_CASE(
+    "OverloadControl: after a loss of workers, jobs that cannot be served are "
+    "refused") {
   BurstPool burst;
   FakePool& pool = burst.pool;
   pool.Run(100 * kMillisecond);
