--- a/pool/placement_plan.h
+++ b/pool/placement_plan.h
@@ -7,8 +7,8 @@
 // This addresses a pool that is overloaded with tasks that are large relative
 // to its workers: tasks of 6 to 12 cores on workers of 16. Two random tasks fit
 // together on such a worker about half of the time, so taking them in queue
-// order leaves a quarter of the capacity unused, and a task of 12 cores waits
-// until a worker happens to be empty.
+// order leaves capacity unused although tasks wait that could use it, and a
+// task of 12 cores waits until a worker happens to be empty.
 //
 // All functions are pure; times are relative to now.
 
