--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -79,8 +79,7 @@
     }
     busy_ = false;
     const CallHandler handler = std::move(handler_);
-    handler(sent_bytes_ > 0 ? CallEnd::kNoResponse : CallEnd::kNotSent,
-            HttpResponse());
+    handler(FailedEnd(), HttpResponse());
   }
 
   bool IsStale(Micros now) const {
@@ -96,6 +95,14 @@
   bool busy() const { return busy_; }
 
  private:
+  // Returns how the call in progress ends if there is no response.
+  CallEnd FailedEnd() const {
+    if (sent_bytes_ > 0) {
+      return closed_by_server_ ? CallEnd::kClosed : CallEnd::kNoResponse;
+    }
+    return refused_ ? CallEnd::kRefused : CallEnd::kNotSent;
+  }
+
   void Flush();
   void Finish(const ResponseParse& parse);
   bool ReadAll(bool* closed);
@@ -110,6 +117,8 @@
   bool connected_ = false;
   bool busy_ = false;
   bool socket_closed_ = false;
+  bool closed_by_server_ = false;
+  bool refused_ = false;
   bool watching_writable_ = false;
   size_t sent_bytes_ = 0;
   Micros opened_at_;
@@ -121,6 +130,7 @@
   if (!connected_) {
     const int error = socket_.impl()->socketError();
     if (error != 0) {
+      refused_ = error == POCO_ECONNREFUSED;
       client_.Close(id_);
       return;
     }
@@ -136,6 +146,7 @@
     try {
       sent = SendSome(socket_, output_.data(), output_.size());
     } catch (const Poco::Exception&) {
+      closed_by_server_ = true;
       client_.Close(id_);
       return;
     }
@@ -176,7 +187,12 @@
 
 void HttpClient::Connection::OnReadable() {
   bool closed = false;
-  if (!ReadAll(&closed) || (!busy_ && closed)) {
+  const bool within_limits = ReadAll(&closed);
+  if (!connected_ && closed) {
+    refused_ = socket_.impl()->socketError() == POCO_ECONNREFUSED;
+  }
+  closed_by_server_ = closed;
+  if (!within_limits || (!busy_ && closed)) {
     client_.Close(id_);
     return;
   }
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -32,9 +32,21 @@
 enum class CallEnd {
   kResponse,
   kNotSent,     // no byte of the request left this VM
+  kRefused,     // the same, since the server's host refused the connection
   kNoResponse,  // no response to a request that was sent or partly sent
+  kClosed,      // the same, since the server closed or reset the connection
 };
 
+// Returns whether it is certain that the server has not received the request.
+constexpr bool IsUnsent(CallEnd end) {
+  return end == CallEnd::kNotSent || end == CallEnd::kRefused;
+}
+
+// Returns whether a request that was sent has no response.
+constexpr bool IsUnanswered(CallEnd end) {
+  return end == CallEnd::kNoResponse || end == CallEnd::kClosed;
+}
+
 using CallHandler = std::function<void(CallEnd, const HttpResponse&)>;
 
 // A request to send.
--- a/edge/worker_calls.cc
+++ b/edge/worker_calls.cc
@@ -148,8 +148,8 @@
   answer.index = start.index;
   answer.attempt = start.attempt;
   if (end != CallEnd::kResponse) {
-    answer.outcome = end == CallEnd::kNotSent ? TaskOutcome::kNotSent
-                                              : TaskOutcome::kUnanswered;
+    answer.outcome =
+        IsUnsent(end) ? TaskOutcome::kNotSent : TaskOutcome::kUnanswered;
     return answer;
   }
   answer.outcome = OutcomeOfStatus(response.status);
--- /dev/null
+++ b/pool/crash_ledger.h
@@ -0,0 +1,127 @@
+#ifndef POOL_CRASH_LEDGER_H_
+#define POOL_CRASH_LEDGER_H_
+
+// The record of tasks under which workers have crashed, and of the workers that
+// are away because of that.
+//
+// A task may crash every worker that starts it. The record bounds what such a
+// task costs: after its first crash it runs alone on a worker (a suspect), so
+// that a second crash decides without harm to other tasks; after
+// `crashes_to_give_up` crashes, on as many workers, its job fails. A queue
+// whose tasks crash several workers is limited: see crash_limit.h.
+//
+// The record is plain data. The daemons of a pool exchange it (crash_news.h),
+// so that it holds when a job moves or is sent again under its id. It is kept
+// in memory for kCrashRetention, of at most kMaxCrashedJobs jobs; the oldest
+// ones are forgotten first.
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "goldcrest/time_units.h"
+#include "pool/worker_order.h"
+
+namespace goldcrest {
+
+struct CrashOptions {
+  // Workers that must have crashed under a task before its job fails.
+  int crashes_to_give_up = 2;
+  // A queue whose tasks crash workers starts none while this part of the pool's
+  // workers, in percent, is away because of such queues.
+  int max_away_percent = 25;
+};
+
+// For this long after the last crash, the record of a job is kept: callers send
+// a job again under its id within this time.
+inline constexpr Micros kCrashRetention = kMinute;
+// Bound of the record, about 0.5 MB.
+inline constexpr size_t kMaxCrashedJobs = 1024;
+
+// A process of a worker that crashed. The address identifies the machine, since
+// a restarted worker may have another id.
+struct CrashedProcess {
+  std::string address;
+  int64_t born_ms = 0;
+
+  friend auto operator<=>(const CrashedProcess&,
+                          const CrashedProcess&) = default;
+};
+
+// A crash of a worker while a task ran there.
+struct TaskCrash {
+  TaskName task;
+  std::string queue;
+  CrashedProcess process;
+  bool alone = false;  // no other task ran on the worker
+};
+
+// A worker that crashed and has not come back yet.
+struct AwayWorker {
+  std::string failure_domain;
+  std::string queue;  // that the crash is charged to
+  Micros lost_at = 0;
+};
+
+struct CrashLedger {
+  struct Task {
+    std::map<CrashedProcess, bool> crashes;  // whether the task ran alone there
+  };
+  struct Job {
+    std::map<TaskName, Task> tasks;
+    Micros updated_at = 0;
+  };
+  std::unordered_map<std::string, Job> jobs;  // by job id
+  std::map<std::string, AwayWorker> away;     // by the worker's address
+  // Times of the recent crashes charged to a queue.
+  std::map<std::string, std::vector<Micros>> queue_crashes;
+  // Average time until a crashed worker is back.
+  Micros outage = 3 * kSecond;
+};
+
+// Records a crash; returns whether it was not known yet.
+bool RecordTaskCrash(CrashLedger& ledger, const TaskCrash& crash, Micros now);
+
+// Withdraws the crashes of a process that turned out to be alive. Returns the
+// tasks that were recorded for it.
+std::vector<TaskName> WithdrawCrashes(CrashLedger& ledger,
+                                      const CrashedProcess& process);
+
+// Returns the number of workers, by address, that crashed under the task.
+int CountCrashes(const CrashLedger& ledger, const TaskName& task);
+
+// Returns whether a worker has crashed under the task: it runs alone.
+inline bool IsCrashSuspect(const CrashLedger& ledger, const TaskName& task) {
+  return CountCrashes(ledger, task) > 0;
+}
+
+// Returns whether the task has used up its crashes. At least one of them must
+// have come while it ran alone: tasks that ran together may have been lost
+// together by the fault of one.
+bool IsGivenUp(const CrashLedger& ledger,
+               const CrashOptions& options,
+               const TaskName& task);
+
+// Returns the first task of the job that has used up its crashes, or null.
+const TaskName* FindGivenUpTask(const CrashLedger& ledger,
+                                const CrashOptions& options,
+                                const std::string& job_id);
+
+// Records that the worker at the address is away, unless that is known.
+void RecordAway(CrashLedger& ledger,
+                const std::string& address,
+                const AwayWorker& worker);
+
+// Records that the worker at the address is back, or is given up.
+void EndAway(CrashLedger& ledger, const std::string& address, Micros now);
+
+// Forgets what is older than its retention.
+void ForgetOldCrashes(CrashLedger& ledger, Micros now);
+
+}  // namespace goldcrest
+
+#endif  // POOL_CRASH_LEDGER_H_
--- /dev/null
+++ b/pool/crash_news.cc
@@ -0,0 +1,159 @@
+#include "pool/crash_news.h"
+
+#include <utility>
+
+#include "pool/pool_jobs.h"
+
+namespace goldcrest {
+namespace {
+
+wire::TaskCrash ToWire(const TaskCrash& crash) {
+  wire::TaskCrash row;
+  row.set_job_id(crash.task.job_id);
+  row.set_occurrence(crash.task.occurrence);
+  row.set_step(crash.task.step);
+  row.set_index(crash.task.index);
+  row.set_queue(crash.queue);
+  row.set_address(crash.process.address);
+  row.set_born_ms(crash.process.born_ms);
+  row.set_alone(crash.alone);
+  return row;
+}
+
+TaskCrash FromWire(const wire::TaskCrash& row) {
+  return {{row.job_id(), row.occurrence(), row.step(), row.index()},
+          row.queue(),
+          {row.address(), row.born_ms()},
+          row.alone()};
+}
+
+// Returns whether the daemon may get tasks that ran here.
+bool ReceivesCrashes(const PoolBoard& board, const MeshMember& member) {
+  return member.last_heartbeat.control() ||
+         (member.incarnation != 0 && member.last_heartbeat.failure_domain() ==
+                                         board.mesh.options.failure_domain);
+}
+
+void AddAway(const PoolBoard& board,
+             const std::string& address,
+             Micros now,
+             wire::CrashNews& news) {
+  const auto found = board.crashes.away.find(address);
+  if (found == board.crashes.away.end()) {
+    return;
+  }
+  wire::AwayWorker& row = *news.add_away();
+  row.set_address(address);
+  row.set_failure_domain(found->second.failure_domain);
+  row.set_queue(found->second.queue);
+  row.set_lost_ms_ago(
+      static_cast<uint32_t>((now - found->second.lost_at) / kMillisecond));
+}
+
+// Sends the message to all daemons that may get tasks that ran here.
+void SendToPool(const PoolBoard& board,
+                const wire::PoolMessage& message,
+                Micros now,
+                PoolActions& actions) {
+  for (const auto& [address, member] : board.mesh.members) {
+    if (ReceivesCrashes(board, member) &&
+        IsPeerReachable(board.mesh, address, now)) {
+      SendTo(actions, address, message);
+    }
+  }
+}
+
+}  // namespace
+
+bool ApplyTaskCrash(PoolBoard& board,
+                    const TaskCrash& crash,
+                    Micros now,
+                    PoolActions& actions) {
+  if (!RecordTaskCrash(board.crashes, crash, now)) {
+    return false;
+  }
+  ++board.counters.task_crashes;
+  const auto key = board.job_keys.find(crash.task.job_id);
+  if (key != board.job_keys.end() &&
+      IsGivenUp(board.crashes, board.options.crashes, crash.task)) {
+    ++board.counters.tasks_given_up;
+    const std::string ending = key->second;
+    EndJob(board, ending, wire::JOB_FAILED, "task_crashed_workers", now,
+           actions);
+  }
+  return true;
+}
+
+void SendCrashes(const PoolBoard& board,
+                 const std::vector<TaskCrash>& crashes,
+                 const std::string& address,
+                 Micros now,
+                 PoolActions& actions) {
+  wire::PoolMessage message;
+  for (const TaskCrash& crash : crashes) {
+    *message.mutable_crash_news()->add_crashes() = ToWire(crash);
+  }
+  AddAway(board, address, now, *message.mutable_crash_news());
+  SendToPool(board, message, now, actions);
+}
+
+void SendWithdrawal(const PoolBoard& board,
+                    const CrashedProcess& process,
+                    Micros now,
+                    PoolActions& actions) {
+  wire::PoolMessage message;
+  message.mutable_crash_news()->set_withdrawn(true);
+  TaskCrash crash;
+  crash.process = process;
+  *message.mutable_crash_news()->add_crashes() = ToWire(crash);
+  SendToPool(board, message, now, actions);
+}
+
+void SendCrashLedger(const PoolBoard& board,
+                     const std::string& to,
+                     Micros now,
+                     PoolActions& actions) {
+  const auto member = board.mesh.members.find(to);
+  if (member == board.mesh.members.end() ||
+      !ReceivesCrashes(board, member->second)) {
+    return;
+  }
+  wire::PoolMessage message;
+  wire::CrashNews& news = *message.mutable_crash_news();
+  for (const auto& [id, job] : board.crashes.jobs) {
+    for (const auto& [name, task] : job.tasks) {
+      for (const auto& [process, alone] : task.crashes) {
+        *news.add_crashes() = ToWire({name, "", process, alone});
+      }
+    }
+  }
+  for (const auto& [address, worker] : board.crashes.away) {
+    AddAway(board, address, now, news);
+  }
+  if (news.crashes_size() + news.away_size() > 0) {
+    SendTo(actions, to, std::move(message));
+  }
+}
+
+void OnCrashNews(PoolBoard& board,
+                 const wire::CrashNews& news,
+                 Micros now,
+                 PoolActions& actions) {
+  for (const wire::TaskCrash& row : news.crashes()) {
+    const TaskCrash crash = FromWire(row);
+    if (news.withdrawn()) {
+      WithdrawCrashes(board.crashes, crash.process);
+      EndAway(board.crashes, crash.process.address, now);
+    } else {
+      ApplyTaskCrash(board, crash, now, actions);
+    }
+  }
+  for (const wire::AwayWorker& row : news.away()) {
+    const Micros lost_at = now - row.lost_ms_ago() * kMillisecond;
+    RecordAway(board.crashes, row.address(),
+               {row.failure_domain(), row.queue(), lost_at});
+  }
+  board.placement_due = true;
+}
+
+}  // namespace goldcrest
--- a/pool/end_estimate.cc
+++ b/pool/end_estimate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pool/choose_worker.h"
+#include "pool/crash_limit.h"
 #include "pool/pool_jobs.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_profile.h"
@@ -59,11 +60,15 @@
   const wire::JobStep& step = job.order.steps(0);
   const double factor = AverageFactor(board, job.order, step, now);
   std::vector<TaskGroup> ahead;
+  const std::set<std::string> limited = CrashLimitedQueues(board, now);
   for (const auto& [key, waiting] : board.waiting) {
     // The job's tasks come after those of earlier jobs with an equal key.
     if (key > WaitingKeyOf(job, 0, 0)) {
       break;
     }
+    if (limited.contains(waiting.job->order.queue())) {
+      continue;
+    }
     ahead.push_back(
         {1, Scaled(waiting.job->steps[key.step].expected_run_time, factor)});
   }
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/crash_news.h"
 #include "pool/entry_stop.h"
 #include "pool/job_admission.h"
 #include "pool/pending_jobs.h"
@@ -232,10 +233,13 @@
                    {{"address", message.from()},
                     {"incarnation", std::to_string(message.incarnation())}});
       SendWorkerTable(board.pool, message.from(), now, actions);
+      SendCrashLedger(board.pool, message.from(), now, actions);
     }
   } else if (message.has_worker_news()) {
     OnWorkerUpdate(board.pool, message.from(), message.worker_news(), now,
                    actions);
+  } else if (message.has_crash_news()) {
+    OnCrashNews(board.pool, message.crash_news(), now, actions);
   } else if (message.has_worker_request()) {
     OnHandoverRequest(board.pool, message.from(), message.worker_request(), now,
                       actions);
@@ -279,6 +283,7 @@
   EntryBoard board;
   board.options = options;
   board.pool.options.features = options.features;
+  board.pool.options.crashes = options.crashes;
   board.pool.mesh = MakeMesh(mesh);
   board.pool.mesh.options.standby_after = options.features.standby_after;
   return board;
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -60,6 +60,7 @@
   Micros hold_requests = 0;
   // Used while this daemon orders workers as a standby.
   PoolFeatures features;
+  CrashOptions crashes;
 };
 
 // A caller's job, as decoded by the edge.
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "pool/choose_worker.h"
+#include "pool/crash_limit.h"
 #include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_order_check.h"
@@ -220,6 +221,13 @@
   if (AttachToExistingJob(board, order, now, actions)) {
     return;
   }
+  const TaskName* given_up =
+      FindGivenUpTask(board.crashes, board.options.crashes, order.job_id());
+  if (given_up != nullptr) {
+    EndWithoutJob(board, order, wire::JOB_FAILED, "task_crashed_workers", 0,
+                  false, actions);
+    return;
+  }
   // An entry daemon that is a standby knows the workers of its own failure
   // domain only.
   if (board.mesh.options.control &&
@@ -250,6 +258,14 @@
                   RetryAfterMs(board, *job, now), true, actions);
     return;
   }
+  const Micros limit = CrashLimitEndsIn(board, order.queue(), now);
+  if (limit > 0 && limit + first_step_run_time > budget) {
+    ++board.counters.crash_limit_refusals;
+    EndWithoutJob(board, order, wire::JOB_REFUSED, "crash_limit",
+                  RetryAfterMs(board, order, limit + first_step_run_time, now),
+                  false, actions);
+    return;
+  }
   if (estimate > budget) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
                   RetryAfterMs(board, order, estimate, now), false, actions);
--- a/pool/load_report.cc
+++ b/pool/load_report.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "pool/crash_limit.h"
 #include "pool/task_requirements.h"
 
 namespace goldcrest {
@@ -15,10 +16,15 @@
     capacity += worker->status.cpu_millis();
     free += std::max<int64_t>(FreeCapacity(*worker).cpu_millis, 0);
   }
-  // Of all waiting tasks, in thousandths of a core times milliseconds.
+  // Of all waiting tasks that may start, in thousandths of a core times
+  // milliseconds.
   int64_t cpu_demand = 0;
+  const std::set<std::string> limited = CrashLimitedQueues(board, now);
   for (const auto& [key, waiting] : board.waiting) {
     const PoolJob& job = *waiting.job;
+    if (limited.contains(job.order.queue())) {
+      continue;
+    }
     cpu_demand += job.order.steps(static_cast<int>(key.step)).cpu_millis() *
                   (job.steps[key.step].expected_run_time / kMillisecond);
   }
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -21,6 +21,7 @@
 
 #include "goldcrest/time_units.h"
 #include "pool/agreement.h"
+#include "pool/crash_ledger.h"
 #include "pool/mesh.h"
 #include "pool/pool_action.h"
 #include "pool/worker_order.h"
@@ -116,6 +117,7 @@
   Micros pause_threshold = 400 * kMillisecond;
   // Time from the request to stop until the platform kills the process.
   Micros stop_grace = 6 * kSecond;
+  CrashOptions crashes;
 };
 
 // Resources that a task requires, or that a worker has free or in use.
@@ -160,6 +162,20 @@
   // Whether this attempt was already considered as evidence that its worker is
   // slow (slow_evidence.h).
   bool judged = false;
+  // A worker has crashed under the task before: nothing else runs beside it.
+  bool alone = false;
+};
+
+// Evidence about a worker that does not answer (worker_loss.h).
+struct WorkerLoss {
+  Micros closed_at = 0;  // when it closed a connection with a call in progress
+  // Connections that were refused since then.
+  Micros first_refused_at = 0;
+  Micros last_refused_at = 0;
+  int refusals = 0;
+  bool concluded = false;  // the cause is known and was acted on
+  // Tasks whose attempts ended with its lease before the cause was known.
+  std::vector<TaskCrash> lapsed;
 };
 
 // A worker's record of failures.
@@ -239,6 +255,9 @@
   Resources used_resources;  // resources occupied by `attempts`
   WorkerHealth health;
   WorkerProfile profile;
+  WorkerLoss loss;
+  // Gets no tasks until it is idle and the suspect that waits for it starts.
+  bool held_for_suspect = false;
   Micros handover_requested_at =
       0;                   // when a handover was last requested from the owner
   Micros claim_after = 0;  // earliest time of a claim
@@ -406,6 +425,11 @@
   uint64_t starts_ahead = 0;
   uint64_t reservations = 0;
   uint64_t plans_over_budget = 0;
+  std::map<std::string, uint64_t> worker_losses;  // by cause
+  uint64_t task_crashes = 0;       // a task was there when its worker crashed
+  uint64_t tasks_given_up = 0;     // used up their crashes
+  uint64_t crashes_withdrawn = 0;  // the worker turned out to be alive
+  uint64_t crash_limit_refusals = 0;
 };
 
 // CPU work that jobs of one queue brought lately, as an exponential average of
@@ -437,6 +461,7 @@
   std::map<WaitingKey, WaitingTask> waiting;
   RunTimes run_times;
   OverloadState overload;
+  CrashLedger crashes;
   PoolCounters counters;
   int64_t wall_ms = 0;  // wall clock time of the current step
   Micros started_at = 0;
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 
 #include "pool/choose_worker.h"
+#include "pool/crash_limit.h"
 #include "pool/placement_input.h"
 #include "pool/placement_plan.h"
 #include "pool/pool_jobs.h"
+#include "pool/retry_after.h"
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_health.h"
@@ -98,6 +100,8 @@
   attempt.attempt_number = task.attempt_count;
   attempt.resources = ResourcesOf(job.order.steps(static_cast<int>(key.step)));
   attempt.sent_at = now;
+  const TaskName name{job.order.job_id(), 0, key.step, key.index};
+  attempt.alone = IsCrashSuspect(board.crashes, name);
   attempt.expected_run_time = static_cast<Micros>(
       static_cast<double>(job.steps[key.step].expected_run_time) *
       RunTimeFactor(board, worker));
@@ -116,9 +120,11 @@
     fields.push_back({"ahead", "1"});
     ++board.counters.starts_ahead;
   }
+  if (attempt.alone) {
+    fields.push_back({"alone", "1"});
+  }
   LogPoolEvent(actions, LogLevel::kInfo, "task_started", std::move(fields));
-  StartAttempt(board, worker, {job.order.job_id(), 0, key.step, key.index},
-               attempt, job.order.spec(), now, actions);
+  StartAttempt(board, worker, name, attempt, job.order.spec(), now, actions);
 }
 
 // Returns true if even half of the task's expected run time would end after the
@@ -127,6 +133,112 @@
   return now + job.steps[step].expected_run_time / 2 > job.deadline;
 }
 
+// At most this many workers are held at a time for suspects that wait.
+constexpr int kMaxHeldWorkers = 2;
+
+bool IsSuspectTask(const PoolBoard& board,
+                   const PoolJob& job,
+                   const WaitingKey& key) {
+  return !board.crashes.jobs.empty() &&
+         IsCrashSuspect(board.crashes,
+                        {job.order.job_id(), 0, key.step, key.index});
+}
+
+// Ends a job whose next task cannot start in time. Returns false, and does
+// nothing, if it still can.
+bool EndIfTooLate(PoolBoard& board,
+                  PoolJob& job,
+                  const WaitingKey& key,
+                  Micros now,
+                  PoolActions& actions) {
+  if (!IsTooLateToStart(job, key.step, now)) {
+    return false;
+  }
+  EndJob(board, job.key, job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
+         "no_time_left", now, actions);
+  return true;
+}
+
+// Refuses an unstarted job that the crash limit of its queue delays beyond its
+// deadline. Returns whether it did.
+bool RefuseIfLimited(PoolBoard& board,
+                     PoolJob& job,
+                     const WaitingKey& key,
+                     Micros limit,
+                     Micros now,
+                     PoolActions& actions) {
+  const Micros run_time = job.steps[key.step].expected_run_time;
+  if (job.started || now + limit + run_time / 2 <= job.deadline) {
+    return false;
+  }
+  ++board.counters.crash_limit_refusals;
+  RefuseUnstartedJob(board, job.key, "crash_limit",
+                     RetryAfterMs(board, job.order, limit + run_time, now),
+                     false, now, actions);
+  return true;
+}
+
+// What the crashes of workers mean for a waiting task.
+enum class CrashVerdict : uint8_t {
+  kNone,      // it may start like any other
+  kWait,      // it is a suspect, or the crash limit of its queue holds it
+  kJobEnded,  // its job was refused
+};
+
+CrashVerdict CheckCrashLimit(PoolBoard& board,
+                             PoolJob& job,
+                             const WaitingKey& key,
+                             Micros now,
+                             PoolActions& actions) {
+  if (IsSuspectTask(board, job, key)) {
+    return CrashVerdict::kWait;
+  }
+  const Micros limit = CrashLimitEndsIn(board, job.order.queue(), now);
+  if (limit == 0) {
+    return CrashVerdict::kNone;
+  }
+  return RefuseIfLimited(board, job, key, limit, now, actions)
+             ? CrashVerdict::kJobEnded
+             : CrashVerdict::kWait;
+}
+
+// Starts the waiting suspects that have a worker to themselves, and holds
+// workers for the others.
+void PlaceSuspects(PoolBoard& board, Micros now, PoolActions& actions) {
+  for (const auto& [id, worker] : board.owned) {
+    worker->held_for_suspect = false;
+  }
+  if (board.crashes.jobs.empty()) {
+    return;
+  }
+  int held = 0;
+  auto position = board.waiting.begin();
+  while (position != board.waiting.end()) {
+    const WaitingKey key = position->first;
+    PoolJob& job = *position->second.job;
+    if (!IsSuspectTask(board, job, key) || !job.start_permitted) {
+      ++position;
+      continue;
+    }
+    if (EndIfTooLate(board, job, key, now, actions)) {
+      position = board.waiting.lower_bound(key);
+      continue;
+    }
+    const SuspectPlacement placement =
+        PlaceSuspect(ReadyWorkers(board, now), job, key, now);
+    if (placement.start_on != nullptr) {
+      position = board.waiting.erase(position);
+      StartTaskOn(board, *placement.start_on, job, key, false, now, actions);
+      continue;
+    }
+    if (placement.hold != nullptr && held < kMaxHeldWorkers) {
+      placement.hold->held_for_suspect = true;
+      ++held;
+    }
+    ++position;
+  }
+}
+
 // Start permissions are requested for this many waiting tasks if placement
 // looks ahead: only jobs with a permission can be chosen for a hole.
 constexpr int kMaxLookaheadRequests = 64;
@@ -139,6 +251,7 @@
 // Equal waiting tasks of one job: their position in the queue and their number.
 struct WaitingGroup {
   std::map<WaitingKey, WaitingTask>::iterator first;
+  const PoolJob* job = nullptr;
   uint32_t count = 0;
 };
 
@@ -149,12 +262,13 @@
   const WaitingKey& key = position->first;
   const std::vector<PoolTask>& tasks =
       position->second.job->steps[key.step].tasks;
-  WaitingGroup group{position, 0};
-  for (;
-       position != board.waiting.end() &&
-       position->first.sequence == key.sequence &&
-       position->first.step == key.step &&
-       tasks[position->first.index].last_worker == tasks[key.index].last_worker;
+  WaitingGroup group{position, position->second.job, 0};
+  for (; position != board.waiting.end() &&
+         position->first.sequence == key.sequence &&
+         position->first.step == key.step &&
+         tasks[position->first.index].last_worker ==
+             tasks[key.index].last_worker &&
+         !IsSuspectTask(board, *position->second.job, position->first);
        ++position) {
     ++group.count;
   }
@@ -175,18 +289,28 @@
          unpermitted_tasks < kMaxUnpermittedTasks) {
     const WaitingKey key = position->first;
     PoolJob& job = *position->second.job;
-    if (IsTooLateToStart(job, key.step, now)) {
+    const PoolJob* const ended = &job;
+    const bool permitted = job.start_permitted;
+    CrashVerdict verdict = CrashVerdict::kJobEnded;
+    if (!EndIfTooLate(board, job, key, now, actions)) {
+      verdict = CheckCrashLimit(board, job, key, now, actions);
+    }
+    if (verdict == CrashVerdict::kJobEnded) {
       // Another step of the job may be in the list already.
-      while (!groups.empty() && groups.back().first->second.job == &job) {
-        startable_groups -= job.start_permitted ? 1 : 0;
+      while (!groups.empty() && groups.back().job == ended) {
+        startable_groups -= permitted ? 1 : 0;
         groups.pop_back();
       }
-      EndJob(board, job.key,
-             job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
-             "no_time_left", now, actions);
       position = board.waiting.lower_bound(key);
       continue;
     }
+    if (verdict == CrashVerdict::kWait) {
+      if (!permitted && unpermitted_tasks < kMaxLookaheadRequests) {
+        RequestStartPermission(job, now, actions);
+      }
+      ++position;
+      continue;
+    }
     const WaitingGroup group = GroupAt(board, position);
     if (!job.start_permitted) {
       if (unpermitted_tasks < kMaxLookaheadRequests) {
@@ -219,10 +343,44 @@
   });
 }
 
-std::vector<PlanTask> MakePlanTasks(const std::vector<PoolWorker*>& ready,
+// Makes the tasks of crash-prone queues avoid workers that run no such tasks,
+// and other tasks those that do. `at_risk`: by worker, whether it runs such
+// tasks.
+void SeparateCrashProne(const std::vector<bool>& at_risk,
+                        bool crash_prone,
+                        PlanTask& task) {
+  if (task.matches.empty()) {
+    task.matches.assign(at_risk.size(), PlanMatch{UINT32_MAX, false});
+  }
+  for (size_t i = 0; i < at_risk.size(); ++i) {
+    task.matches[i].avoid = task.matches[i].avoid || at_risk[i] != crash_prone;
+  }
+}
+
+// Returns, by worker, whether it runs a task of a crash-prone queue; empty if
+// no queue is crash-prone.
+std::vector<bool> WorkersAtRisk(const PoolBoard& board,
+                                const std::vector<PoolWorker*>& ready) {
+  const bool any =
+      std::any_of(board.crashes.queue_crashes.begin(),
+                  board.crashes.queue_crashes.end(), [&](const auto& entry) {
+                    return IsCrashProne(board.crashes, entry.first);
+                  });
+  std::vector<bool> at_risk;
+  for (const PoolWorker* worker : ready) {
+    if (any) {
+      at_risk.push_back(RunsCrashProneTask(board, *worker));
+    }
+  }
+  return at_risk;
+}
+
+std::vector<PlanTask> MakePlanTasks(const PoolBoard& board,
+                                    const std::vector<PoolWorker*>& ready,
                                     const std::vector<WaitingGroup>& groups,
                                     Micros now) {
   const std::string* service = CommonService(ready);
+  const std::vector<bool> at_risk = WorkersAtRisk(board, ready);
   std::vector<PlanTask> tasks;
   tasks.reserve(groups.size());
   for (const WaitingGroup& group : groups) {
@@ -236,6 +394,10 @@
         !last_worker.empty() || IsRestricted(job.order, key.step)) {
       task.matches = MakePlanMatches(ready, job.order, key.step, last_worker);
     }
+    if (!at_risk.empty()) {
+      SeparateCrashProne(at_risk,
+                         IsCrashProne(board.crashes, job.order.queue()), task);
+    }
   }
   return tasks;
 }
@@ -266,8 +428,9 @@
   if (!CanStartAny(ready, groups)) {
     return;
   }
-  const PlacementPlan plan = MakePlacementPlan(
-      MakePlanWorkers(board, ready, now), MakePlanTasks(ready, groups, now));
+  const PlacementPlan plan =
+      MakePlacementPlan(MakePlanWorkers(board, ready, now),
+                        MakePlanTasks(board, ready, groups, now));
   LogReservations(plan, groups, ready, actions);
   board.counters.reservations += plan.reservations.size();
   board.counters.plans_over_budget += plan.over_budget ? 1 : 0;
@@ -284,7 +447,11 @@
 }  // namespace
 
 void PlaceWaitingTasks(PoolBoard& board, Micros now, PoolActions& actions) {
-  if (!board.placement_due || board.waiting.empty()) {
+  if (!board.placement_due) {
+    return;
+  }
+  PlaceSuspects(board, now, actions);
+  if (board.waiting.empty()) {
     return;
   }
   board.placement_due = false;
@@ -301,11 +468,13 @@
          unpermitted_tasks < kMaxUnpermittedTasks) {
     const WaitingKey key = position->first;
     PoolJob& job = *position->second.job;
-    if (IsTooLateToStart(job, key.step, now)) {
-      EndJob(board, job.key,
-             job.started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
-             "no_time_left", now, actions);
-      // EndJob() has erased the job's tasks, so the iterator is invalid.
+    if (EndIfTooLate(board, job, key, now, actions)) {
+      // The job's tasks are erased, so the iterator is invalid.
+      position = board.waiting.lower_bound(key);
+      continue;
+    }
+    const CrashVerdict verdict = CheckCrashLimit(board, job, key, now, actions);
+    if (verdict == CrashVerdict::kJobEnded) {
       position = board.waiting.lower_bound(key);
       continue;
     }
@@ -316,6 +485,10 @@
       ++position;
       continue;
     }
+    if (verdict == CrashVerdict::kWait) {
+      ++position;
+      continue;
+    }
     EligibleWorkers eligible = FindEligibleWorkers(board, ready, job, key, now);
     const Resources required =
         ResourcesOf(job.order.steps(static_cast<int>(key.step)));
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -1,5 +1,7 @@
 #include "pool/pool_step.h"
 
+#include "pool/crash_limit.h"
+#include "pool/crash_news.h"
 #include "pool/job_admission.h"
 #include "pool/load_report.h"
 #include "pool/pool_jobs.h"
@@ -43,6 +45,7 @@
   if (!presence.control()) {
     if (change != MemberChange::kNone) {
       SendWorkerTable(board, message.from(), now, actions);
+      SendCrashLedger(board, message.from(), now, actions);
     }
     if (presence.wants_routing()) {
       OfferRouting(board, message.from(), presence.routing_version(), actions);
@@ -56,6 +59,7 @@
                   {"incarnation", std::to_string(message.incarnation())},
                   {"failure_domain", presence.failure_domain()}});
     SendWorkerTable(board, message.from(), now, actions);
+    SendCrashLedger(board, message.from(), now, actions);
     // The other one needs this daemon's state for an election, so it does not
     // wait for the next period.
     board.mesh.next_heartbeat_at = now;
@@ -85,6 +89,9 @@
     case wire::PoolMessage::kWorkerNews:
       OnWorkerUpdate(board, from, message.worker_news(), now, actions);
       break;
+    case wire::PoolMessage::kCrashNews:
+      OnCrashNews(board, message.crash_news(), now, actions);
+      break;
     case wire::PoolMessage::kWorkerRequest:
       OnHandoverRequest(board, from, message.worker_request(), now, actions);
       break;
@@ -234,6 +241,7 @@
   JobsTick(board, now, actions);
   MoveStragglers(board, now, actions);
   ProfileTick(board, now, actions);
+  CrashTick(board, now);
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
   }
--- a/pool/task_requirements.cc
+++ b/pool/task_requirements.cc
@@ -15,10 +15,24 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+namespace {
+
+// Returns whether the worker is left to one task under which workers have
+// crashed before.
+bool IsKeptAlone(const PoolWorker& worker) {
+  return worker.held_for_suspect ||
+         std::any_of(worker.attempts.begin(), worker.attempts.end(),
+                     [](const auto& entry) {
+                       return entry.second.alone;
+                     });
+}
+
+}  // namespace
+
 bool AcceptsStarts(const PoolWorker& worker, Micros now) {
   return IsInPool(worker) && worker.session == SessionState::kReady &&
          !worker.status.leaving() && worker.clock_ms != 0 &&
-         MayTakeTask(worker, now);
+         MayTakeTask(worker, now) && !IsKeptAlone(worker);
 }
 
 bool Matches(const PoolWorker& worker,
--- /dev/null
+++ b/pool/testing/crash_limit_test.cc
@@ -0,0 +1,261 @@
+// Tasks that crash the workers that start them: what they cost, and what their
+// callers and the others get.
+
+#include <catch2/catch.hpp>
+
+#include "pool/crash_limit.h"
+#include "pool/testing/pool_load.h"
+#include "pool/worker_loss.h"
+
+namespace goldcrest {
+namespace {
+
+constexpr int kMostCrashes = 2;  // of workers under one task
+constexpr int64_t kLongTimeoutMs = 6000;
+
+FakePoolOptions Options(uint64_t seed = 1) {
+  FakePoolOptions options;
+  options.seed = seed;
+  options.features.placement_lookahead = true;
+  options.features.overload_control = true;
+  options.features.queue_floor_percent = 30;
+  options.features.standby_after = 250 * kMillisecond;
+  options.features.run_times_by_worker = true;
+  return options;
+}
+
+FakeJob DeadlyJob(int tasks) {
+  FakeJob job;
+  job.tasks = tasks;
+  job.run_ms = 60;
+  job.estimate_ms = 60;
+  job.timeout_ms = kLongTimeoutMs;
+  job.crashing_task = 0;
+  return job;
+}
+
+FakeJob SoundJob() {
+  FakeJob job = DeadlyJob(1);
+  job.crashing_task = -1;
+  return job;
+}
+
+TEST_CASE("CrashLedger: a task that crashes its workers crashes two at most") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    WaitUntilServing(pool);
+    const int job = pool.Submit(0, DeadlyJob(4));
+    pool.Run(kLongTimeoutMs * kMillisecond);
+    CHECK(pool.RecordOf(job, 0).crashes == kMostCrashes);
+    CHECK(pool.answers().at(job).fate == wire::JOB_FAILED);
+    // Two leases of the first worker and the evidence of the second crash.
+    CHECK(pool.answers().at(job).answered_at -
+              pool.answers().at(job).submitted_at <
+          kSecond);
+    RequireNoViolation(pool);
+  }
+}
+
+// Submits pairs of a sound job and one with a task that crashes its workers;
+// returns the sound ones.
+std::vector<int> SubmitPairs(FakePool& pool, int pairs) {
+  std::vector<int> sound;
+  for (int i = 0; i < pairs; ++i) {
+    sound.push_back(pool.Submit(0, SoundJob()));
+    pool.Submit(0, DeadlyJob(1));
+  }
+  return sound;
+}
+
+TEST_CASE("CrashLedger: sound jobs that share a crashed worker complete") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePoolOptions options = Options(seed);
+    options.workers_per_domain = 12;
+    FakePool pool(options);
+    WaitUntilServing(pool);
+    const std::vector<int> sound = SubmitPairs(pool, 6);
+    pool.Run(kLongTimeoutMs * kMillisecond);
+    for (const int job : sound) {
+      CHECK(pool.answers().at(job).fate == wire::JOB_COMPLETED);
+      // One crash may be a neighbour's; the task runs alone after that.
+      CHECK(pool.RecordOf(job, 0).starts <= kMostCrashes);
+    }
+    RequireNoViolation(pool);
+  }
+}
+
+TEST_CASE("WorkerLoss: a pool that is lost whole fails no sound job") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    WaitUntilServing(pool);
+    const std::vector<int> sound = SubmitPairs(pool, 6);
+    pool.Run(kLongTimeoutMs * kMillisecond);
+    for (const int job : sound) {
+      CHECK(pool.answers().at(job).fate != wire::JOB_FAILED);
+    }
+    for (const auto& [job, answer] : pool.answers()) {
+      CHECK(pool.RecordOf(job, 0).crashes <= kMostCrashes);
+    }
+    RequireNoViolation(pool);
+  }
+}
+
+TEST_CASE("CrashNews: the count holds when the daemon that saw a crash fails") {
+  for (size_t entry = 0; entry < 3; ++entry) {
+    FakePool pool(Options());
+    WaitUntilServing(pool);
+    const int job = pool.Submit(entry, DeadlyJob(1));
+    pool.Run(300 * kMillisecond);
+    REQUIRE(pool.RecordOf(job, 0).crashes == 1);
+    pool.KillControl(entry);
+    pool.Run(1300 * kMillisecond);
+    pool.Resubmit(job, (entry + 1) % 3);
+    pool.Run(2 * kSecond);
+    pool.StartControl(entry);
+    pool.Resubmit(job, entry);
+    pool.Run(kLongTimeoutMs * kMillisecond);
+    CHECK(pool.RecordOf(job, 0).crashes == kMostCrashes);
+    CHECK(pool.answers().at(job).fate == wire::JOB_FAILED);
+  }
+}
+
+TEST_CASE("CrashNews: a job that was given up fails at once at every daemon") {
+  FakePool pool(Options());
+  WaitUntilServing(pool);
+  const int job = pool.Submit(0, DeadlyJob(1));
+  pool.Run(2 * kSecond);
+  for (size_t entry = 0; entry < 3; ++entry) {
+    pool.Resubmit(job, entry);
+    pool.Run(100 * kMillisecond);
+    CHECK(pool.answers().at(job).fate == wire::JOB_FAILED);
+  }
+  CHECK(pool.RecordOf(job, 0).starts == kMostCrashes);
+}
+
+TEST_CASE("WorkerLoss: workers that are cut off do not count as crashed") {
+  FakePool pool(Options());
+  WaitUntilServing(pool);
+  FakeJob sent = SoundJob();
+  sent.run_ms = 400;
+  sent.estimate_ms = 400;
+  std::vector<int> jobs;
+  for (int round = 0; round < 3; ++round) {
+    jobs.push_back(pool.Submit(0, sent));
+    pool.Run(100 * kMillisecond);
+    pool.CutDomain("a");
+    pool.Run(900 * kMillisecond);
+    pool.EndPartitions();
+    pool.Run(2 * kSecond);
+  }
+  CHECK(pool.CountLogged("task_crash") == 0);
+  CHECK(pool.CountAnswers(wire::JOB_FAILED) == 0);
+  RequireNoViolation(pool);
+}
+
+TEST_CASE("WorkerLoss: the cause follows from the evidence") {
+  LossEvidence evidence;
+  evidence.lost_workers = 1;
+  evidence.pool_workers = 12;
+  CHECK(ConcludeLoss(evidence) == LossCause::kUnknown);
+  evidence.closed = true;
+  evidence.refusals = 1;
+  CHECK(ConcludeLoss(evidence) == LossCause::kUnknown);
+  evidence.refusals = 2;
+  evidence.refused_for = 60 * kMillisecond;
+  CHECK(ConcludeLoss(evidence) == LossCause::kCrash);
+  evidence.leaving = true;
+  CHECK(ConcludeLoss(evidence) == LossCause::kLeft);
+  evidence.leaving = false;
+  evidence.lost_workers = 4;  // a third of the pool
+  CHECK(ConcludeLoss(evidence) == LossCause::kShared);
+  evidence.common_job = true;
+  CHECK(ConcludeLoss(evidence) == LossCause::kCrash);
+  LossEvidence silent;
+  silent.new_process = true;
+  CHECK(ConcludeLoss(silent) == LossCause::kCrash);
+}
+
+TEST_CASE("CrashLedger: a crash of a process that is alive is withdrawn") {
+  CrashLedger ledger;
+  const CrashOptions options;
+  const TaskName task{"job", 0, 0, 1};
+  const CrashedProcess first{"10.0.0.1:80", 1};
+  const CrashedProcess second{"10.0.0.2:80", 1};
+  CHECK(RecordTaskCrash(ledger, {task, "q", first, false}, 1));
+  CHECK_FALSE(RecordTaskCrash(ledger, {task, "q", first, false}, 1));
+  CHECK(RecordTaskCrash(ledger, {task, "q", second, true}, 2));
+  CHECK(IsGivenUp(ledger, options, task));
+  CHECK(WithdrawCrashes(ledger, second).size() == 1);
+  CHECK_FALSE(IsGivenUp(ledger, options, task));
+  CHECK(CountCrashes(ledger, task) == 1);
+}
+
+TEST_CASE("CrashLedger: shared crashes and one machine give up no task") {
+  CrashLedger ledger;
+  const CrashOptions options;
+  const TaskName task{"job", 0, 0, 0};
+  RecordTaskCrash(ledger, {task, "q", {"10.0.0.1:80", 1}, true}, 1);
+  RecordTaskCrash(ledger, {task, "q", {"10.0.0.1:80", 2}, true}, 2);
+  CHECK_FALSE(IsGivenUp(ledger, options, task));  // the same machine twice
+  const TaskName neighbour{"job", 0, 0, 1};
+  RecordTaskCrash(ledger, {neighbour, "q", {"10.0.0.1:80", 1}, false}, 1);
+  RecordTaskCrash(ledger, {neighbour, "q", {"10.0.0.2:80", 1}, false}, 2);
+  CHECK_FALSE(IsGivenUp(ledger, options, neighbour));  // never alone
+}
+
+TEST_CASE("CrashLedger: ten thousand jobs fit into the bound of the record") {
+  CrashLedger ledger;
+  for (int i = 0; i < 10'000; ++i) {
+    RecordTaskCrash(
+        ledger, {{"job" + std::to_string(i), 0, 0, 0}, "q", {"a", 1}, true}, i);
+  }
+  CHECK(ledger.jobs.size() == kMaxCrashedJobs);
+  CHECK(ledger.jobs.contains("job9999"));
+  ForgetOldCrashes(ledger, 10'000 + kCrashRetention + 1);
+  CHECK(ledger.jobs.empty());
+}
+
+// Submits jobs of two queues for 6 s; every tenth of the first holds a task
+// that crashes its workers, if `deadly`. Returns the completed jobs of the
+// second.
+int CompletedOfOtherQueue(bool deadly, uint64_t seed) {
+  FakePoolOptions options = Options(seed);
+  options.workers_per_domain = 16;
+  FakePool pool(options);
+  WaitUntilServing(pool);
+  std::vector<int> others;
+  for (int i = 0; i < 600; ++i) {
+    FakeJob first = SoundJob();
+    first.timeout_ms = 1500;
+    first.tasks = 2;
+    first.crashing_task = deadly && i % 10 == 0 ? 0 : -1;
+    pool.Submit(static_cast<size_t>(i) % 3, first);
+    FakeJob second = SoundJob();
+    second.timeout_ms = 1500;
+    second.queue = 1;
+    second.run_ms = 200;
+    second.estimate_ms = 200;
+    second.tasks = 2;
+    others.push_back(pool.Submit(static_cast<size_t>(i) % 3, second));
+    pool.Run(10 * kMillisecond);
+  }
+  pool.Run(3 * kSecond);
+  RequireNoViolation(pool);
+  return static_cast<int>(
+      std::count_if(others.begin(), others.end(), [&](int job) {
+        const FakeAnswer& answer = pool.answers().at(job);
+        return answer.fate == wire::JOB_COMPLETED &&
+               answer.answered_at - answer.submitted_at < 700 * kMillisecond;
+      }));
+}
+
+TEST_CASE("CrashLimit: other queues are served while tasks crash workers") {
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    const int without = CompletedOfOtherQueue(false, seed);
+    const int with = CompletedOfOtherQueue(true, seed);
+    CHECK(with >= without * 9 / 10);
+  }
+}
+
+}  // namespace
+}  // namespace goldcrest
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -288,8 +288,18 @@
   const bool cut = cuts_.contains({from, worker->status.failure_domain()});
   std::uniform_real_distribution<double> uniform(0, 1);
   const bool late = uniform(random_) < worker->late_order_share;
+  if (!cut && worker->reachable && worker->crashed) {
+    WorkerAnswer refused;
+    refused.order = order;
+    refused.outcome = OrderOutcome::kNotSent;
+    refused.failure = CallFailure::kRefused;
+    Schedule(now_ + options_.message_delay,
+             [answer_with, refused] { answer_with(refused); });
+    return;
+  }
   if (cut || !worker->reachable || !worker->up || late) {
     WorkerAnswer no_answer;
+    no_answer.failure = CallFailure::kTimeout;
     no_answer.order = order;
     no_answer.outcome = OrderOutcome::kNoAnswer;
     Schedule(now_ + order.timeout,
@@ -377,6 +387,7 @@
 
 void FakePool::TickWorkers() {
   for (FakeWorker& worker : workers_.all) {
+    CrashOrRestart(worker, now_);
     if (worker.up) {
       TickWorker(worker);
     }
@@ -419,6 +430,9 @@
   answers_[job].run_ms = real_run_ms;
   request.spec =
       std::to_string(real_run_ms) + '/' + std::to_string(sent.cpu_millis);
+  if (sent.crashing_task >= 0) {
+    request.spec += '/' + std::to_string(sent.crashing_task);
+  }
   request.caller_timeout_ms = sent.timeout_ms;
   wire::JobStep step;
   step.set_tasks(static_cast<uint32_t>(sent.tasks));
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -62,6 +62,8 @@
   // Index in kFakeQueues; it is also the priority of the queue.
   size_t queue = 0;
   int64_t cpu_millis = 6800;  // of each task
+  // Index of the task that crashes the workers that start it; -1: none.
+  int crashing_task = -1;
 };
 
 // The queues of the configuration that all daemons get.
@@ -149,6 +151,12 @@
   const std::map<int, FakeAnswer>& answers() const { return answers_; }
   Micros now() const { return now_; }
 
+  // The record of a task of a job with one step.
+  TaskRecord RecordOf(int job, uint32_t index) const {
+    const auto found =
+        workers_.tasks.find({"job" + std::to_string(job), 0, 0, index});
+    return found == workers_.tasks.end() ? TaskRecord() : found->second;
+  }
   // Descriptions of the invariants that were violated.
   const std::vector<std::string>& violations() const {
     return workers_.violations;
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -17,6 +17,12 @@
   return std::stoll(spec.substr(spec.find('/') + 1));
 }
 
+bool CrashesWorker(const WorkerOrder& order) {
+  const size_t last = order.spec.rfind('/');
+  return order.spec.find('/') != last &&
+         order.spec.substr(last + 1) == std::to_string(order.task.index);
+}
+
 Micros WorkerClock(const FakeWorker& worker, Micros now) {
   return now + worker.clock_offset;
 }
@@ -73,9 +79,15 @@
   for (const auto& [name, run] : worker.attempts) {
     used += run.cpu;
   }
-  if (used > worker.status.cpu_millis()) {
+  if (used > worker.status.cpu_millis() && worker.guards_capacity) {
     return OrderOutcome::kNoCapacity;
   }
+  if (used >
+      std::max<int64_t>(worker.status.cpu_millis(), worker.judged_cpu_millis)) {
+    workers.violations.push_back("start beyond the capacity of " +
+                                 worker.status.id() + ": " +
+                                 ToString(order.task));
+  }
   RecordStart(workers, order.task, now);
   FakeWorker::Attempt run;
   run.number = order.attempt;
@@ -88,6 +100,10 @@
     run.ends_at = now + kMinute;
   }
   worker.attempts[order.task] = run;
+  if (CrashesWorker(order)) {
+    ++workers.tasks[order.task].crashes;
+    worker.crashes_at = now + kTimeToCrash;
+  }
   return OrderOutcome::kDone;
 }
 
@@ -142,6 +158,8 @@
   answer.worker_started_ms = worker.status.born_ms();
   if (!worker.up || !worker.reachable) {
     answer.outcome = OrderOutcome::kNoAnswer;
+    answer.failure =
+        worker.crashed ? CallFailure::kClosed : CallFailure::kTimeout;
     return answer;
   }
   if (order.token < worker.highest_token) {
@@ -168,6 +186,28 @@
   return answer;
 }
 
+void CrashOrRestart(FakeWorker& worker, Micros now) {
+  if (worker.crashes_at != 0 && now >= worker.crashes_at) {
+    worker.up = false;
+    worker.crashed = true;
+    worker.crashes_at = 0;
+    worker.back_at = now + kOutageOfCrash;
+    worker.attempts.clear();
+    worker.last_ended_attempt.clear();
+    worker.unacknowledged_ends.clear();
+    worker.next_end = 1;
+    worker.highest_token = 0;
+    worker.lease_until = 0;
+  } else if (worker.crashed && now >= worker.back_at) {
+    worker.up = true;
+    worker.crashed = false;
+    worker.status.set_born_ms(worker.status.born_ms() +
+                              kOutageOfCrash / kMillisecond);
+    worker.status.set_sequence(0);
+    worker.report_due = now;
+  }
+}
+
 void EndFinishedAttempts(FakeWorkers& workers, FakeWorker& worker, Micros now) {
   std::vector<std::pair<TaskName, AttemptEnd>> finished;
   for (const auto& [name, run] : worker.attempts) {
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -34,6 +34,17 @@
 
   wire::WorkerNews status;
   bool up = true;
+  // A task has crashed its process: it is not `up`, refuses connections, and
+  // starts again at `back_at`.
+  bool crashed = false;
+  Micros crashes_at = 0;  // 0: no task that crashes it runs there
+  Micros back_at = 0;
+  // Whether it rejects starts beyond its capacity; such a start is a violation
+  // if it does not.
+  bool guards_capacity = true;
+  // Capacity beyond which a start is a violation; 0: the present one. Right
+  // after it has shrunk, the worker's owner cannot know that yet.
+  int64_t judged_cpu_millis = 0;
   bool reachable = true;
   bool fails_all = false;
   bool hangs = false;
@@ -56,6 +67,7 @@
   int starts = 0;
   int done = 0;
   int done_acknowledged = 0;
+  int crashes = 0;  // of workers that started it
   Micros last_start = 0;
 };
 
@@ -66,14 +78,23 @@
   std::vector<std::string> violations;
 };
 
+// Time from the start of a task that crashes its worker to the crash, and from
+// the crash until the worker is back.
+inline constexpr Micros kTimeToCrash = 10 * kMillisecond;
+inline constexpr Micros kOutageOfCrash = 3 * kSecond;
+
 // Executes an order on a worker and returns the answer. The order's spec is the
-// run time of the task in milliseconds, a slash, and the thousandths of a core
-// that it uses.
+// run time of the task in milliseconds, a slash, the thousandths of a core that
+// it uses, and, for a job with a task that crashes the workers that start it, a
+// slash and the index of that task.
 WorkerAnswer ExecuteOrder(FakeWorkers& workers,
                           FakeWorker& worker,
                           const WorkerOrder& order,
                           Micros now);
 
+// Crashes the worker if that is due, and starts a crashed one again.
+void CrashOrRestart(FakeWorker& worker, Micros now);
+
 // Ends the attempts that are finished, stopped, or past the worker's lease.
 void EndFinishedAttempts(FakeWorkers& workers, FakeWorker& worker, Micros now);
 
--- /dev/null
+++ b/pool/worker_loss.cc
@@ -0,0 +1,293 @@
+#include "pool/worker_loss.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "pool/crash_limit.h"
+#include "pool/crash_news.h"
+#include "pool/pool_jobs.h"
+
+namespace goldcrest {
+namespace {
+
+// A refusal may come from a process that is just restarting its listener; two
+// of them this far apart may not.
+constexpr int kRefusalsOfCrash = 2;
+constexpr Micros kRefusedTimeOfCrash = 50 * kMillisecond;
+// Workers lost within this time of each other are lost together.
+constexpr Micros kSharedLossWindow = 100 * kMillisecond;
+// A loss of this many workers, and of this part of the pool, has a shared
+// cause.
+constexpr int kSharedLossWorkers = 3;
+constexpr int kSharedLossDivisor = 3;
+
+std::set<std::string> JobsOn(const PoolWorker& worker) {
+  std::set<std::string> jobs;
+  for (const auto& [name, attempt] : worker.attempts) {
+    jobs.insert(name.job_id);
+  }
+  return jobs;
+}
+
+bool RunsSuspect(const PoolWorker& worker) {
+  return worker.attempts.size() == 1 && worker.attempts.begin()->second.alone;
+}
+
+// Counts the workers that were lost at about the same time as `worker`, and
+// finds out whether one job ran on all of them. The loss of a worker that ran a
+// suspect is explained by that.
+void AddSharedEvidence(const PoolBoard& board,
+                       const PoolWorker& worker,
+                       LossEvidence& evidence) {
+  std::set<std::string> common = JobsOn(worker);
+  evidence.lost_workers = 1;
+  for (const auto& [id, other] : board.owned) {
+    const Micros lost_at = other->loss.closed_at;
+    if (other == &worker || lost_at == 0 || RunsSuspect(*other) ||
+        std::abs(lost_at - worker.loss.closed_at) > kSharedLossWindow) {
+      continue;
+    }
+    ++evidence.lost_workers;
+    const std::set<std::string> jobs = JobsOn(*other);
+    std::erase_if(common,
+                  [&](const std::string& job) { return !jobs.contains(job); });
+  }
+  evidence.common_job = !common.empty();
+}
+
+LossEvidence EvidenceOf(const PoolBoard& board,
+                        const PoolWorker& worker,
+                        bool new_process) {
+  const WorkerLoss& loss = worker.loss;
+  LossEvidence evidence;
+  evidence.leaving = worker.status.leaving();
+  evidence.new_process = new_process;
+  evidence.closed = loss.closed_at != 0;
+  evidence.refusals = loss.refusals;
+  evidence.refused_for = loss.last_refused_at - loss.first_refused_at;
+  evidence.pool_workers = static_cast<int>(board.owned.size());
+  if (evidence.closed) {
+    AddSharedEvidence(board, worker, evidence);
+  }
+  return evidence;
+}
+
+// Returns the queue that a crash of the worker is charged to: that of the
+// attempt started last, since a task that crashes workers does so soon after
+// its start; of a queue with crashes, if one runs there.
+std::string ChargedQueue(const PoolBoard& board, const PoolWorker& worker) {
+  std::string queue;
+  Micros latest = 0;
+  for (const auto& [name, attempt] : worker.attempts) {
+    const auto job = board.jobs.find(attempt.job_key);
+    if (job == board.jobs.end()) {
+      continue;
+    }
+    const std::string& candidate = job->second->order.queue();
+    if (IsCrashProne(board.crashes, candidate)) {
+      return candidate;
+    }
+    if (attempt.sent_at >= latest) {
+      latest = attempt.sent_at;
+      queue = candidate;
+    }
+  }
+  return queue;
+}
+
+void LogLoss(const PoolWorker& worker,
+             const LossEvidence& evidence,
+             LossCause cause,
+             Micros now,
+             PoolActions& actions) {
+  const Micros silent = now - worker.last_answer_at;
+  LogPoolEvent(actions, LogLevel::kWarning, "worker_lost",
+               {{"worker", worker.status.id()},
+                {"address", worker.status.address()},
+                {"cause", std::string(ToString(cause))},
+                {"runs", std::to_string(worker.attempts.size())},
+                {"closed", evidence.closed ? "1" : "0"},
+                {"refusals", std::to_string(evidence.refusals)},
+                {"new_process", evidence.new_process ? "1" : "0"},
+                {"lost_workers", std::to_string(evidence.lost_workers)},
+                {"answered_ms_ago", std::to_string(silent / kMillisecond)}});
+}
+
+// Appends a crash of the worker's process for each task on it. A `shared` loss
+// makes the tasks suspects, but proves nothing about any of them.
+void AddTaskCrashes(const PoolBoard& board,
+                    const PoolWorker& worker,
+                    bool shared,
+                    std::vector<TaskCrash>& crashes) {
+  const CrashedProcess process{worker.status.address(),
+                               worker.status.born_ms()};
+  const bool alone = !shared && worker.attempts.size() == 1;
+  for (const auto& [name, attempt] : worker.attempts) {
+    const auto job = board.jobs.find(attempt.job_key);
+    if (job != board.jobs.end()) {
+      crashes.push_back({name, job->second->order.queue(), process, alone});
+    }
+  }
+}
+
+// Logs a crash that this daemon has recorded, with what follows from it.
+void LogTaskCrash(const PoolBoard& board,
+                  const TaskCrash& crash,
+                  PoolActions& actions) {
+  const bool given_up =
+      IsGivenUp(board.crashes, board.options.crashes, crash.task);
+  LogPoolEvent(
+      actions, LogLevel::kWarning, "task_crash",
+      {{"job", crash.task.job_id},
+       {"task", ToString(crash.task)},
+       {"queue", crash.queue},
+       {"address", crash.process.address},
+       {"born_ms", std::to_string(crash.process.born_ms)},
+       {"alone", crash.alone ? "1" : "0"},
+       {"crashes", std::to_string(CountCrashes(board.crashes, crash.task))},
+       {"limit", std::to_string(board.options.crashes.crashes_to_give_up)},
+       {"outcome", given_up ? "given_up" : "retry_alone"}});
+}
+
+// Records the crash for all tasks on the worker.
+void RecordCrash(PoolBoard& board,
+                 PoolWorker& worker,
+                 bool shared,
+                 Micros now,
+                 PoolActions& actions) {
+  const std::string& address = worker.status.address();
+  if (!shared) {
+    RecordAway(
+        board.crashes, address,
+        {worker.status.failure_domain(), ChargedQueue(board, worker), now});
+  }
+  std::vector<TaskCrash> crashes = worker.loss.lapsed;
+  AddTaskCrashes(board, worker, shared, crashes);
+  for (const TaskCrash& crash : crashes) {
+    if (ApplyTaskCrash(board, crash, now, actions)) {
+      LogTaskCrash(board, crash, actions);
+    }
+  }
+  SendCrashes(board, crashes, address, now, actions);
+}
+
+// Concludes the cause of a loss and acts on it, once for each loss.
+void ConcludeOnce(PoolBoard& board,
+                  PoolWorker& worker,
+                  bool new_process,
+                  Micros now,
+                  PoolActions& actions) {
+  if (worker.loss.concluded ||
+      (worker.attempts.empty() && worker.loss.lapsed.empty())) {
+    return;
+  }
+  const LossEvidence evidence = EvidenceOf(board, worker, new_process);
+  const LossCause cause = ConcludeLoss(evidence);
+  if (cause == LossCause::kUnknown) {
+    return;
+  }
+  worker.loss.concluded = true;
+  ++board.counters.worker_losses[std::string(ToString(cause))];
+  LogLoss(worker, evidence, cause, now, actions);
+  if (cause != LossCause::kLeft) {
+    RecordCrash(board, worker, cause == LossCause::kShared, now, actions);
+  }
+}
+
+void Withdraw(PoolBoard& board,
+              PoolWorker& worker,
+              Micros now,
+              PoolActions& actions) {
+  const CrashedProcess process{worker.status.address(),
+                               worker.status.born_ms()};
+  EndAway(board.crashes, process.address, now);
+  const std::vector<TaskName> tasks = WithdrawCrashes(board.crashes, process);
+  if (tasks.empty()) {
+    return;
+  }
+  ++board.counters.crashes_withdrawn;
+  LogPoolEvent(actions, LogLevel::kWarning, "worker_crash_withdrawn",
+               {{"worker", worker.status.id()},
+                {"address", process.address},
+                {"tasks", std::to_string(tasks.size())}});
+  SendWithdrawal(board, process, now, actions);
+  board.placement_due = true;
+}
+
+}  // namespace
+
+LossCause ConcludeLoss(const LossEvidence& evidence) {
+  const bool refused = evidence.closed &&
+                       evidence.refusals >= kRefusalsOfCrash &&
+                       evidence.refused_for >= kRefusedTimeOfCrash;
+  if (!refused && !evidence.new_process) {
+    return LossCause::kUnknown;
+  }
+  if (evidence.leaving) {
+    return LossCause::kLeft;
+  }
+  const bool shared =
+      evidence.lost_workers >= kSharedLossWorkers &&
+      evidence.lost_workers * kSharedLossDivisor >= evidence.pool_workers &&
+      !evidence.common_job;
+  return shared ? LossCause::kShared : LossCause::kCrash;
+}
+
+void OnWorkerCallEnd(PoolBoard& board,
+                     PoolWorker& worker,
+                     const WorkerAnswer& answer,
+                     Micros now,
+                     PoolActions& actions) {
+  WorkerLoss& loss = worker.loss;
+  if (answer.failure == CallFailure::kNone) {
+    const bool same_process =
+        answer.worker_started_ms == 0 ||
+        answer.worker_started_ms == worker.status.born_ms();
+    if (answer.outcome == OrderOutcome::kDone && same_process) {
+      OnWorkerProcessSeen(board, worker, now, actions);
+    }
+    return;
+  }
+  if (answer.failure == CallFailure::kClosed && loss.closed_at == 0) {
+    loss.closed_at = now;
+    return;
+  }
+  // A proxy in front of the worker closes new connections instead.
+  const bool refused = answer.failure == CallFailure::kRefused ||
+                       answer.failure == CallFailure::kClosed;
+  if (refused && loss.closed_at != 0) {
+    loss.first_refused_at = loss.refusals == 0 ? now : loss.first_refused_at;
+    loss.last_refused_at = now;
+    ++loss.refusals;
+    ConcludeOnce(board, worker, false, now, actions);
+  }
+}
+
+void OnWorkerLeaseExpired(PoolBoard& board, PoolWorker& worker) {
+  if (!worker.loss.concluded) {
+    AddTaskCrashes(board, worker, false, worker.loss.lapsed);
+  }
+}
+
+void OnWorkerProcessLost(PoolBoard& board,
+                         PoolWorker& worker,
+                         bool new_process,
+                         Micros now,
+                         PoolActions& actions) {
+  ConcludeOnce(board, worker, new_process, now, actions);
+  worker.loss = {};
+  EndAway(board.crashes, worker.status.address(), now);
+}
+
+void OnWorkerProcessSeen(PoolBoard& board,
+                         PoolWorker& worker,
+                         Micros now,
+                         PoolActions& actions) {
+  if (worker.loss.concluded) {
+    Withdraw(board, worker, now, actions);
+  }
+  worker.loss = {};
+}
+
+}  // namespace goldcrest
--- a/pool/worker_order.h
+++ b/pool/worker_order.h
@@ -50,6 +50,15 @@
   return kOrderOutcomeNames[static_cast<size_t>(outcome)];
 }
 
+// Why an order has no answer.
+enum class CallFailure : uint8_t {
+  kNone,     // it has one
+  kTimeout,  // nothing came in time: the worker is slow, frozen or cut off
+  kRefused,  // no process accepts connections at the worker's address
+  kClosed,   // the worker's side closed or reset the connection
+  kOther,    // this daemon could not send it
+};
+
 // How an attempt ended.
 enum class AttemptEnd : uint8_t {
   kDone,
@@ -137,6 +146,7 @@
 struct WorkerAnswer {
   WorkerOrder order;
   OrderOutcome outcome = OrderOutcome::kNoAnswer;
+  CallFailure failure = CallFailure::kNone;
   int64_t clock_ms = 0;           // the worker's clock; 0 if not reported
   int64_t worker_started_ms = 0;  // when the worker started; 0 if not reported
   std::vector<RunningAttempt> running;
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -48,7 +48,7 @@
   return a.address() != b.address() || a.leaving() != b.leaving() ||
          a.gone() != b.gone() || a.born_ms() != b.born_ms() ||
          a.cpu_millis() != b.cpu_millis() || a.memory_mb() != b.memory_mb() ||
-         a.service() != b.service() ||
+         a.accelerators() != b.accelerators() || a.service() != b.service() ||
          !std::equal(a.labels().begin(), a.labels().end(), b.labels().begin(),
                      b.labels().end());
 }
@@ -72,7 +72,7 @@
     if (id != report.id() && IsInPool(other) &&
         other.status.address() == report.address() &&
         other.status.born_ms() < report.born_ms()) {
-      HandleWorkerProcessEnd(board, other, "replaced", now, actions);
+      HandleWorkerProcessEnd(board, other, ProcessEnd::kReplaced, now, actions);
       other.status.set_gone(true);
     }
   }
@@ -95,13 +95,15 @@
   if (report.failure_domain() != worker.status.failure_domain()) {
     worker.preferred_owner_generation = 0;
   }
-  CopyReport(report, worker.status);
-  worker.last_received_at = now;
   if (restarted || moved || report.gone()) {
     // A change of the address counts as a restart, also in the log.
-    HandleWorkerProcessEnd(board, worker, report.gone() ? "left" : "restarted",
-                           now, actions);
+    HandleWorkerProcessEnd(
+        board, worker,
+        report.gone() ? ProcessEnd::kLeft : ProcessEnd::kRestarted, now,
+        actions);
   }
+  CopyReport(report, worker.status);
+  worker.last_received_at = now;
   if (changed) {
     MarkReplacedAsGone(board, report, now, actions);
     LogPoolEvent(actions, LogLevel::kInfo, "worker_changed",
@@ -253,7 +255,7 @@
       now - worker.last_received_at < board.options.worker_timeout) {
     return;
   }
-  HandleWorkerProcessEnd(board, worker, "silent", now, actions);
+  HandleWorkerProcessEnd(board, worker, ProcessEnd::kSilent, now, actions);
   worker.status.set_gone(true);
   AnnounceWorker(board, worker, now, actions);
 }
@@ -357,7 +359,7 @@
     return;
   }
   PoolWorker& worker = found->second;
-  HandleWorkerProcessEnd(board, worker, "left", now, actions);
+  HandleWorkerProcessEnd(board, worker, ProcessEnd::kLeft, now, actions);
   worker.status.set_gone(true);
   AnnounceWorker(board, worker, now, actions);
 }
@@ -374,7 +376,7 @@
       worker.last_received_at = now;
       if (row.gone() && IsInPool(worker) &&
           row.sequence() >= worker.status.sequence()) {
-        HandleWorkerProcessEnd(board, worker, "gone", now, actions);
+        HandleWorkerProcessEnd(board, worker, ProcessEnd::kGone, now, actions);
         worker.status.set_gone(true);
       }
     }
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -5,6 +5,7 @@
 
 #include "pool/pool_jobs.h"
 #include "pool/worker_health.h"
+#include "pool/worker_loss.h"
 #include "pool/worker_roster.h"
 
 namespace goldcrest {
@@ -402,13 +403,16 @@
 
 void HandleWorkerProcessEnd(PoolBoard& board,
                             PoolWorker& worker,
-                            const std::string& reason,
+                            ProcessEnd end,
                             Micros now,
                             PoolActions& actions) {
   LogPoolEvent(actions, LogLevel::kInfo, "worker_process_gone",
                {{"worker", worker.status.id()},
-                {"reason", reason},
+                {"reason", std::string(ToString(end))},
                 {"runs", std::to_string(worker.attempts.size())}});
+  const bool new_process =
+      end == ProcessEnd::kRestarted || end == ProcessEnd::kReplaced;
+  OnWorkerProcessLost(board, worker, new_process, now, actions);
   ResetSessionState(board, worker);
   worker.acknowledged_end = 0;
   worker.newest_processed_end = 0;
@@ -475,6 +479,7 @@
   }
   PoolWorker& worker = found->second;
   RecordClock(worker, answer, now);
+  OnWorkerCallEnd(board, worker, answer, now, actions);
   if (answer.outcome == OrderOutcome::kDone) {
     worker.last_received_at = now;
     worker.last_answer_at = now;
@@ -484,7 +489,7 @@
       (answer.worker_started_ms != 0 && worker.status.born_ms() != 0 &&
        answer.worker_started_ms != worker.status.born_ms());
   if (other_process) {
-    HandleWorkerProcessEnd(board, worker, "restarted", now, actions);
+    HandleWorkerProcessEnd(board, worker, ProcessEnd::kRestarted, now, actions);
     if (answer.worker_started_ms > worker.status.born_ms()) {
       worker.status.set_born_ms(answer.worker_started_ms);
     }
@@ -541,6 +546,7 @@
         !worker.attempts.empty() && now > worker.lease_expires_at &&
         now - worker.reconciling_since > board.options.reconcile_timeout;
     if (attempts_expired) {
+      OnWorkerLeaseExpired(board, worker);
       RemoveAttemptsIf(
           board, worker, AttemptEnd::kLeaseExpired, false, now, actions,
           [](const TaskName&, const WorkerAttempt&) { return true; });
--- a/pool/worker_session.h
+++ b/pool/worker_session.h
@@ -19,13 +19,32 @@
 // while the start of at least one attempt is confirmed (or its stop ordered):
 // it extends the lease, and its answer reports the ends of attempts.
 
+#include <array>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "pool/pool_board.h"
 
 namespace goldcrest {
 
+// How a worker's process ended.
+enum class ProcessEnd : uint8_t {
+  kRestarted,  // a later process reports under the same id
+  kReplaced,   // a later process reports from the same address
+  kLeft,       // it announced its end
+  kGone,       // another daemon reports its end
+  kSilent,     // its reports have timed out
+};
+
+// Names in logs.
+inline constexpr std::array<std::string_view, 5> kProcessEndNames = {
+    "restarted", "replaced", "left", "gone", "silent"};
+
+inline std::string_view ToString(ProcessEnd end) {
+  return kProcessEndNames[static_cast<size_t>(end)];
+}
+
 // Takes the worker over, or reconciles it again when its state has become
 // uncertain. `reason` goes into the log line.
 void ReconcileWorker(PoolBoard& board,
@@ -48,7 +67,7 @@
 // ended, which is reported to their jobs. No order is sent.
 void HandleWorkerProcessEnd(PoolBoard& board,
                             PoolWorker& worker,
-                            const std::string& reason,
+                            ProcessEnd end,
                             Micros now,
                             PoolActions& actions);
 
--- a/soak/soak_checks.cc
+++ b/soak/soak_checks.cc
@@ -133,7 +133,7 @@
   const std::map<const TimeSpan*, Micros> listening_since =
       FirstAnsweredRequests(jobs, entries);
   for (const auto& [id, record] : jobs) {
-    if (record.ended_at == 0 || record.end != CallEnd::kNoResponse) {
+    if (record.ended_at == 0 || !IsUnanswered(record.end)) {
       continue;
     }
     const DaemonHistory& daemon = entries[record.entry_index];
@@ -159,6 +159,12 @@
     const FakeWorkers& workers,
     const SoakCheckOptions& options) {
   std::vector<std::string> violations;
+  for (const auto& [task, record] : workers.tasks) {
+    if (record.crashes > options.max_crashes) {
+      violations.push_back("task " + ToString(task) + " crashed " +
+                           std::to_string(record.crashes) + " workers");
+    }
+  }
   const std::map<std::string, JobExecution> executions =
       ExecutionsByJob(workers);
   for (const auto& [id, record] : jobs) {
