Refuse a job that no worker can hold at present, instead of failing it

What callers saw: while the capacity of all workers that could hold a job had shrunk, the job was answered as failed for good ("no worker could hold it"), although the capacity grows back.

Cause: the check whether a job can ever run used the present capacity. Change: it uses the largest capacity that the worker's process has reported; a job that fits none at present is refused, with the time to come back.

--- a/pool/crash_limit.cc
+++ b/pool/crash_limit.cc
@@ -47,7 +47,7 @@
                const WaitingKey& key) {
   const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
   const PoolTask& task = job.steps[key.step].tasks[key.index];
-  return CouldEverRun(worker, job.order, step) &&
+  return FitsWhenIdle(worker, job.order, step) &&
          worker.status.id() != task.last_worker;
 }
 
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -218,6 +218,8 @@
 // A known worker, and this daemon's session with it if this daemon owns it.
 struct PoolWorker {
   wire::WorkerNews status;  // from the newest report or update
+  // The largest capacity that the present process has reported.
+  Resources largest_capacity;
   // Start of the timeout for the worker's reports: when its last report, its
   // last executed order's answer or another daemon's last update about it was
   // received, or when this daemon claimed it. Moved by pauses of the process.
--- a/pool/task_requirements.cc
+++ b/pool/task_requirements.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "pool/choose_worker.h"
 #include "pool/worker_health.h"
 
 namespace goldcrest {
@@ -47,9 +48,17 @@
                   const wire::JobOrder& order,
                   const wire::JobStep& step) {
   return IsInPool(worker) && Matches(worker, order, step) &&
-         step.cpu_millis() <= worker.status.cpu_millis() &&
-         step.memory_mb() <= worker.status.memory_mb() &&
-         step.accelerators() <= worker.status.accelerators();
+         Fits(ResourcesOf(step), worker.largest_capacity);
+}
+
+bool FitsWhenIdle(const PoolWorker& worker,
+                  const wire::JobOrder& order,
+                  const wire::JobStep& step) {
+  const Resources capacity = {worker.status.cpu_millis(),
+                              worker.status.memory_mb(),
+                              worker.status.accelerators()};
+  return IsInPool(worker) && Matches(worker, order, step) &&
+         Fits(ResourcesOf(step), capacity);
 }
 
 std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now) {
--- a/pool/task_requirements.h
+++ b/pool/task_requirements.h
@@ -25,11 +25,17 @@
              const wire::JobOrder& order,
              const wire::JobStep& step);
 
-// Returns true if the worker could run a task of the step when idle.
+// Returns true if the worker could run a task of the step when idle, with the
+// largest capacity that it has had: a capacity that has shrunk may grow again.
 bool CouldEverRun(const PoolWorker& worker,
                   const wire::JobOrder& order,
                   const wire::JobStep& step);
 
+// The same with its present capacity.
+bool FitsWhenIdle(const PoolWorker& worker,
+                  const wire::JobOrder& order,
+                  const wire::JobStep& step);
+
 // Returns the workers that accept tasks now, sorted by id.
 std::vector<PoolWorker*> ReadyWorkers(const PoolBoard& board, Micros now);
 
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -62,6 +62,20 @@
   status.set_token(token);
 }
 
+// Keeps the largest capacity that a process of the worker has reported.
+void RecordCapacity(PoolWorker& worker, bool new_process) {
+  if (new_process) {
+    worker.largest_capacity = {};
+  }
+  Resources& largest = worker.largest_capacity;
+  largest.cpu_millis =
+      std::max<int64_t>(largest.cpu_millis, worker.status.cpu_millis());
+  largest.memory_mb =
+      std::max<int64_t>(largest.memory_mb, worker.status.memory_mb());
+  largest.accelerators =
+      std::max<int64_t>(largest.accelerators, worker.status.accelerators());
+}
+
 // Marks workers as gone that the reporting one has replaced: those at the same
 // address that started earlier.
 void MarkReplacedAsGone(PoolBoard& board,
@@ -103,6 +117,7 @@
         actions);
   }
   CopyReport(report, worker.status);
+  RecordCapacity(worker, is_new || restarted || moved);
   worker.last_received_at = now;
   if (changed) {
     MarkReplacedAsGone(board, report, now, actions);
