Start nothing beside a run of unknown size

Cause: a run that a new owner finds was counted with the capacity that its worker reported at that moment. When that had shrunk and grew back while the run was being stopped, the difference counted as free, and a worker that does not guard its capacity was started beyond it.

Change: a worker takes no task until its unknown runs have ended.

--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -164,6 +164,9 @@
   bool judged = false;
   // A worker has crashed under the task before: nothing else runs beside it.
   bool alone = false;
+  // Its resources are not known, since this daemon did not start it: nothing
+  // starts beside it.
+  bool unknown = false;
 };
 
 // Evidence about a worker that does not answer (worker_loss.h).
--- a/pool/task_requirements.cc
+++ b/pool/task_requirements.cc
@@ -19,12 +19,12 @@
 namespace {
 
 // Returns whether the worker is left to one task under which workers have
-// crashed before.
+// crashed before, or to tasks of unknown size until they have ended.
 bool IsKeptAlone(const PoolWorker& worker) {
   return worker.held_for_suspect ||
          std::any_of(worker.attempts.begin(), worker.attempts.end(),
                      [](const auto& entry) {
-                       return entry.second.alone;
+                       return entry.second.alone || entry.second.unknown;
                      });
 }
 
--- a/pool/testing/capacity_change_test.cc
+++ b/pool/testing/capacity_change_test.cc
@@ -3,7 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "pool/task_requirements.h"
 #include "pool/testing/pool_load.h"
+#include "pool/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -103,5 +105,30 @@
   }
 }
 
+// An unknown run that was found while its worker reported next to no capacity.
+TEST_CASE("Capacity: a worker that grows takes nothing beside an unknown run") {
+  PoolBoard board;
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_id("w");
+  worker.status.set_cpu_millis(100);
+  board.owned["w"] = &worker;
+  worker.session = SessionState::kReady;
+  worker.session_number = 1;
+  WorkerAnswer answer;
+  answer.order.worker = "w";
+  answer.order.session = 1;
+  answer.outcome = OrderOutcome::kDone;
+  answer.clock_ms = 1;
+  answer.running.push_back({{"job", 0, 0, 0}, 1, 50});
+  PoolActions actions;
+  OnWorkerAnswer(board, answer, kSecond, actions);
+  worker.status.set_cpu_millis(kFullCpuMillis);
+  CHECK_FALSE(AcceptsStarts(worker, kSecond));
+  answer.running.clear();
+  answer.ended.push_back({1, {"job", 0, 0, 0}, 1, AttemptEnd::kStopped});
+  OnWorkerAnswer(board, answer, 2 * kSecond, actions);
+  CHECK(AcceptsStarts(worker, 2 * kSecond));
+}
+
 }  // namespace
 }  // namespace goldcrest
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -190,6 +190,7 @@
     if (found == worker.attempts.end()) {
       WorkerAttempt unknown_attempt;
       unknown_attempt.attempt_number = row.attempt;
+      unknown_attempt.unknown = true;
       unknown_attempt.resources = {worker.status.cpu_millis(),
                                    worker.status.memory_mb(),
                                    worker.status.accelerators()};
