--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -56,6 +56,22 @@
   }
 }
 
+// Workers that were lost, and what their tasks had to do with it.
+void AppendCrashes(std::string& text, const PoolBoard& board) {
+  const PoolCounters& counters = board.counters;
+  AppendByLabel(text, "worker_losses_total", "cause", counters.worker_losses);
+  AppendMetric(text, "task_crashes_total", "counter",
+               std::to_string(counters.task_crashes));
+  AppendMetric(text, "tasks_given_up_total", "counter",
+               std::to_string(counters.tasks_given_up));
+  AppendMetric(text, "crashes_withdrawn_total", "counter",
+               std::to_string(counters.crashes_withdrawn));
+  AppendMetric(text, "crash_limit_refusals_total", "counter",
+               std::to_string(counters.crash_limit_refusals));
+  AppendMetric(text, "crashed_workers_away", "gauge",
+               std::to_string(board.crashes.away.size()));
+}
+
 std::string Seconds(Micros duration) {
   return std::to_string(static_cast<double>(duration) /
                         static_cast<double>(kSecond));
@@ -192,6 +208,7 @@
   AppendByLabel(text, "jobs_ended_total", "fate", board.counters.jobs_ended);
   AppendByLabel(text, "overload_refusals_total", "reason",
                 board.counters.overload_refusals);
+  AppendCrashes(text, board);
   AppendByLabel(text, "worker_orders_total", "outcome",
                 board.counters.order_outcomes);
   AppendByLabel(text, "runs_ended_total", "end", board.counters.attempt_ends);
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -91,6 +91,15 @@
               "Time from SIGTERM until the platform kills the process, in "
               "seconds; 3 to 3600. Everything that was taken is answered "
               "shortly before.");
+DEFINE_int32(task_crash_limit,
+             2,
+             "Workers that may crash under one task before its job fails; 2 "
+             "to 10.");
+DEFINE_int32(crash_away_percent,
+             25,
+             "Part of a control daemon's workers, in percent, that may be away "
+             "because tasks of a queue crash them, before the queue's tasks "
+             "wait; 1 to 100.");
 DEFINE_uint64(metrics_port, 0, "Port that serves the metrics page; 0: none.");
 DEFINE_string(log, "info", "Lowest level logged: debug, info, warning, error.");
 
@@ -98,6 +107,9 @@
 namespace {
 
 constexpr Micros kReloadPeriod = 1 * kSecond;
+// One crash may be a neighbour's, so it takes two to judge a task.
+constexpr int kMinTaskCrashLimit = 2;
+constexpr int kMaxTaskCrashLimit = 10;
 constexpr int32_t kMaxToleratedLosses = 10;
 constexpr uint64_t kMaxPort = 65535;
 constexpr int32_t kMaxQueueFloorPercent = 50;
@@ -235,6 +247,17 @@
   return static_cast<Micros>(FLAGS_stop_grace_s * static_cast<double>(kSecond));
 }
 
+CrashOptions ReadCrashOptions(const ProgramInfo& program) {
+  if (FLAGS_task_crash_limit < kMinTaskCrashLimit ||
+      FLAGS_task_crash_limit > kMaxTaskCrashLimit) {
+    FailUsage(program, "--task_crash_limit: not in 2 to 10");
+  }
+  if (FLAGS_crash_away_percent < 1 || FLAGS_crash_away_percent > 100) {
+    FailUsage(program, "--crash_away_percent: not in 1 to 100");
+  }
+  return {FLAGS_task_crash_limit, FLAGS_crash_away_percent};
+}
+
 std::string ReadMeshBind(const ProgramInfo& program) {
   return FLAGS_mesh_bind.empty()
              ? ""
@@ -257,6 +280,8 @@
              {"seeds", FLAGS_seeds},
              {"first_start", FLAGS_first_start ? "1" : "0"},
              {"stop_grace_s", std::to_string(FLAGS_stop_grace_s)},
+             {"task_crash_limit", std::to_string(FLAGS_task_crash_limit)},
+             {"crash_away_percent", std::to_string(FLAGS_crash_away_percent)},
              {"disk", FLAGS_disk.empty() ? "none" : FLAGS_disk}}});
 }
 
@@ -377,6 +402,7 @@
   options.mesh = ReadMeshOptions(program);
   options.entry.features = ReadFeatures(program);
   options.entry.stop_grace = ReadStopGrace(program);
+  options.entry.crashes = ReadCrashOptions(program);
   options.entry.hold_requests = FLAGS_hold_requests_ms * kMillisecond;
   options.mesh_bind = ReadMeshBind(program);
   LogStart(program, options.mesh);
@@ -410,6 +436,7 @@
   start.mesh = ReadMeshOptions(program);
   start.options.features = ReadFeatures(program);
   start.options.stop_grace = ReadStopGrace(program);
+  start.options.crashes = ReadCrashOptions(program);
   options.mesh_bind = ReadMeshBind(program);
   start.mesh.control = true;
   start.mesh.control_address = options.control_address;
--- a/report/explain.cc
+++ b/report/explain.cc
@@ -15,16 +15,18 @@
 
 // Events that can explain an outcome, the most specific first. Only lines that
 // mention the job are searched for them.
-constexpr std::array<std::string_view, 9> kCauseEvents = {
-    "job_refused",    "job_not_taken", "straggler_stopped",
-    "start_rejected", "run_ended",     "worker_ejected",
-    "job_ended",      "job_answered",  "control_daemon_lost"};
+constexpr std::array<std::string_view, 10> kCauseEvents = {
+    "task_crash",         "job_refused",    "job_not_taken",
+    "straggler_stopped",  "start_rejected", "run_ended",
+    "worker_ejected",     "job_ended",      "job_answered",
+    "control_daemon_lost"};
 
 // Events about daemons and workers that may have affected a job.
-constexpr std::array<std::string_view, 9> kContextEvents = {
-    "worker_ejected",      "worker_settling",     "worker_session_ended",
-    "worker_process_gone", "control_daemon_lost", "control_daemon_back",
-    "process_was_paused",  "drain_started",       "daemon_started"};
+constexpr std::array<std::string_view, 11> kContextEvents = {
+    "worker_lost",         "worker_crash_withdrawn", "worker_ejected",
+    "worker_settling",     "worker_session_ended",   "worker_process_gone",
+    "control_daemon_lost", "control_daemon_back",    "process_was_paused",
+    "drain_started",       "daemon_started"};
 
 // Reads a value that may be quoted. Returns the position after it.
 size_t ReadValue(const std::string& line, size_t position, std::string& value) {
@@ -176,12 +178,34 @@
   return timeline;
 }
 
+namespace {
+
+// Returns a line for each crash of a worker under a task of the job.
+std::string CrashLines(const JobTimeline& timeline) {
+  std::string text;
+  for (const LogRow& row : timeline.rows) {
+    if (row.event != "task_crash") {
+      continue;
+    }
+    const bool alone = FieldOf(row, "alone") == "1";
+    text += "crash " + FieldOf(row, "crashes") + " of " +
+            FieldOf(row, "limit") + ": task " + FieldOf(row, "task") + " was " +
+            (alone ? "alone" : "with others") + " on worker " +
+            FieldOf(row, "address") + " at " + row.time + ": " +
+            FieldOf(row, "outcome") + '\n';
+  }
+  return text;
+}
+
+}  // namespace
+
 std::string JobTimelineText(const std::string& id,
                             const JobTimeline& timeline) {
   std::string text;
   for (const LogRow& row : timeline.rows) {
     text += row.text + '\n';
   }
+  text += CrashLines(timeline);
   text += "job " + id + ": " + std::to_string(timeline.rows.size()) +
           " lines; cause: " +
           (timeline.cause.empty() ? "not logged" : timeline.cause);
--- a/report/testing/explain_test.cc
+++ b/report/testing/explain_test.cc
@@ -49,6 +49,23 @@
         std::string::npos);
 }
 
+TEST_CASE("Job timeline: names each crash of a worker under the job's tasks") {
+  const JobTimeline timeline = BuildJobTimeline(
+      "j1",
+      {"time=2026-07-14T02:13:40.200Z level=warning event=task_crash vm=core-b "
+       "job=j1 task=j1/0/0/0 queue=q address=10.0.0.9:80 born_ms=1 alone=0 "
+       "crashes=1 limit=2 outcome=retry_alone",
+       "time=2026-07-14T02:13:40.700Z level=warning event=task_crash vm=core-b "
+       "job=j1 task=j1/0/0/0 queue=q address=10.0.0.8:80 born_ms=1 alone=1 "
+       "crashes=2 limit=2 outcome=given_up"});
+  CHECK(timeline.cause == "task_crash: retry_alone at core-b");
+  const std::string text = JobTimelineText("j1", timeline);
+  CHECK(text.find("crash 1 of 2: task j1/0/0/0 was with others on worker "
+                  "10.0.0.9:80") != std::string::npos);
+  CHECK(text.find("crash 2 of 2: task j1/0/0/0 was alone on worker "
+                  "10.0.0.8:80") != std::string::npos);
+}
+
 TEST_CASE("Log row: quoted values with escapes and spaces are parsed") {
   LogRow row;
   REQUIRE(ParseLogRow(
