--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -56,9 +56,10 @@
   SoakCallers callers;
 };
 
-SoakWorkersOptions WorkersOptions(SoakDeployment& deployment) {
+SoakWorkersOptions WorkersOptions(uint64_t seed, SoakDeployment& deployment) {
   SoakWorkersOptions workers;
   workers.service = kService;
+  workers.seed = seed;
   for (const SoakDaemon* control : deployment.controls()) {
     workers.control_addresses.push_back(deployment.ControlAddress(*control));
   }
@@ -94,7 +95,7 @@
       deployment(options.deployment),
       workers(loop,
               wire,
-              WorkersOptions(deployment),
+              WorkersOptions(options.plan.seed, deployment),
               deployment.workers(),
               [this](const std::string& address) {
                 return deployment.RelayedAddress(address);
@@ -172,11 +173,16 @@
   FaultPlayer player(plan, environment.deployment, environment.workers,
                      environment.callers);
   const Micros start = MonotonicMicros();
+  const bool task_crashes = environment.options.task_crashes;
+  environment.callers.set_sending_crashing_jobs(task_crashes);
+  environment.workers.ChangeCapacities(task_crashes);
   while (MonotonicMicros() < start + environment.options.plan.duration) {
     const Micros now = MonotonicMicros();
     player.Advance(now - start, now);
     environment.RunIteration();
   }
+  environment.callers.set_sending_crashing_jobs(false);
+  environment.workers.ChangeCapacities(false);
   player.EndAll(MonotonicMicros());
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -26,6 +26,9 @@
   SoakDeploymentOptions deployment;
   FaultPlanOptions plan;
   double jobs_per_second = 40;
+  // Whether some jobs crash workers, and the workers' capacities change, until
+  // the end of the last fault.
+  bool task_crashes = false;
   // Time from the end of the last fault until every job must complete again.
   Micros recovery_time = 15 * kSecond;
   // Duration of the final check, during which every job must complete.
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -79,6 +79,8 @@
         random_() % static_cast<uint64_t>(options_.timeout_range_ms));
   }
   record.job.cpu_millis = options_.task_cpu_millis;
+  record.job.crashes_workers = sending_crashing_jobs_ &&
+                               jobs_.size() % options_.crashing_job_period == 0;
   record.entry_index = random_() % options_.entries.size();
   record.sent_at = now;
   std::uniform_real_distribution<double> share(0, 1);
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -32,6 +32,9 @@
   int64_t timeout_ms = 1500;     // the shortest timeout of a job
   int64_t timeout_range_ms = 0;  // random part of a timeout; 0: none
   int64_t task_cpu_millis = 6800;
+  // Every so many jobs has a task that crashes the workers that start it, while
+  // set_sending_crashing_jobs(true).
+  uint64_t crashing_job_period = 25;
   double cancel_share = 0.03;  // share of the jobs that are cancelled
   // A caller stops waiting for an answer after this. It is far longer than any
   // guaranteed response time.
@@ -84,6 +87,11 @@
   // Returns the configuration version that the last ReadConfiguration() got.
   uint64_t read_version() const { return read_version_; }
 
+  // Whether some of the jobs sent from now on crash workers.
+  void set_sending_crashing_jobs(bool sending) {
+    sending_crashing_jobs_ = sending;
+  }
+
  private:
   void SendJob(Micros now);
   void SendCancels(Micros now);
@@ -100,6 +108,7 @@
   std::vector<std::string> to_cancel_;  // ids of jobs
   // Actions to run at a monotonic time.
   std::vector<std::pair<Micros, std::function<void()>>> delayed_actions_;
+  bool sending_crashing_jobs_ = false;
   bool sending_jobs_ = false;
   Micros next_job_ = 0;
   Micros close_stale_at_ = 0;  // next call of HttpClient::CloseStale()
--- a/soak/soak_checks.h
+++ b/soak/soak_checks.h
@@ -19,6 +19,9 @@
   // after a timeout or cancellation; the worker refuses it when the worker's
   // lease has expired.
   Micros start_slack = kSecond;
+  // Workers that may crash under one task: the limit of the daemons, and one
+  // whose only witness fails in the same moment.
+  int max_crashes = 3;
 };
 
 // Returns one sentence for each violation of these guarantees: no task of a
--- a/soak/soak_wire.h
+++ b/soak/soak_wire.h
@@ -28,6 +28,8 @@
   int64_t run_ms = 0;      // run time of each task
   int64_t timeout_ms = 0;  // the caller's timeout
   int64_t cpu_millis = 0;  // CPU of each task, in thousandths of a core
+  // Whether its first task crashes the workers that start it.
+  bool crashes_workers = false;
 };
 
 // The outcome of a job that its caller learns from the answer.
--- a/soak/soak_workers.cc
+++ b/soak/soak_workers.cc
@@ -11,6 +11,7 @@
 constexpr Micros kReportTimeout = kSecond;
 constexpr Micros kReportRetryDelay = 200 * kMillisecond;
 constexpr Micros kCloseStalePeriod = 100 * kMillisecond;
+constexpr Micros kCapacityChangePeriod = 700 * kMillisecond;
 constexpr uint32_t kMemoryMb = 32'768;
 // Difference between the clocks of two successive workers.
 constexpr Micros kClockSpread = 700 * kMillisecond;
@@ -26,7 +27,8 @@
       wire_(wire),
       options_(std::move(options)),
       address_map_(std::move(address_map)),
-      client_(loop, HttpClientOptions()) {
+      client_(loop, HttpClientOptions()),
+      random_(options_.seed) {
   model_.all.resize(places.size());
   endpoints_.resize(places.size());
   for (size_t i = 0; i < places.size(); ++i) {
@@ -79,6 +81,26 @@
   model_.all[worker].attempts.clear();
 }
 
+void SoakWorkers::ChangeCapacities(bool changing) {
+  changing_capacities_ = changing;
+  for (FakeWorker& worker : model_.all) {
+    worker.status.set_cpu_millis(static_cast<uint32_t>(options_.cpu_millis));
+  }
+}
+
+void SoakWorkers::ChangeNextCapacity(Micros now) {
+  if (!changing_capacities_ || now < next_capacity_change_) {
+    return;
+  }
+  next_capacity_change_ = now + kCapacityChangePeriod;
+  constexpr int64_t kSizes = 3;  // none, half and all of the capacity
+  FakeWorker& worker = model_.all[random_() % model_.all.size()];
+  const auto size = static_cast<int64_t>(random_() % kSizes);
+  worker.status.set_cpu_millis(
+      static_cast<uint32_t>(options_.cpu_millis * size / (kSizes - 1)));
+  worker.report_due = now;
+}
+
 void SoakWorkers::OnRequest(size_t worker,
                             RequestToken token,
                             const HttpRequest& request) {
@@ -158,6 +180,7 @@
 }
 
 void SoakWorkers::Advance(Micros now) {
+  ChangeNextCapacity(now);
   for (size_t i = 0; i < endpoints_.size(); ++i) {
     WorkerEndpoint& endpoint = endpoints_[i];
     if (endpoint.restart_at != 0) {
@@ -166,6 +189,10 @@
       }
       continue;
     }
+    if (model_.all[i].crashes_at != 0 && now >= model_.all[i].crashes_at) {
+      Crash(i, now);
+      continue;
+    }
     EndFinishedAttempts(model_, model_.all[i], now);
     AnswerWaitingOrders(i, now);
     if (now >= model_.all[i].report_due && !endpoint.report_in_flight) {
--- a/soak/soak_workers.h
+++ b/soak/soak_workers.h
@@ -8,6 +8,7 @@
 // until a report fails, and then to another one.
 
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
   int64_t cpu_millis = 16'000;  // of each worker, in thousandths of a core
   Micros report_period = kSecond;
   Micros crash_duration = kSecond;  // from a crash to the restart
+  uint64_t seed = 1;
 };
 
 // All workers of one soak. `loop` and `wire` must outlive it.
@@ -57,6 +59,10 @@
   // with a new id.
   void Crash(size_t worker, Micros now);
 
+  // Whether the capacities of the workers shrink and grow from now on; if not,
+  // they return to their full size.
+  void ChangeCapacities(bool changing);
+
   size_t size() const { return endpoints_.size(); }
   FakeWorkers& model() { return model_; }
 
@@ -85,6 +91,8 @@
   // time has passed.
   void AnswerWaitingOrders(size_t worker, Micros now);
   void SendReport(size_t worker);
+  // Changes the capacity of one worker if that is due.
+  void ChangeNextCapacity(Micros now);
 
   SocketLoop& loop_;
   const SoakWire& wire_;
@@ -93,6 +101,9 @@
   FakeWorkers model_;
   std::vector<WorkerEndpoint> endpoints_;
   HttpClient client_;
+  std::mt19937_64 random_;
+  bool changing_capacities_ = false;
+  Micros next_capacity_change_ = 0;
   Micros close_stale_at_ = 0;  // next call of HttpClient::CloseStale()
 };
 
