Split worker_session and worker_roster; a crash that is over is not away

Found by review: a crash that only a later process proves was recorded as a worker that is away from that moment, which made the learned outage too short; and the evidence about a worker survived the end of the session, so that a later restart under another owner counted against old tasks.

--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -574,18 +574,6 @@
       [&](const auto& entry) { return entry.second.fate == fate; }));
 }
 
-int FakePool::CountRefusedAfterStart() const {
-  std::set<std::string> ran;
-  for (const auto& [task, record] : workers_.tasks) {
-    ran.insert(task.job_id);
-  }
-  return static_cast<int>(
-      std::count_if(answers_.begin(), answers_.end(), [&](const auto& entry) {
-        return entry.second.fate == wire::JOB_REFUSED &&
-               ran.contains("job" + std::to_string(entry.first));
-      }));
-}
-
 uint64_t FakePool::NewestVersion() const {
   uint64_t newest = 0;
   for (const FakeControl& control : controls_) {
--- /dev/null
+++ b/pool/worker_lease.cc
@@ -0,0 +1,71 @@
+#include "pool/worker_lease.h"
+
+#include <algorithm>
+
+namespace goldcrest {
+namespace {
+
+// Returns half of the longest expected run time on the worker, within bounds.
+Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
+  Micros longest = 0;
+  for (const auto& [name, attempt] : worker.attempts) {
+    longest = std::max(longest, attempt.expected_run_time);
+  }
+  return std::clamp(longest / 2, options.shortest_lease, options.longest_lease);
+}
+
+}  // namespace
+
+uint64_t NextToken(const PoolBoard& board, const PoolWorker& worker) {
+  const uint64_t used = std::max(worker.token, worker.status.token());
+  return std::max(used + 1, static_cast<uint64_t>(board.wall_ms));
+}
+
+void AddLease(const PoolOptions& options,
+              PoolWorker& worker,
+              WorkerOrder& order,
+              Micros now) {
+  if (worker.clock_ms == 0) {
+    return;
+  }
+  const Micros lease = LeaseDuration(options, worker);
+  order.lease_until_ms =
+      worker.clock_ms + (now - worker.clock_at + lease) / kMillisecond;
+  const Micros max_drift = lease * options.clock_drift_percent / 100;
+  worker.lease_expires_at = std::max(
+      worker.lease_expires_at, now + lease + max_drift + options.lease_slack);
+}
+
+WorkerOrder MakeOrder(const PoolBoard& board,
+                      const PoolWorker& worker,
+                      OrderKind kind,
+                      Micros now) {
+  WorkerOrder order;
+  order.kind = kind;
+  order.worker = worker.status.id();
+  order.address = worker.status.address();
+  order.token = worker.token;
+  order.session = worker.session_number;
+  order.timeout = board.options.order_timeout;
+  order.sent_at = now;
+  return order;
+}
+
+WorkerOrder MakeLeaseRenewal(const PoolBoard& board,
+                             PoolWorker& worker,
+                             int64_t wait_ms,
+                             Micros now) {
+  WorkerOrder order = MakeOrder(board, worker, OrderKind::kRenew, now);
+  order.acknowledged_end = worker.newest_processed_end;
+  order.wait_ms = wait_ms;
+  order.timeout += wait_ms * kMillisecond;
+  // The lease of a worker that cannot be reconciled must expire, so that its
+  // attempts end.
+  if (!worker.attempts.empty() &&
+      worker.session != SessionState::kReconciling) {
+    AddLease(board.options, worker, order, now);
+  }
+  return order;
+}
+
+}  // namespace goldcrest
--- a/pool/worker_loss.cc
+++ b/pool/worker_loss.cc
@@ -150,14 +150,16 @@
        {"outcome", given_up ? "given_up" : "retry_alone"}});
 }
 
-// Records the crash for all tasks on the worker.
+// Records the crash for all tasks on the worker. `is_back`: a later process has
+// taken its place already.
 void RecordCrash(PoolBoard& board,
                  PoolWorker& worker,
                  bool shared,
+                 bool is_back,
                  Micros now,
                  PoolActions& actions) {
   const std::string& address = worker.status.address();
-  if (!shared) {
+  if (!shared && !is_back) {
     RecordAway(
         board.crashes, address,
         {worker.status.failure_domain(), ChargedQueue(board, worker), now});
@@ -191,7 +193,8 @@
   ++board.counters.worker_losses[std::string(ToString(cause))];
   LogLoss(worker, evidence, cause, now, actions);
   if (cause != LossCause::kLeft) {
-    RecordCrash(board, worker, cause == LossCause::kShared, now, actions);
+    RecordCrash(board, worker, cause == LossCause::kShared, new_process, now,
+                actions);
   }
 }
 
--- /dev/null
+++ b/pool/worker_report.cc
@@ -0,0 +1,123 @@
+#include "pool/worker_report.h"
+
+#include <algorithm>
+
+#include "pool/worker_session.h"
+
+namespace goldcrest {
+namespace {
+
+// The clocks of VMs and workers differ by less than this.
+constexpr int64_t kMaxClockDifferenceMs = 3'600'000;
+
+// Returns whether a report names a start time that has not come yet.
+bool IsFromTheFuture(const PoolBoard& board, const wire::WorkerNews& report) {
+  return report.born_ms() > board.wall_ms + kMaxClockDifferenceMs;
+}
+
+// A start time in the future counts as older than any other: else one malformed
+// report would hide all sound reports of the worker.
+bool IsNewerReport(const PoolBoard& board,
+                   const wire::WorkerNews& report,
+                   const wire::WorkerNews& known) {
+  if (IsFromTheFuture(board, report) != IsFromTheFuture(board, known)) {
+    return IsFromTheFuture(board, known);
+  }
+  return report.born_ms() != known.born_ms()
+             ? report.born_ms() > known.born_ms()
+             : report.sequence() > known.sequence();
+}
+
+bool DiffersInContent(const wire::WorkerNews& a, const wire::WorkerNews& b) {
+  return a.address() != b.address() || a.leaving() != b.leaving() ||
+         a.gone() != b.gone() || a.born_ms() != b.born_ms() ||
+         a.cpu_millis() != b.cpu_millis() || a.memory_mb() != b.memory_mb() ||
+         a.accelerators() != b.accelerators() || a.service() != b.service() ||
+         !std::equal(a.labels().begin(), a.labels().end(), b.labels().begin(),
+                     b.labels().end());
+}
+
+// Copies everything but the owner and its token.
+void CopyReport(const wire::WorkerNews& report, wire::WorkerNews& status) {
+  const std::string owner = status.owner();
+  const uint64_t token = status.token();
+  status = report;
+  status.set_owner(owner);
+  status.set_token(token);
+}
+
+// Keeps the largest capacity that a process of the worker has reported.
+void RecordCapacity(PoolWorker& worker, bool new_process) {
+  if (new_process) {
+    worker.largest_capacity = {};
+  }
+  Resources& largest = worker.largest_capacity;
+  largest.cpu_millis =
+      std::max<int64_t>(largest.cpu_millis, worker.status.cpu_millis());
+  largest.memory_mb =
+      std::max<int64_t>(largest.memory_mb, worker.status.memory_mb());
+  largest.accelerators =
+      std::max<int64_t>(largest.accelerators, worker.status.accelerators());
+}
+
+// Marks workers as gone that the reporting one has replaced: those at the same
+// address that started earlier.
+void MarkReplacedAsGone(PoolBoard& board,
+                        const wire::WorkerNews& report,
+                        Micros now,
+                        PoolActions& actions) {
+  for (auto& [id, other] : board.workers) {
+    if (id != report.id() && IsInPool(other) &&
+        other.status.address() == report.address() &&
+        other.status.born_ms() < report.born_ms()) {
+      HandleWorkerProcessEnd(board, other, ProcessEnd::kReplaced, now, actions);
+      other.status.set_gone(true);
+    }
+  }
+}
+
+}  // namespace
+
+bool ApplyReport(PoolBoard& board,
+                 const wire::WorkerNews& report,
+                 Micros now,
+                 PoolActions& actions) {
+  const auto found = board.workers.find(report.id());
+  const bool is_new = found == board.workers.end();
+  PoolWorker& worker = board.workers[report.id()];
+  if (!is_new && !IsNewerReport(board, report, worker.status)) {
+    return false;
+  }
+  const bool changed = is_new || DiffersInContent(report, worker.status);
+  const bool restarted = !is_new && report.born_ms() > worker.status.born_ms();
+  const bool moved = !is_new && report.address() != worker.status.address();
+  if (report.failure_domain() != worker.status.failure_domain()) {
+    worker.preferred_owner_generation = 0;
+  }
+  if (restarted || moved || report.gone()) {
+    // A change of the address counts as a restart, also in the log.
+    HandleWorkerProcessEnd(
+        board, worker,
+        report.gone() ? ProcessEnd::kLeft : ProcessEnd::kRestarted, now,
+        actions);
+  }
+  CopyReport(report, worker.status);
+  RecordCapacity(worker, is_new || restarted || moved);
+  worker.last_received_at = now;
+  if (changed) {
+    MarkReplacedAsGone(board, report, now, actions);
+    LogPoolEvent(actions, LogLevel::kInfo, "worker_changed",
+                 {{"worker", report.id()},
+                  {"address", report.address()},
+                  {"service", report.service()},
+                  {"failure_domain", report.failure_domain()},
+                  {"leaving", report.leaving() ? "1" : "0"},
+                  {"gone", report.gone() ? "1" : "0"},
+                  {"born_ms", std::to_string(report.born_ms())},
+                  {"sequence", std::to_string(report.sequence())}});
+    board.placement_due = true;
+  }
+  return changed;
+}
+
+}  // namespace goldcrest
--- /dev/null
+++ b/pool/worker_report.h
@@ -0,0 +1,23 @@
+#ifndef POOL_WORKER_REPORT_H_
+#define POOL_WORKER_REPORT_H_
+
+// What a worker's report, or another daemon's update about it, changes.
+//
+// Reports arrive late and out of order: the one of the later process counts, of
+// one process the one with the higher sequence. A report of a later process
+// ends the earlier one, and that of every other worker at its address.
+
+#include "pool/pool_board.h"
+
+namespace goldcrest {
+
+// Applies a report if it is newer than what is known; returns whether its
+// content differs from that.
+bool ApplyReport(PoolBoard& board,
+                 const wire::WorkerNews& report,
+                 Micros now,
+                 PoolActions& actions);
+
+}  // namespace goldcrest
+
+#endif  // POOL_WORKER_REPORT_H_
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -5,56 +5,17 @@
 
 #include "pool/pool_jobs.h"
 #include "pool/worker_health.h"
+#include "pool/worker_lease.h"
 #include "pool/worker_loss.h"
 #include "pool/worker_roster.h"
 
 namespace goldcrest {
 namespace {
 
-// Difference allowed for between the clocks of two daemons, in milliseconds.
-// Tokens follow the wall clock in milliseconds. This is added to a token that
-// the worker has refused, so that the next one also exceeds that of a daemon
-// whose clock is up to 4 s ahead.
-constexpr uint64_t kTokenClockAllowanceMs = 4000;
 // A worker that refused this daemon's token, or has restarted, is not claimed
 // again for this long.
 constexpr Micros kReclaimDelay = 600 * kMillisecond;
 
-// Returns the wall clock in milliseconds, or one more than the highest known
-// token of the worker if that is greater.
-uint64_t NextToken(const PoolBoard& board, const PoolWorker& worker) {
-  const uint64_t used = std::max(worker.token, worker.status.token());
-  return std::max(used + 1, static_cast<uint64_t>(board.wall_ms));
-}
-
-// Returns half of the longest expected run time on the worker, within bounds.
-Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
-  Micros longest = 0;
-  for (const auto& [name, attempt] : worker.attempts) {
-    longest = std::max(longest, attempt.expected_run_time);
-  }
-  return std::clamp(longest / 2, options.shortest_lease, options.longest_lease);
-}
-
-// Adds to an order a lease for all attempts on the worker, and records the time
-// by which that lease has expired even if the worker's clock runs slow by the
-// maximum drift. Does nothing while the worker's clock is unknown;
-// reconciliation reads it.
-void AddLease(const PoolOptions& options,
-              PoolWorker& worker,
-              WorkerOrder& order,
-              Micros now) {
-  if (worker.clock_ms == 0) {
-    return;
-  }
-  const Micros lease = LeaseDuration(options, worker);
-  order.lease_until_ms =
-      worker.clock_ms + (now - worker.clock_at + lease) / kMillisecond;
-  const Micros max_drift = lease * options.clock_drift_percent / 100;
-  worker.lease_expires_at = std::max(
-      worker.lease_expires_at, now + lease + max_drift + options.lease_slack);
-}
-
 // Returns how long after an end it is acknowledged without another renewal. The
 // handover of a worker waits for that.
 Micros AcknowledgeAfter(const PoolBoard& board, const PoolWorker& worker) {
@@ -64,38 +25,6 @@
              : board.options.acknowledge_after;
 }
 
-WorkerOrder MakeOrder(const PoolBoard& board,
-                      const PoolWorker& worker,
-                      OrderKind kind,
-                      Micros now) {
-  WorkerOrder order;
-  order.kind = kind;
-  order.worker = worker.status.id();
-  order.address = worker.status.address();
-  order.token = worker.token;
-  order.session = worker.session_number;
-  order.timeout = board.options.order_timeout;
-  order.sent_at = now;
-  return order;
-}
-
-WorkerOrder MakeLeaseRenewal(const PoolBoard& board,
-                             PoolWorker& worker,
-                             int64_t wait_ms,
-                             Micros now) {
-  WorkerOrder order = MakeOrder(board, worker, OrderKind::kRenew, now);
-  order.acknowledged_end = worker.newest_processed_end;
-  order.wait_ms = wait_ms;
-  order.timeout += wait_ms * kMillisecond;
-  // The lease of a worker that cannot be reconciled must expire, so that its
-  // attempts end.
-  if (!worker.attempts.empty() &&
-      worker.session != SessionState::kReconciling) {
-    AddLease(board.options, worker, order, now);
-  }
-  return order;
-}
-
 void AddToUsed(PoolWorker& worker, const Resources& need, int64_t sign) {
   worker.used_resources.cpu_millis += sign * need.cpu_millis;
   worker.used_resources.memory_mb += sign * need.memory_mb;
@@ -349,6 +278,7 @@
   worker.session_number = 0;
   worker.renewal_in_flight = false;
   worker.reconcile_in_flight = false;
+  worker.loss = {};
   if (worker.status.owner() == board.mesh.options.self) {
     worker.status.clear_owner();
   }
