Give up a task after three crashes on fewer machines, too

In a pool of one machine, or when a task returned to a machine that was back, every crash had the same address, which counts once: such a task went on until its job's timeout. Found by review; the unit test of the ledger checks the third crash (it failed before, two addresses being required).

--- a/pool/crash_ledger.cc
+++ b/pool/crash_ledger.cc
@@ -79,10 +79,16 @@
 bool IsGivenUp(const CrashLedger& ledger,
                const CrashOptions& options,
                const TaskName& task) {
-  if (CountCrashes(ledger, task) < options.crashes_to_give_up) {
+  const CrashLedger::Task* found = FindTask(ledger, task);
+  if (found == nullptr) {
+    return false;
+  }
+  const auto& crashes = found->crashes;
+  const int processes = static_cast<int>(crashes.size());
+  if (CountCrashes(ledger, task) < options.crashes_to_give_up &&
+      processes <= options.crashes_to_give_up) {
     return false;
   }
-  const auto& crashes = FindTask(ledger, task)->crashes;
   return std::any_of(crashes.begin(), crashes.end(),
                      [](const auto& entry) { return entry.second; });
 }
--- a/pool/crash_ledger.h
+++ b/pool/crash_ledger.h
@@ -99,9 +99,10 @@
   return CountCrashes(ledger, task) > 0;
 }
 
-// Returns whether the task has used up its crashes. At least one of them must
-// have come while it ran alone: tasks that ran together may have been lost
-// together by the fault of one.
+// Returns whether the task has used up its crashes: on `crashes_to_give_up`
+// machines, or one more on fewer machines, which may be at fault themselves. At
+// least one of them must have come while it ran alone: tasks that ran together
+// may have been lost together by the fault of one.
 bool IsGivenUp(const CrashLedger& ledger,
                const CrashOptions& options,
                const TaskName& task);
--- a/pool/testing/crash_limit_test.cc
+++ b/pool/testing/crash_limit_test.cc
@@ -190,13 +190,16 @@
   CHECK(CountCrashes(ledger, task) == 1);
 }
 
-TEST_CASE("CrashLedger: shared crashes and one machine give up no task") {
+TEST_CASE(
+    "CrashLedger: shared crashes, and two of one machine, give up no task") {
   CrashLedger ledger;
   const CrashOptions options;
   const TaskName task{"job", 0, 0, 0};
   RecordTaskCrash(ledger, {task, "q", {"10.0.0.1:80", 1}, true}, 1);
   RecordTaskCrash(ledger, {task, "q", {"10.0.0.1:80", 2}, true}, 2);
   CHECK_FALSE(IsGivenUp(ledger, options, task));  // the same machine twice
+  RecordTaskCrash(ledger, {task, "q", {"10.0.0.1:80", 3}, true}, 3);
+  CHECK(IsGivenUp(ledger, options, task));  // a pool of one machine ends, too
   const TaskName neighbour{"job", 0, 0, 1};
   RecordTaskCrash(ledger, {neighbour, "q", {"10.0.0.1:80", 1}, false}, 1);
   RecordTaskCrash(ledger, {neighbour, "q", {"10.0.0.2:80", 1}, false}, 2);
