--- a/review/testing/review_case.cc
+++ b/review/testing/review_case.cc
@@ -256,6 +256,92 @@
   return JudgeDoubleRuns(world);
 }
 
+// Another writer's report of a worker lacks fields and has a large sequence
+// number. Later the worker reports that it drains.
+Verdict HiddenDrain(World& world) {
+  if (!world.StartAll()) {
+    return kCouldNotRun;
+  }
+  Job job;
+  job.tasks = 2;
+  world.SetBackground(60, job);
+  Worker& worker = *world.workers[0];
+  if (HasTrouble()) {
+    HttpCall call;
+    call.address = world.controls[0].http_address();
+    call.method = "POST";
+    call.path = "/v1/Instances.Heartbeat/" + worker.id();
+    call.body = worker.ReportOfAnotherWriter();
+    call.timeout = kSecond;
+    world.Record("another writer's report: " + call.body);
+    world.Call(call, [&](int status, const std::string&) {
+      world.Record("answer to it: " + std::to_string(status));
+    });
+  }
+  world.RunFor(2 * kSecond);
+  worker.ReportDraining();
+  world.RunFor(7 * kSecond);
+  world.CountDoubleRuns(kSlack);
+  constexpr Micros kDrainTime = 2 * kSecond;
+  const Micros confirmed_at = worker.draining_confirmed_at();
+  if (confirmed_at == 0) {
+    return kCouldNotRun;
+  }
+  for (const auto& run : world.runs) {
+    if (run->worker == worker.id() + "/1" &&
+        run->began > confirmed_at + kDrainTime) {
+      world.Record("DRAIN: " + run->task + " was started " +
+                   std::to_string((run->began - confirmed_at) / kMillisecond) +
+                   " ms after the draining was confirmed");
+      return kBroken;
+    }
+  }
+  return kHeld;
+}
+
+// A report of another writer about the machine of a worker that is at work
+// names a service that is in no configuration.
+Verdict ForeignReport(World& world) {
+  if (!world.StartAll()) {
+    return kCouldNotRun;
+  }
+  Job job;
+  job.tasks = 2;
+  job.estimate_ms = 900;
+  job.run_ms = 900;
+  job.timeout_ms = 4000;
+  world.SetBackground(13, job);
+  world.RunFor(2 * kSecond);
+  Worker* busy = nullptr;
+  const bool found = world.RunFor(5 * kSecond, [&] {
+    for (const auto& worker : world.workers) {
+      busy = worker->zone() == "zone-0" && worker->runs() > 0 ? worker.get()
+                                                              : busy;
+    }
+    return busy != nullptr;
+  });
+  if (!found) {
+    return kCouldNotRun;
+  }
+  const Worker& worker = *busy;
+  world.RunFor(200 * kMillisecond);
+  if (HasTrouble()) {
+    HttpCall call;
+    call.address = world.controls[0].http_address();
+    call.method = "POST";
+    call.path = "/v1/Instances.Heartbeat/" + worker.id();
+    call.body = worker.ReportOfAnotherService();
+    call.timeout = kSecond;
+    world.Record("another writer's report to " + world.controls[0].name + ": " +
+                 call.path + " " + call.body);
+    world.Call(call, [&](int status, const std::string&) {
+      world.Record("answer to it: " + std::to_string(status));
+    });
+  }
+  world.RunFor(5 * kSecond);
+  return JudgeDoubleRuns(world);
+}
+
 int RunCase(const std::string& name,
             const std::string& folder,
             const std::string& record) {
@@ -269,6 +355,8 @@
       {"late_deregister", LateDeregister},
       {"reborn", Reborn},
       {"cancel_at_cut_off_entry", CancelAtCutOffEntry},
+      {"foreign_report", ForeignReport},
+      {"hidden_drain", HiddenDrain},
       {"slow_clock", SlowClock}};
   const auto found = cases.find(name);
   if (found == cases.end()) {
--- a/review/testing/stand_ins.cc
+++ b/review/testing/stand_ins.cc
@@ -381,12 +381,36 @@
       report_confirmed_at_ =
           report_confirmed_at_ == 0 ? world_.now() : report_confirmed_at_;
     }
+    if (draining && draining_confirmed_at_ == 0) {
+      draining_confirmed_at_ = world_.now();
+    }
     HttpResponse response;
     response.body = answer;
     report_to_ = world_.wire.DecodeReportAddress(response);
   });
 }
 
+std::string Worker::ReportOfAnotherWriter() const {
+  std::ostringstream body;
+  body << R"({"service":")" << kService << R"(","address":")" << address_
+       << R"(","zone":")" << zone_ << R"(","state":"ready","capacity":{"cpu":)"
+       << kWorkerCpu << R"(,"mem_mb":)" << kWorkerMemoryMb
+       << R"(,"gpu":0},"born":)" << born_ms_ << R"(,"seq":1000000})";
+  return body.str();
+}
+
+std::string Worker::ReportOfAnotherService() const {
+  std::ostringstream body;
+  body << R"({"service":"stock-check","address":")" << address_
+       << R"(","zone":")" << zone_
+       << R"(","version":"v1","slots":8,"state":"ready",)"
+       << R"("cold_remaining_ms":0,"capacity":{"cpu":)" << kWorkerCpu
+       << R"(,"mem_mb":)" << kWorkerMemoryMb
+       << R"(,"gpu":0},"labels":["a","r1-1"],"clock_ms":1000,"born":)"
+       << WallMs() << R"(,"seq":1})";
+  return body.str();
+}
+
 World::World(WorldOptions world_options)
     : options(std::move(world_options)), client_(loop, HttpClientOptions()) {
   std::signal(SIGPIPE, SIG_IGN);
--- a/review/testing/stand_ins.h
+++ b/review/testing/stand_ins.h
@@ -77,6 +77,16 @@
   Micros last_order_at() const { return last_order_at_; }
   Micros first_report_confirmed_at() const { return report_confirmed_at_; }
 
+  // When a report was confirmed that says that the worker drains; 0: none.
+  Micros draining_confirmed_at() const { return draining_confirmed_at_; }
+  // A report of this worker by another writer: without zone and labels, and
+  // with that writer's own count of reports.
+  std::string ReportOfAnotherWriter() const;
+
+  // A report of another writer about the same machine, of a service that no
+  // configuration names.
+  std::string ReportOfAnotherService() const;
+
   // Rate of the worker's clock; the pages allow 0.98.
   double clock_rate = 1.0;
   // Returns how the worker treats a call: 0: it answers; else it leaves the
@@ -137,6 +147,7 @@
   bool report_in_flight_ = false;
   Micros report_due_ = 0;
   Micros report_confirmed_at_ = 0;
+  Micros draining_confirmed_at_ = 0;
   std::string report_to_;
   size_t control_index_ = 0;
   Micros last_order_at_ = 0;
