Count a crash of a worker only from refused connections, for begun runs

Cause: a connection that the worker closes counted as a refused one, so a live worker that closes three calls counted as crashed. Its runs, those not yet confirmed as well, were charged with that and restarted alone, each on a worker kept idle for it. Besides, runs whose lease had expired in silence were charged when a later process reported.

So only a refusal tells the kinds apart.

FakePool plays closed calls, lost answers, doubled orders, late reports and leaving workers.

--- a/pool/crash_ledger.cc
+++ b/pool/crash_ledger.cc
@@ -126,6 +126,20 @@
   ledger.away.erase(found);
 }
 
+void WithdrawAway(CrashLedger& ledger, const std::string& address) {
+  const auto found = ledger.away.find(address);
+  if (found == ledger.away.end()) {
+    return;
+  }
+  std::vector<Micros>& times = ledger.queue_crashes[found->second.queue];
+  const auto charged =
+      std::find(times.begin(), times.end(), found->second.lost_at);
+  if (charged != times.end()) {
+    times.erase(charged);
+  }
+  ledger.away.erase(found);
+}
+
 void ForgetOldCrashes(CrashLedger& ledger, Micros now) {
   std::erase_if(ledger.jobs, [&](const auto& entry) {
     return now - entry.second.updated_at > kCrashRetention;
--- a/pool/crash_ledger.h
+++ b/pool/crash_ledger.h
@@ -120,6 +120,10 @@
 // Records that the worker at the address is back, or is given up.
 void EndAway(CrashLedger& ledger, const std::string& address, Micros now);
 
+// Records that the worker at the address had not crashed: its loss counts
+// against no queue.
+void WithdrawAway(CrashLedger& ledger, const std::string& address);
+
 // Forgets what is older than its retention.
 void ForgetOldCrashes(CrashLedger& ledger, Micros now);
 
--- a/pool/crash_news.cc
+++ b/pool/crash_news.cc
@@ -143,7 +143,7 @@
     const TaskCrash crash = FromWire(row);
     if (news.withdrawn()) {
       WithdrawCrashes(board.crashes, crash.process);
-      EndAway(board.crashes, crash.process.address, now);
+      WithdrawAway(board.crashes, crash.process.address);
     } else {
       ApplyTaskCrash(board, crash, now, actions);
     }
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -177,8 +177,6 @@
   Micros last_refused_at = 0;
   int refusals = 0;
   bool concluded = false;  // the cause is known and was acted on
-  // Tasks whose attempts ended with its lease before the cause was known.
-  std::vector<TaskCrash> lapsed;
 };
 
 // A worker's record of failures.
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Micros kTickPeriod = 20 * kMillisecond;
-constexpr Micros kReportPeriod = 1500 * kMillisecond;
 constexpr uint64_t kFirstVersion = 1;
 
 wire::Routing MakeRouting(uint64_t version) {
@@ -62,7 +61,8 @@
       worker.status.set_cpu_millis(
           static_cast<uint32_t>(options.worker_cpu_millis));
       worker.status.set_memory_mb(32'000);
-      worker.status.set_born_ms(1);
+      worker.status.set_born_ms(Clock().wall_ms);
+      worker.born_at = now_;
       worker.report_due =
           now_ + static_cast<Micros>(workers_.all.size()) * 30 * kMillisecond;
     }
@@ -189,6 +189,10 @@
                                   : entries_[index].incarnation;
       SendToWorker({is_control, index, life}, std::move(order->order));
     } else if (const auto* reply = std::get_if<ReplyJob>(&action)) {
+      const auto cancel = cancels_.find(reply->token);
+      if (reply->answers_cancel_request && cancel != cancels_.end()) {
+        *cancel->second = {reply->fate, now_};
+      }
       const auto job = job_of_token_.find(reply->token);
       if (job != job_of_token_.end()) {
         answers_[job->second].fate = reply->fate;
@@ -267,133 +271,6 @@
   });
 }
 
-void FakePool::AnswerTo(const Sender& sender, const WorkerAnswer& answer) {
-  if (sender.is_control &&
-      controls_[sender.index].incarnation == sender.incarnation) {
-    StepControl(sender.index, answer);
-  }
-  if (!sender.is_control &&
-      entries_[sender.index].incarnation == sender.incarnation) {
-    StepEntry(sender.index, answer);
-  }
-}
-
-void FakePool::SendToWorker(const Sender& sender, WorkerOrder order) {
-  const auto answer_with = [this, sender](const WorkerAnswer& answer) {
-    AnswerTo(sender, answer);
-  };
-  const std::string& from = sender.is_control ? controls_[sender.index].address
-                                              : entries_[sender.index].address;
-  FakeWorker* worker = FindWorker(workers_, order.worker);
-  const bool cut = cuts_.contains({from, worker->status.failure_domain()});
-  std::uniform_real_distribution<double> uniform(0, 1);
-  const bool late = uniform(random_) < worker->late_order_share;
-  if (!cut && worker->reachable && worker->crashed) {
-    WorkerAnswer refused;
-    refused.order = order;
-    refused.outcome = OrderOutcome::kNotSent;
-    refused.failure = CallFailure::kRefused;
-    Schedule(now_ + options_.message_delay,
-             [answer_with, refused] { answer_with(refused); });
-    return;
-  }
-  if (cut || !worker->reachable || !worker->up || late) {
-    WorkerAnswer no_answer;
-    no_answer.failure = CallFailure::kTimeout;
-    no_answer.order = order;
-    no_answer.outcome = OrderOutcome::kNoAnswer;
-    Schedule(now_ + order.timeout,
-             [answer_with, no_answer] { answer_with(no_answer); });
-    if (late && !cut && worker->up) {
-      Schedule(now_ + 3 * kSecond, [this, order] {
-        FakeWorker* target = FindWorker(workers_, order.worker);
-        if (target->up) {
-          ExecuteOrder(workers_, *target, order, now_);
-        }
-      });
-    }
-    return;
-  }
-  Schedule(now_ + options_.message_delay, [this, order, answer_with] {
-    FakeWorker* target = FindWorker(workers_, order.worker);
-    WorkerAnswer answer = ExecuteOrder(workers_, *target, order, now_);
-    const bool answer_delayed =
-        order.kind == OrderKind::kRenew && order.wait_ms > 0 &&
-        answer.outcome == OrderOutcome::kDone && answer.ended.empty();
-    if (!answer_delayed) {
-      Schedule(now_ + options_.message_delay,
-               [answer_with, answer] { answer_with(answer); });
-      return;
-    }
-    // Checks every 2 ms whether an attempt has ended.
-    const Micros until = now_ + order.wait_ms * kMillisecond;
-    auto poll = std::make_shared<std::function<void()>>();
-    *poll = [this, order, answer_with, until, poll] {
-      WorkerOrder query = order;
-      query.lease_until_ms = 0;
-      WorkerAnswer listed = ExecuteOrder(
-          workers_, *FindWorker(workers_, order.worker), query, now_);
-      listed.order = order;
-      if (listed.ended.empty() && now_ < until &&
-          listed.outcome == OrderOutcome::kDone) {
-        Schedule(now_ + 2 * kMillisecond, *poll);
-        return;
-      }
-      Schedule(now_ + options_.message_delay,
-               [answer_with, listed] { answer_with(listed); });
-    };
-    Schedule(now_ + 2 * kMillisecond, *poll);
-  });
-}
-
-void FakePool::TickWorker(FakeWorker& worker) {
-  EndFinishedAttempts(workers_, worker, now_);
-  if (now_ >= worker.report_due) {
-    worker.report_due = now_ + kReportPeriod;
-    Report(worker);
-  }
-}
-
-void FakePool::Report(FakeWorker& worker) {
-  worker.status.set_sequence(worker.status.sequence() + 1);
-  if (!worker.reachable) {
-    return;
-  }
-  std::vector<size_t> order;
-  for (size_t i = 0; i < controls_.size(); ++i) {
-    order.push_back(i);
-  }
-  if (!options_.report_to_first_control) {
-    std::shuffle(order.begin(), order.end(), random_);
-  }
-  std::stable_sort(order.begin(), order.end(), [&](size_t a, size_t b) {
-    return (controls_[a].address == worker.report_to) >
-           (controls_[b].address == worker.report_to);
-  });
-  for (const size_t i : order) {
-    FakeControl& control = controls_[i];
-    if (!control.running || control.paused ||
-        cuts_.contains({control.address, worker.status.failure_domain()})) {
-      continue;
-    }
-    StepControl(i, WorkerReported{worker.status});
-    const auto known = control.board.workers.find(worker.status.id());
-    worker.report_to = known == control.board.workers.end()
-                           ? ""
-                           : known->second.status.owner();
-    return;
-  }
-}
-
-void FakePool::TickWorkers() {
-  for (FakeWorker& worker : workers_.all) {
-    CrashOrRestart(worker, now_);
-    if (worker.up) {
-      TickWorker(worker);
-    }
-  }
-}
-
 void FakePool::Run(Micros duration) {
   const Micros until = now_ + duration;
   Micros next_workers = now_;
@@ -464,6 +341,14 @@
   SendJob(job, entry);
 }
 
+void FakePool::Cancel(int job, size_t entry, FakeCancelAnswer* answer) {
+  CancelRequested request;
+  request.token = next_token_++;
+  request.job_id = "job" + std::to_string(job);
+  cancels_[request.token] = answer;
+  StepEntry(entry, request);
+}
+
 void FakePool::ChangeConfiguration(size_t control,
                                    uint64_t version,
                                    ChangeResult* answer) {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -100,6 +100,12 @@
   int64_t retry_after_ms = 0;
 };
 
+// The answer to a request to cancel a job.
+struct FakeCancelAnswer {
+  std::optional<wire::JobFate> fate;  // none: not answered
+  Micros answered_at = 0;
+};
+
 class FakePool {
  public:
   explicit FakePool(const FakePoolOptions& options);
@@ -113,6 +119,20 @@
   // Sends the same job again, as callers do after an unknown outcome.
   void Resubmit(int job, size_t entry);
 
+  // Requests to cancel a job at an entry daemon; `answer` is set when the
+  // daemon replies.
+  void Cancel(int job, size_t entry, FakeCancelAnswer* answer);
+
+  // Ends the process of a worker, which is back after `outage` under its id.
+  void CrashWorker(size_t worker, Micros outage);
+  // The worker reports that it drains, sends its deregister call after `drain`
+  // and ends; it is back after `outage`. The call arrives `delay` after it was
+  // sent.
+  void LeaveWorker(size_t worker, Micros drain, Micros delay, Micros outage);
+  // Delivers a report to a control daemon that names the worker's id and
+  // address, a service that is in no configuration, and a later start.
+  void ReportOfOtherWriter(size_t worker, size_t control);
+
   // Sends a configuration to a control daemon; `answer` is set when the daemon
   // replies.
   void ChangeConfiguration(size_t control,
@@ -148,6 +168,7 @@
   std::deque<FakeControl>& controls() { return controls_; }
   std::deque<FakeEntry>& entries() { return entries_; }
   std::vector<FakeWorker>& workers() { return workers_.all; }
+  const std::map<TaskName, TaskRecord>& tasks() const { return workers_.tasks; }
   const std::map<int, FakeAnswer>& answers() const { return answers_; }
   Micros now() const { return now_; }
 
@@ -201,6 +222,12 @@
   };
   void SendToWorker(const Sender& sender, WorkerOrder order);
   void AnswerTo(const Sender& sender, const WorkerAnswer& answer);
+  void AnswerAt(Micros when, const Sender& sender, const WorkerAnswer& answer);
+  // Whether something happens that has this probability.
+  bool Happens(double share);
+  // Executes the order now and answers it, at once or when an attempt ends.
+  void ExecuteAndAnswer(const Sender& sender, const WorkerOrder& order);
+  void DeliverReport(const wire::WorkerNews& report);
   void TickWorkers();
   void TickWorker(FakeWorker& worker);
   void Report(FakeWorker& worker);
@@ -227,6 +254,7 @@
   ReplyToken next_token_ = 1;
   std::map<ReplyToken, ChangeResult*> changes_;
   std::map<ReplyToken, std::optional<uint64_t>*> reads_;
+  std::map<ReplyToken, FakeCancelAnswer*> cancels_;
   int routings_sent_ = 0;
   int cross_domain_heartbeats_ = 0;
   int killed_at_stop_ = 0;
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -24,7 +24,8 @@
 }
 
 Micros WorkerClock(const FakeWorker& worker, Micros now) {
-  return now + worker.clock_offset;
+  return worker.clock_offset +
+         static_cast<Micros>(worker.clock_rate * static_cast<double>(now));
 }
 
 void EndRun(FakeWorkers& workers,
@@ -37,6 +38,7 @@
   ended = std::max(ended, number);
   worker.unacknowledged_ends.push_back({worker.next_end++, name, number, end});
   workers.tasks[name].done += end == AttemptEnd::kDone ? 1 : 0;
+  workers.tasks[name].failures += end == AttemptEnd::kFailed ? 1 : 0;
 }
 
 // Records the start of a task, and a violation if the task must not start now.
@@ -89,6 +91,10 @@
                                  ToString(order.task));
   }
   RecordStart(workers, order.task, now);
+  if (worker.draining_confirmed_at != 0) {
+    worker.latest_start_draining = std::max(worker.latest_start_draining,
+                                            now - worker.draining_confirmed_at);
+  }
   FakeWorker::Attempt run;
   run.number = order.attempt;
   run.started_at = now;
@@ -186,24 +192,34 @@
   return answer;
 }
 
-void CrashOrRestart(FakeWorker& worker, Micros now) {
+void EndProcess(FakeWorkers& workers, FakeWorker& worker, Micros back_at) {
+  for (const auto& [name, run] : worker.attempts) {
+    ++workers.tasks[name].lost;
+  }
+  worker.up = false;
+  worker.crashed = true;
+  worker.crashes_at = 0;
+  worker.back_at = back_at;
+  worker.attempts.clear();
+  worker.last_ended_attempt.clear();
+  worker.unacknowledged_ends.clear();
+  worker.next_end = 1;
+  worker.highest_token = 0;
+  worker.lease_until = 0;
+}
+
+void CrashOrRestart(FakeWorkers& workers, FakeWorker& worker, Micros now) {
   if (worker.crashes_at != 0 && now >= worker.crashes_at) {
-    worker.up = false;
-    worker.crashed = true;
-    worker.crashes_at = 0;
-    worker.back_at = now + kOutageOfCrash;
-    worker.attempts.clear();
-    worker.last_ended_attempt.clear();
-    worker.unacknowledged_ends.clear();
-    worker.next_end = 1;
-    worker.highest_token = 0;
-    worker.lease_until = 0;
+    EndProcess(workers, worker, now + kOutageOfCrash);
   } else if (worker.crashed && now >= worker.back_at) {
     worker.up = true;
     worker.crashed = false;
     worker.status.set_born_ms(worker.status.born_ms() +
-                              kOutageOfCrash / kMillisecond);
+                              (now - worker.born_at) / kMillisecond);
+    worker.born_at = now;
     worker.status.set_sequence(0);
+    worker.status.set_leaving(false);
+    worker.draining_confirmed_at = 0;
     worker.report_due = now;
   }
 }
@@ -211,6 +227,7 @@
 void EndFinishedAttempts(FakeWorkers& workers, FakeWorker& worker, Micros now) {
   std::vector<std::pair<TaskName, AttemptEnd>> finished;
   for (const auto& [name, run] : worker.attempts) {
+    workers.tasks[name].last_run_until = now;
     if (WorkerClock(worker, now) > worker.lease_until) {
       finished.emplace_back(name, AttemptEnd::kLeaseExpired);
     } else if (now >= run.ends_at) {
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -50,8 +50,23 @@
   bool hangs = false;
   int slow_factor = 1;  // multiplies the run times
   double late_order_share =
-      0;                    // share of orders executed late and not answered
-  Micros clock_offset = 0;  // of its own clock relative to the model's
+      0;  // share of orders executed late and not answered
+  // Bounds of the time until a late order is executed.
+  Micros shortest_delay = 3 * kSecond;
+  Micros longest_delay = 3 * kSecond;
+  // Shares of the orders that are executed and not answered, executed twice,
+  // and neither executed nor answered since the worker closes the connection.
+  double lost_answer_share = 0;
+  double duplicate_share = 0;
+  double closed_share = 0;
+  double lost_report_share = 0;  // of its reports that arrive late, or never
+  Micros clock_offset = 0;       // of its own clock relative to the model's
+  double clock_rate = 1;         // of its own clock: below 1 it runs slow
+  Micros born_at = 0;  // when its process started, on the model's clock
+  // When a control daemon first confirmed its report that it drains; 0: never.
+  Micros draining_confirmed_at = 0;
+  // Longest time from that to the start of a task.
+  Micros latest_start_draining = 0;
   uint64_t highest_token = 0;
   Micros lease_until = 0;  // on its own clock
   std::map<TaskName, Attempt> attempts;
@@ -68,7 +83,10 @@
   int done = 0;
   int done_acknowledged = 0;
   int crashes = 0;  // of workers that started it
+  int failures = 0;
+  int lost = 0;  // times that its worker's process ended under it
   Micros last_start = 0;
+  Micros last_run_until = 0;  // when it was last seen running
 };
 
 struct FakeWorkers {
@@ -92,8 +110,12 @@
                           const WorkerOrder& order,
                           Micros now);
 
+// Ends the process of the worker, which refuses connections until it starts
+// again at `back_at`, under its id.
+void EndProcess(FakeWorkers& workers, FakeWorker& worker, Micros back_at);
+
 // Crashes the worker if that is due, and starts a crashed one again.
-void CrashOrRestart(FakeWorker& worker, Micros now);
+void CrashOrRestart(FakeWorkers& workers, FakeWorker& worker, Micros now);
 
 // Ends the attempts that are finished, stopped, or past the worker's lease.
 void EndFinishedAttempts(FakeWorkers& workers, FakeWorker& worker, Micros now);
--- /dev/null
+++ b/pool/testing/worker_loss_test.cc
@@ -0,0 +1,122 @@
+// What counts as a crash of a worker's process, and against which tasks.
+
+#include "pool/worker_loss.h"
+
+#include <catch2/catch.hpp>
+
+#include "pool/testing/pool_load.h"
+
+namespace goldcrest {
+namespace {
+
+FakePoolOptions Options(uint64_t seed) {
+  FakePoolOptions options;
+  options.seed = seed;
+  options.features.placement_lookahead = true;
+  options.features.standby_after = 250 * kMillisecond;
+  return options;
+}
+
+FakeJob LongJob() {
+  FakeJob job;
+  job.tasks = 2;
+  job.run_ms = 400;
+  job.estimate_ms = 400;
+  job.timeout_ms = 4000;
+  return job;
+}
+
+// Guards against sound jobs being shown as failed (review/1): three calls that
+// a live worker closed counted as a crash of its process.
+TEST_CASE("WorkerLoss: a worker that closes its connections has not crashed") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    WaitUntilServing(pool);
+    for (size_t round = 0; round < 12; ++round) {
+      for (size_t i = 0; i < pool.workers().size(); ++i) {
+        pool.workers()[i].closed_share = i % 3 == round % 3 ? 1 : 0;
+      }
+      for (size_t entry = 0; entry < 3; ++entry) {
+        pool.Submit(entry, LongJob());
+      }
+      pool.Run(400 * kMillisecond);
+    }
+    for (FakeWorker& worker : pool.workers()) {
+      worker.closed_share = 0;
+    }
+    pool.Run(5 * kSecond);
+    CHECK(pool.CountLogged("task_crash") == 0);
+    CHECK(pool.CountAnswers(wire::JOB_FAILED) == 0);
+    RequireNoViolation(pool);
+  }
+}
+
+// Guards against tasks being given up for crashes of workers that had lost
+// power silently some time before or after the task ran there.
+TEST_CASE(
+    "WorkerLoss: a worker that falls silent and is replaced proves no "
+    "crash under its tasks") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    WaitUntilServing(pool);
+    for (int round = 0; round < 4; ++round) {
+      for (size_t entry = 0; entry < 3; ++entry) {
+        pool.Submit(entry, LongJob());
+      }
+      pool.Run(100 * kMillisecond);
+      for (FakeWorker& worker : pool.workers()) {
+        worker.reachable = false;
+      }
+      pool.Run(1200 * kMillisecond);
+      for (size_t i = 0; i < pool.workers().size(); ++i) {
+        pool.CrashWorker(i, 50 * kMillisecond);
+      }
+      pool.Run(100 * kMillisecond);
+      for (FakeWorker& worker : pool.workers()) {
+        worker.reachable = true;
+      }
+      pool.Run(2 * kSecond);
+    }
+    CHECK(pool.CountLogged("task_crash") == 0);
+    CHECK(pool.CountAnswers(wire::JOB_FAILED) == 0);
+  }
+}
+
+WorkerAnswer Failed(CallFailure failure) {
+  WorkerAnswer answer;
+  answer.outcome = OrderOutcome::kNotSent;
+  answer.failure = failure;
+  return answer;
+}
+
+// Guards against a job shown as failed after one crash: the order to start its
+// task was on its way to another worker when that crashed.
+TEST_CASE(
+    "WorkerLoss: a start that the worker has not confirmed is not charged "
+    "with its crash") {
+  PoolBoard board;
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_id("w");
+  worker.status.set_address("10.0.0.1:80");
+  board.owned["w"] = &worker;
+  const TaskName begun{"begun", 0, 0, 0};
+  const TaskName sent{"sent", 0, 0, 0};
+  for (const TaskName& name : {begun, sent}) {
+    auto job = std::make_unique<PoolJob>();
+    job->key = name.job_id;
+    worker.attempts[name].job_key = name.job_id;
+    board.jobs[name.job_id] = std::move(job);
+  }
+  worker.attempts[begun].answered_at = 1;
+  PoolActions actions;
+  OnWorkerCallEnd(board, worker, Failed(CallFailure::kClosed), 10, actions);
+  for (int i = 1; i <= 3; ++i) {
+    OnWorkerCallEnd(board, worker, Failed(CallFailure::kRefused),
+                    10 + i * 40 * kMillisecond, actions);
+  }
+  CHECK(CountCrashes(board.crashes, begun) == 1);
+  CHECK(CountCrashes(board.crashes, sent) == 0);
+}
+
+}  // namespace
+}  // namespace goldcrest
--- a/pool/worker_loss.cc
+++ b/pool/worker_loss.cc
@@ -114,8 +114,9 @@
                 {"answered_ms_ago", std::to_string(silent / kMillisecond)}});
 }
 
-// Appends a crash of the worker's process for each task on it. A `shared` loss
-// makes the tasks suspects, but proves nothing about any of them.
+// Appends a crash of the worker's process for each task that is known to have
+// begun there: an order that was on its way is no evidence against its task. A
+// `shared` loss makes the tasks suspects, but proves nothing about any of them.
 void AddTaskCrashes(const PoolBoard& board,
                     const PoolWorker& worker,
                     bool shared,
@@ -125,7 +126,7 @@
   const bool alone = !shared && worker.attempts.size() == 1;
   for (const auto& [name, attempt] : worker.attempts) {
     const auto job = board.jobs.find(attempt.job_key);
-    if (job != board.jobs.end()) {
+    if (attempt.answered_at != 0 && job != board.jobs.end()) {
       crashes.push_back({name, job->second->order.queue(), process, alone});
     }
   }
@@ -164,7 +165,7 @@
         board.crashes, address,
         {worker.status.failure_domain(), ChargedQueue(board, worker), now});
   }
-  std::vector<TaskCrash> crashes = worker.loss.lapsed;
+  std::vector<TaskCrash> crashes;
   AddTaskCrashes(board, worker, shared, crashes);
   for (const TaskCrash& crash : crashes) {
     if (ApplyTaskCrash(board, crash, now, actions)) {
@@ -180,8 +181,7 @@
                   bool new_process,
                   Micros now,
                   PoolActions& actions) {
-  if (worker.loss.concluded ||
-      (worker.attempts.empty() && worker.loss.lapsed.empty())) {
+  if (worker.loss.concluded || worker.attempts.empty()) {
     return;
   }
   const LossEvidence evidence = EvidenceOf(board, worker, new_process);
@@ -204,7 +204,7 @@
               PoolActions& actions) {
   const CrashedProcess process{worker.status.address(),
                                worker.status.born_ms()};
-  EndAway(board.crashes, process.address, now);
+  WithdrawAway(board.crashes, process.address);
   const std::vector<TaskName> tasks = WithdrawCrashes(board.crashes, process);
   if (tasks.empty()) {
     return;
@@ -256,10 +256,9 @@
     loss.closed_at = now;
     return;
   }
-  // A proxy in front of the worker closes new connections instead.
-  const bool refused = answer.failure == CallFailure::kRefused ||
-                       answer.failure == CallFailure::kClosed;
-  if (refused && loss.closed_at != 0) {
+  // Only a refused connection shows that no process listens: a live worker may
+  // close any number of them.
+  if (answer.failure == CallFailure::kRefused && loss.closed_at != 0) {
     loss.first_refused_at = loss.refusals == 0 ? now : loss.first_refused_at;
     loss.last_refused_at = now;
     ++loss.refusals;
@@ -267,12 +266,6 @@
   }
 }
 
-void OnWorkerLeaseExpired(PoolBoard& board, PoolWorker& worker) {
-  if (!worker.loss.concluded) {
-    AddTaskCrashes(board, worker, false, worker.loss.lapsed);
-  }
-}
-
 void OnWorkerProcessLost(PoolBoard& board,
                          PoolWorker& worker,
                          bool new_process,
--- a/pool/worker_loss.h
+++ b/pool/worker_loss.h
@@ -4,8 +4,11 @@
 // Why a worker no longer answers, and what that means for its tasks.
 //
 // A crash of a worker's process closes its connections, and its host refuses
-// new ones until it has started again. Silence proves nothing: the worker may
-// be cut off, frozen or slow. A worker that announced its end has not crashed.
+// new ones until it has started again. A live worker may close connections as
+// well, but accepts them before. Silence proves nothing: the worker may be cut
+// off, frozen or slow, and when its lease has expired, its tasks ended with
+// that, whatever becomes of the process. A worker that announced its end has
+// not crashed.
 // When many workers are lost in the same moment, the cause is a failure that
 // they share (a rack, a network path), unless one job ran on all of them: their
 // tasks become suspects, which run alone, but such a loss alone gives up none.
@@ -13,9 +16,10 @@
 // report may have been sent before the crash. A report of a later process at
 // its address proves that it ended.
 //
-// A crash is evidence against all tasks that ran on the worker. It does not
-// shorten the wait for the worker's lease before they run again: a network that
-// refuses connections looks the same from here, and the tasks may still run.
+// A crash is evidence against all tasks that had begun on the worker. It does
+// not shorten the wait for the worker's lease before they run again: a network
+// that refuses connections looks the same from here, and the tasks may still
+// run.
 
 #include <array>
 #include <string_view>
@@ -63,11 +67,6 @@
                      Micros now,
                      PoolActions& actions);
 
-// Keeps the tasks of a worker whose lease has expired, which start elsewhere,
-// for the case that it turns out to have crashed. Must be called before the
-// attempts of the worker are removed.
-void OnWorkerLeaseExpired(PoolBoard& board, PoolWorker& worker);
-
 // The same as OnWorkerCallEnd() for the end of a worker's process that a report
 // proves. `new_process`: a later process has taken its place. Must be called
 // before the attempts of the worker are removed.
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -477,7 +477,6 @@
         !worker.attempts.empty() && now > worker.lease_expires_at &&
         now - worker.reconciling_since > board.options.reconcile_timeout;
     if (attempts_expired) {
-      OnWorkerLeaseExpired(board, worker);
       RemoveAttemptsIf(
           board, worker, AttemptEnd::kLeaseExpired, false, now, actions,
           [](const TaskName&, const WorkerAttempt&) { return true; });
