End runs only with proof, ask before a process counts as ended, repeat stops

Cause, one class: a conclusion without proof, for all runs of a worker at once. An answer, report, notice or word of another daemon that told of another process ended every run here, also those that this process had begun; an order without an answer was taken as carried out.

Change: - run_ends: the one module that ends runs. It takes a RunEndProof, which is made from facts only: a listed end, a list without the run, a later process that answers, the expired lease, a refused start. No task starts while a run of it is open (an invariant, checked in every build); a job that is sent again waits for that. - process_claims: a claim that a process has ended makes this daemon ask the worker. Its answer confirms or refutes; silence counts when the lease has expired. Other daemons learn the worker's true state from its owner. - unanswered_orders: numbered orders, repeated until answered; stops are the first of them. While a run that must end is not confirmed to end, the worker's lease is not extended. - A process that has answered and not reported gets no tasks: its capacity is not known, and its reports are counted anew. - worker_session is split: worker_answers, pool_worker.

Ruled out: waiting for the lease at each claim (a restarted worker would cost half a second); a proof from a report alone (reports may be late or foreign).

--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -5,6 +5,7 @@
 
 #include "pool/overload_control.h"
 #include "pool/retry_after.h"
+#include "pool/run_ends.h"
 #include "pool/run_times.h"
 #include "pool/worker_health.h"
 #include "pool/worker_session.h"
@@ -216,7 +217,42 @@
   return found == board.jobs.end() ? nullptr : found->second.get();
 }
 
+namespace {
+
+// Returns the present job with the task, or null.
+PoolJob* FindJobOfTask(PoolBoard& board, const TaskName& name) {
+  const auto key = board.job_keys.find(name.job_id);
+  PoolJob* job =
+      key == board.job_keys.end() ? nullptr : FindPoolJob(board, key->second);
+  const bool has_task = job != nullptr && name.step < job->steps.size() &&
+                        name.index < job->steps[name.step].tasks.size();
+  return has_task ? job : nullptr;
+}
+
+}  // namespace
+
+void QueueHeldTask(PoolBoard& board, const TaskName& name) {
+  PoolJob* job = FindJobOfTask(board, name);
+  if (job != nullptr &&
+      job->steps[name.step].tasks[name.index].phase == TaskPhase::kHeld) {
+    QueueTask(board, *job, name.step, name.index);
+  }
+}
+
+void HoldWaitingTask(PoolBoard& board, const TaskName& name) {
+  PoolJob* job = FindJobOfTask(board, name);
+  if (job != nullptr &&
+      job->steps[name.step].tasks[name.index].phase == TaskPhase::kWaiting) {
+    board.waiting.erase(WaitingKeyOf(*job, name.step, name.index));
+    job->steps[name.step].tasks[name.index].phase = TaskPhase::kHeld;
+  }
+}
+
 void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index) {
+  if (IsRunOpen(board, {job.order.job_id(), 0, step, index})) {
+    job.steps[step].tasks[index].phase = TaskPhase::kHeld;
+    return;
+  }
   job.steps[step].tasks[index].phase = TaskPhase::kWaiting;
   board.waiting[WaitingKeyOf(job, step, index)] = {&job};
   board.placement_due = true;
@@ -403,11 +439,8 @@
                       uint32_t run,
                       Micros now,
                       PoolActions& actions) {
-  const auto key = board.job_keys.find(name.job_id);
-  PoolJob* job =
-      key == board.job_keys.end() ? nullptr : FindPoolJob(board, key->second);
-  if (job == nullptr || name.step >= job->steps.size() ||
-      name.index >= job->steps[name.step].tasks.size()) {
+  PoolJob* job = FindJobOfTask(board, name);
+  if (job == nullptr) {
     return;
   }
   const PoolTask& task = job->steps[name.step].tasks[name.index];
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -97,9 +97,16 @@
 // Adds the tasks of all steps that can start now to the queue.
 void QueueUnblockedTasks(PoolBoard& board, PoolJob& job);
 
-// Adds a task to the queue of waiting tasks.
+// Adds a task to the queue of waiting tasks, or holds it if an earlier run of
+// it may not be over.
 void QueueTask(PoolBoard& board, PoolJob& job, uint32_t step, uint32_t index);
 
+// Queues the task if it is held and no run of it is open any more.
+void QueueHeldTask(PoolBoard& board, const TaskName& name);
+
+// Holds the task if it waits to be started.
+void HoldWaitingTask(PoolBoard& board, const TaskName& name);
+
 // Returns the sum of the expected run times of all unfinished steps: an upper
 // bound of the run time that the job still needs if none of its tasks has to
 // wait, since steps may run at the same time and parts of a step may be done.
--- a/pool/pool_placement.cc
+++ b/pool/pool_placement.cc
@@ -8,6 +8,7 @@
 #include "pool/placement_plan.h"
 #include "pool/pool_jobs.h"
 #include "pool/retry_after.h"
+#include "pool/run_ends.h"
 #include "pool/run_times.h"
 #include "pool/task_requirements.h"
 #include "pool/worker_health.h"
@@ -87,6 +88,11 @@
                  bool ahead,
                  Micros now,
                  PoolActions& actions) {
+  const TaskName name{job.order.job_id(), 0, key.step, key.index};
+  if (!CheckNoRunIsOpen(board, name, actions)) {
+    QueueTask(board, job, key.step, key.index);
+    return;
+  }
   PoolTask& task = job.steps[key.step].tasks[key.index];
   task.phase = TaskPhase::kRunning;
   task.worker = worker.status.id();
@@ -100,7 +106,6 @@
   attempt.attempt_number = task.attempt_count;
   attempt.resources = ResourcesOf(job.order.steps(static_cast<int>(key.step)));
   attempt.sent_at = now;
-  const TaskName name{job.order.job_id(), 0, key.step, key.index};
   attempt.alone = IsCrashSuspect(board.crashes, name);
   attempt.expected_run_time = static_cast<Micros>(
       static_cast<double>(job.steps[key.step].expected_run_time) *
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -7,6 +7,7 @@
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_stop.h"
+#include "pool/run_ends.h"
 #include "pool/stragglers.h"
 #include "pool/worker_record.h"
 #include "pool/worker_roster.h"
@@ -242,6 +243,7 @@
   MoveStragglers(board, now, actions);
   ProfileTick(board, now, actions);
   CrashTick(board, now);
+  OrphansTick(board, now);
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
   }
--- a/pool/pool_stop.cc
+++ b/pool/pool_stop.cc
@@ -122,6 +122,7 @@
   return std::any_of(board.jobs.begin(), board.jobs.end(),
                      [](const auto& entry) {
                        return HasTaskIn(*entry.second, TaskPhase::kWaiting) ||
+                              HasTaskIn(*entry.second, TaskPhase::kHeld) ||
                               HasTaskIn(*entry.second, TaskPhase::kBlocked);
                      });
 }
--- a/pool/task_requirements.cc
+++ b/pool/task_requirements.cc
@@ -4,6 +4,7 @@
 
 #include "pool/choose_worker.h"
 #include "pool/worker_health.h"
+#include "pool/worker_lease.h"
 
 namespace goldcrest {
 
@@ -33,6 +34,7 @@
 bool AcceptsStarts(const PoolWorker& worker, Micros now) {
   return IsInPool(worker) && worker.session == SessionState::kReady &&
          !worker.status.leaving() && worker.clock_ms != 0 &&
+         !worker.unreported && MayExtendLease(worker, now) &&
          MayTakeTask(worker, now) && !IsKeptAlone(worker);
 }
 
--- a/pool/worker_lease.cc
+++ b/pool/worker_lease.cc
@@ -5,6 +5,10 @@
 namespace goldcrest {
 namespace {
 
+// A run of a job that has ended must be over when the caller sends the job
+// again; this and the longest lease are less than that time.
+constexpr Micros kStopPatience = 400 * kMillisecond;
+
 // Returns half of the longest expected run time on the worker, within bounds.
 Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
   Micros longest = 0;
@@ -36,6 +40,17 @@
       worker.lease_expires_at, now + lease + max_drift + options.lease_slack);
 }
 
+bool MayExtendLease(const PoolWorker& worker, Micros now) {
+  return std::none_of(
+      worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
+        const WorkerAttempt& run = entry.second;
+        const bool overdue = run.state == AttemptState::kStopping &&
+                             run.job_key.empty() &&
+                             now - run.stopping_since > kStopPatience;
+        return run.unknown || overdue;
+      });
+}
+
 WorkerOrder MakeOrder(const PoolBoard& board,
                       const PoolWorker& worker,
                       OrderKind kind,
@@ -56,13 +71,17 @@
                              int64_t wait_ms,
                              Micros now) {
   WorkerOrder order = MakeOrder(board, worker, OrderKind::kRenew, now);
-  order.acknowledged_end = worker.newest_processed_end;
+  // Another process may answer, whose ends are not to be forgotten.
+  order.acknowledged_end = worker.session == SessionState::kReconciling
+                               ? 0
+                               : worker.newest_processed_end;
   order.wait_ms = wait_ms;
   order.timeout += wait_ms * kMillisecond;
   // The lease of a worker that cannot be reconciled must expire, so that its
   // attempts end.
   if (!worker.attempts.empty() &&
-      worker.session != SessionState::kReconciling) {
+      worker.session != SessionState::kReconciling &&
+      MayExtendLease(worker, now)) {
     AddLease(board.options, worker, order, now);
   }
   return order;
--- a/pool/worker_lease.h
+++ b/pool/worker_lease.h
@@ -33,6 +33,12 @@
               WorkerOrder& order,
               Micros now);
 
+// Returns whether the lease of the worker may be extended. All attempts there
+// share it, so while one runs that must end, they all end with it: an attempt
+// of another daemon, whose owner waits for the end of the lease that it gave,
+// and one of a job that has ended which the worker does not confirm to stop.
+bool MayExtendLease(const PoolWorker& worker, Micros now);
+
 // Returns an order of the worker's present session.
 WorkerOrder MakeOrder(const PoolBoard& board,
                       const PoolWorker& worker,
--- a/pool/worker_loss.cc
+++ b/pool/worker_loss.cc
@@ -126,7 +126,9 @@
   const bool alone = !shared && worker.attempts.size() == 1;
   for (const auto& [name, attempt] : worker.attempts) {
     const auto job = board.jobs.find(attempt.job_key);
-    if (attempt.answered_at != 0 && job != board.jobs.end()) {
+    const bool began_there =
+        attempt.answered_at != 0 && attempt.process_ms <= process.born_ms;
+    if (began_there && job != board.jobs.end()) {
       crashes.push_back({name, job->second->order.queue(), process, alone});
     }
   }
--- a/pool/worker_order.h
+++ b/pool/worker_order.h
@@ -110,6 +110,10 @@
   // lease unchanged.
   int64_t lease_until_ms = 0;
 
+  // For stop orders: the number under which it is repeated
+  // (unanswered_orders.h).
+  uint64_t number = 0;
+
   // For start and stop orders.
   TaskName task;
   uint32_t attempt = 0;
--- a/pool/worker_report.cc
+++ b/pool/worker_report.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "pool/process_claims.h"
+#include "pool/worker_loss.h"
 #include "pool/worker_session.h"
 
 namespace goldcrest {
@@ -60,9 +62,9 @@
       std::max<int64_t>(largest.accelerators, worker.status.accelerators());
 }
 
-// Marks workers as gone that the reporting one has replaced: those at the same
-// address that started earlier.
-void MarkReplacedAsGone(PoolBoard& board,
+// Claims the end of the workers that the reporting one has replaced: those at
+// the same address that started earlier.
+void ClaimEndOfReplaced(PoolBoard& board,
                         const wire::WorkerNews& report,
                         Micros now,
                         PoolActions& actions) {
@@ -70,14 +72,47 @@
     if (id != report.id() && IsInPool(other) &&
         other.status.address() == report.address() &&
         other.status.born_ms() < report.born_ms()) {
-      HandleWorkerProcessEnd(board, other, ProcessEnd::kReplaced, now, actions);
-      other.status.set_gone(true);
+      ClaimProcessEnd(board, other, {ProcessEnd::kReplaced, std::nullopt, 0},
+                      now, actions);
     }
   }
 }
 
 }  // namespace
 
+void AdoptReport(PoolBoard& board,
+                 PoolWorker& worker,
+                 const wire::WorkerNews& report,
+                 Micros now,
+                 PoolActions& actions) {
+  const bool is_new = worker.status.id().empty();
+  const bool changed = is_new || DiffersInContent(report, worker.status);
+  const bool new_process = is_new ||
+                           report.born_ms() != worker.status.born_ms() ||
+                           report.address() != worker.status.address();
+  if (report.failure_domain() != worker.status.failure_domain()) {
+    worker.preferred_owner_generation = 0;
+  }
+  CopyReport(report, worker.status);
+  RecordCapacity(worker, new_process || worker.unreported);
+  worker.unreported = false;
+  worker.last_received_at = now;
+  if (!changed) {
+    return;
+  }
+  ClaimEndOfReplaced(board, report, now, actions);
+  LogPoolEvent(actions, LogLevel::kInfo, "worker_changed",
+               {{"worker", report.id()},
+                {"address", report.address()},
+                {"service", report.service()},
+                {"failure_domain", report.failure_domain()},
+                {"leaving", report.leaving() ? "1" : "0"},
+                {"gone", report.gone() ? "1" : "0"},
+                {"born_ms", std::to_string(report.born_ms())},
+                {"sequence", std::to_string(report.sequence())}});
+  board.placement_due = true;
+}
+
 bool ApplyReport(PoolBoard& board,
                  const wire::WorkerNews& report,
                  Micros now,
@@ -88,35 +123,22 @@
   if (!is_new && !IsNewerReport(board, report, worker.status)) {
     return false;
   }
-  const bool changed = is_new || DiffersInContent(report, worker.status);
   const bool restarted = !is_new && report.born_ms() > worker.status.born_ms();
   const bool moved = !is_new && report.address() != worker.status.address();
-  if (report.failure_domain() != worker.status.failure_domain()) {
-    worker.preferred_owner_generation = 0;
-  }
-  if (restarted || moved || report.gone()) {
+  const bool claims_end = restarted || moved || report.gone();
+  if (worker.session != SessionState::kNone && claims_end) {
     // A change of the address counts as a restart, also in the log.
-    HandleWorkerProcessEnd(
-        board, worker,
-        report.gone() ? ProcessEnd::kLeft : ProcessEnd::kRestarted, now,
-        actions);
+    const ProcessEnd reason =
+        report.gone() ? ProcessEnd::kGone : ProcessEnd::kRestarted;
+    ClaimProcessEnd(board, worker, {reason, report, 0}, now, actions);
+    return false;
   }
-  CopyReport(report, worker.status);
-  RecordCapacity(worker, is_new || restarted || moved);
-  worker.last_received_at = now;
-  if (changed) {
-    MarkReplacedAsGone(board, report, now, actions);
-    LogPoolEvent(actions, LogLevel::kInfo, "worker_changed",
-                 {{"worker", report.id()},
-                  {"address", report.address()},
-                  {"service", report.service()},
-                  {"failure_domain", report.failure_domain()},
-                  {"leaving", report.leaving() ? "1" : "0"},
-                  {"gone", report.gone() ? "1" : "0"},
-                  {"born_ms", std::to_string(report.born_ms())},
-                  {"sequence", std::to_string(report.sequence())}});
-    board.placement_due = true;
+  const bool changed = is_new || DiffersInContent(report, worker.status);
+  if (claims_end) {
+    OnWorkerProcessLost(board, worker, restarted, now, actions);
+    ForgetProcess(worker);
   }
+  AdoptReport(board, worker, report, now, actions);
   return changed;
 }
 
--- a/pool/worker_report.h
+++ b/pool/worker_report.h
@@ -4,8 +4,9 @@
 // What a worker's report, or another daemon's update about it, changes.
 //
 // Reports arrive late and out of order: the one of the later process counts, of
-// one process the one with the higher sequence. A report of a later process
-// ends the earlier one, and that of every other worker at its address.
+// one process the one with the higher sequence. A report of a later process, or
+// of another worker at the address of one, claims that the earlier process has
+// ended (process_claims.h).
 
 #include "pool/pool_board.h"
 
@@ -18,6 +19,13 @@
                  Micros now,
                  PoolActions& actions);
 
+// Records a report that is believed, whatever was known before.
+void AdoptReport(PoolBoard& board,
+                 PoolWorker& worker,
+                 const wire::WorkerNews& report,
+                 Micros now,
+                 PoolActions& actions);
+
 }  // namespace goldcrest
 
 #endif  // POOL_WORKER_REPORT_H_
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -5,6 +5,8 @@
 
 #include "goldcrest/digest.h"
 #include "pool/handover.h"
+#include "pool/process_claims.h"
+#include "pool/run_ends.h"
 #include "pool/standby.h"
 #include "pool/worker_record.h"
 #include "pool/worker_report.h"
@@ -159,7 +161,11 @@
       now - worker.last_received_at < board.options.worker_timeout) {
     return;
   }
-  HandleWorkerProcessEnd(board, worker, ProcessEnd::kSilent, now, actions);
+  EndExpiredRuns(board, worker, now, actions);
+  if (!worker.attempts.empty()) {
+    return;  // its lease is about to expire
+  }
+  EndProcessSession(board, worker, ProcessEnd::kSilent, now, actions);
   worker.status.set_gone(true);
   AnnounceWorker(board, worker, now, actions);
 }
@@ -220,6 +226,38 @@
   AnnounceWorker(board, worker, now, actions);
 }
 
+// Handles another daemon's word that the worker has left.
+void HandleGoneRow(PoolBoard& board,
+                   PoolWorker& worker,
+                   Micros now,
+                   PoolActions& actions) {
+  if (worker.session == SessionState::kNone) {
+    worker.status.set_gone(true);
+  } else {
+    ClaimProcessEnd(board, worker, {ProcessEnd::kGone, std::nullopt, 0}, now,
+                    actions);
+  }
+}
+
+// Takes the owner's word for the state of its worker, which it has asked, over
+// a report that was not confirmed.
+void TakeOwnersWord(PoolBoard& board,
+                    const std::string& from,
+                    const wire::WorkerNews& row,
+                    PoolWorker& worker,
+                    Micros now,
+                    PoolActions& actions) {
+  const bool from_owner = row.owner() == from && !row.gone() &&
+                          row.token() >= worker.status.token();
+  const bool differs = worker.status.gone() ||
+                       row.born_ms() < worker.status.born_ms() ||
+                       (row.born_ms() == worker.status.born_ms() &&
+                        row.address() != worker.status.address());
+  if (from_owner && differs && worker.session == SessionState::kNone) {
+    AdoptReport(board, worker, row, now, actions);
+  }
+}
+
 }  // namespace
 
 bool ReceivesUpdatesOf(const MeshMember& member,
@@ -262,10 +300,8 @@
   if (found == board.workers.end() || !IsInPool(found->second)) {
     return;
   }
-  PoolWorker& worker = found->second;
-  HandleWorkerProcessEnd(board, worker, ProcessEnd::kLeft, now, actions);
-  worker.status.set_gone(true);
-  AnnounceWorker(board, worker, now, actions);
+  ClaimProcessEnd(board, found->second, {ProcessEnd::kLeft, std::nullopt, 0},
+                  now, actions);
 }
 
 void OnWorkerUpdate(PoolBoard& board,
@@ -280,10 +316,10 @@
       worker.last_received_at = now;
       if (row.gone() && IsInPool(worker) &&
           row.sequence() >= worker.status.sequence()) {
-        HandleWorkerProcessEnd(board, worker, ProcessEnd::kGone, now, actions);
-        worker.status.set_gone(true);
+        HandleGoneRow(board, worker, now, actions);
       }
     }
+    TakeOwnersWord(board, from, row, worker, now, actions);
     if (NamesPresentOwner(board, from, row)) {
       worker.fenced_at = 0;
     }
--- a/pool/worker_session.h
+++ b/pool/worker_session.h
@@ -1,7 +1,8 @@
 #ifndef POOL_WORKER_SESSION_H_
 #define POOL_WORKER_SESSION_H_
 
-// The orders of a daemon to its own workers, and the handling of the answers.
+// The orders of a daemon to its own workers, and the handling of the answers
+// (worker_answers.cc).
 //
 // A session begins with reconciliation: a lease renewal order under a token
 // higher than any used before. A daemon that already had a session first sends
@@ -19,32 +20,13 @@
 // while the start of at least one attempt is confirmed (or its stop ordered):
 // it extends the lease, and its answer reports the ends of attempts.
 
-#include <array>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "pool/pool_board.h"
 
 namespace goldcrest {
 
-// How a worker's process ended.
-enum class ProcessEnd : uint8_t {
-  kRestarted,  // a later process reports under the same id
-  kReplaced,   // a later process reports from the same address
-  kLeft,       // it announced its end
-  kGone,       // another daemon reports its end
-  kSilent,     // its reports have timed out
-};
-
-// Names in logs.
-inline constexpr std::array<std::string_view, 5> kProcessEndNames = {
-    "restarted", "replaced", "left", "gone", "silent"};
-
-inline std::string_view ToString(ProcessEnd end) {
-  return kProcessEndNames[static_cast<size_t>(end)];
-}
-
 // Takes the worker over, or reconciles it again when its state has become
 // uncertain. `reason` goes into the log line.
 void ReconcileWorker(PoolBoard& board,
@@ -53,23 +35,25 @@
                      Micros now,
                      PoolActions& actions);
 
-// Ends the session without an order to the worker. Jobs with attempts there end
-// with an unknown outcome: a new owner stops attempts that it does not know,
-// but they may be done before that.
+// Ends the session without an order to the worker. Its runs become orphans, and
+// jobs with attempts there end with an unknown outcome.
 void EndSession(PoolBoard& board,
                 PoolWorker& worker,
                 const std::string& reason,
                 Micros now,
                 PoolActions& actions);
 
-// Ends the session with a worker whose process has ended, restarted or stopped
-// reporting, and discards all state of that process. Its attempts count as
-// ended, which is reported to their jobs. No order is sent.
-void HandleWorkerProcessEnd(PoolBoard& board,
-                            PoolWorker& worker,
-                            ProcessEnd end,
-                            Micros now,
-                            PoolActions& actions);
+// Discards what was learned of the worker's process, for its successor.
+void ForgetProcess(PoolWorker& worker);
+
+// Ends the session with a process that has ended or does not report any more,
+// and discards all state of it. Its runs must be over (run_ends.h); any that
+// are left become orphans.
+void EndProcessSession(PoolBoard& board,
+                       PoolWorker& worker,
+                       ProcessEnd end,
+                       Micros now,
+                       PoolActions& actions);
 
 // Starts one attempt. The caller has checked that the worker has the free
 // capacity.
@@ -81,7 +65,8 @@
                   Micros now,
                   PoolActions& actions);
 
-// Stops an attempt; its resources are free when the worker lists its end. If
+// Stops an attempt; its resources are free when the worker lists its end. The
+// order is repeated until the worker answers it or the run is over. If
 // `detach_from_job`, the attempt is detached from its job and its end is
 // ignored; otherwise its end is reported to its job.
 void StopAttempt(PoolBoard& board,
@@ -101,7 +86,8 @@
 // sessions may begin and end while the caller iterates over it.
 std::vector<PoolWorker*> OwnedWorkers(const PoolBoard& board);
 
-// Sends the lease renewals and reconciliation orders that are due.
+// Sends the lease renewals, reconciliation orders and repeated stops that are
+// due, and ends the runs of a silent worker when their lease has expired.
 void SessionTick(PoolBoard& board,
                  PoolWorker& worker,
                  Micros now,
