Count a lease from an old reading of a slow clock in full

Cause: AddLease() extrapolates the worker's clock from a reading of any age; the drift was allowed for the lease alone. A proof (the lease has expired) rested on a clock that nobody had read.

Change: the time by which the lease has expired allows for the drift since the reading, and for the exact rate (divided by 0.98, not times 1.02).

The new case of run_ends_test failed before: 474 ms waited where the worker may hold the run for 500 (reading 2 s old) and 663 ms (10 s). Cost: up to 41 ms more for a task whose worker was idle for 2 s and falls silent right after the start. Ruled out: a shorter lease from the slowest reading (it costs each first start on an idle worker part of its lease).

--- a/pool/testing/run_ends_test.cc
+++ b/pool/testing/run_ends_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "pool/testing/pool_load.h"
+#include "pool/worker_lease.h"
 
 namespace goldcrest {
 namespace {
@@ -118,6 +119,27 @@
   }
 }
 
+// Guards against a lease counted from an old reading of a worker's clock: the
+// task started elsewhere 20 ms before its first run lapsed.
+TEST_CASE("WorkerLease: a lease allows for a slow clock since its reading") {
+  const PoolOptions options;
+  for (const Micros age : {Micros(0), 2 * kSecond, 10 * kSecond}) {
+    PoolWorker worker;
+    worker.clock_ms = 5000;
+    worker.clock_at = kSecond;
+    const Micros now = kSecond + age;
+    WorkerOrder order;
+    AddLease(options, worker, order, now);
+    // The slowest clock that the worker may have, now and when it expires.
+    const double rate = 0.98;
+    const double clock = 5000.0 + rate * static_cast<double>(age) / 1000.0;
+    const double remaining_ms =
+        (static_cast<double>(order.lease_until_ms) - clock) / rate;
+    CHECK(static_cast<double>(worker.lease_expires_at - now) / 1000.0 >
+          remaining_ms);
+  }
+}
+
 // A run with a start order under token 7 that was confirmed at 100 by a process
 // that started at 5.
 WorkerAttempt ConfirmedRun() {
--- a/pool/worker_lease.cc
+++ b/pool/worker_lease.cc
@@ -35,9 +35,14 @@
   const Micros lease = LeaseDuration(options, worker);
   order.lease_until_ms =
       worker.clock_ms + (now - worker.clock_at + lease) / kMillisecond;
-  const Micros max_drift = lease * options.clock_drift_percent / 100;
-  worker.lease_expires_at = std::max(
-      worker.lease_expires_at, now + lease + max_drift + options.lease_slack);
+  // The worker's clock may have run slow since it was read, and may run slow
+  // until the lease expires.
+  const int64_t slowest_percent = 100 - options.clock_drift_percent;
+  const Micros lost_since_reading =
+      (now - worker.clock_at) * options.clock_drift_percent / 100;
+  const Micros longest = (lease + lost_since_reading) * 100 / slowest_percent;
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at, now + longest + options.lease_slack);
 }
 
 bool MayExtendLease(const PoolWorker& worker, Micros now) {
