Cancel a job elsewhere by orders that must arrive; deny it when all answered

Cause: a cancel of a job that the entry daemon does not have was sent once, to the control daemons that were reachable, which may be none, and the caller was answered without an answer of any of them: an order without an answer was taken as carried out.

Change: - mesh_orders: messages to daemons that must arrive, numbered and repeated until the receiver answers with wire::Delivered. - cancel_requests: all daemons that this one knows are asked, reachable or not. The caller hears 200 when one had the job, 410 when all have answered that they have not, and 504 after 1.5 s without all answers; the orders go on for 30 s. A daemon that has not the job cancels an order for it that comes within 3 s: it may have been on its way. - News of crashes are sent in the same way (they were sent once).

Ruled out: to refuse at once when a control daemon is unreachable (the others often know the job, and the caller would hear 504 instead of 200).

--- a/pool/crash_news.cc
+++ b/pool/crash_news.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "pool/mesh_orders.h"
 #include "pool/pool_jobs.h"
 
 namespace goldcrest {
@@ -50,15 +51,16 @@
       static_cast<uint32_t>((now - found->second.lost_at) / kMillisecond));
 }
 
-// Sends the message to all daemons that may get tasks that ran here.
-void SendToPool(const PoolBoard& board,
+// Sends the message to all daemons that may get tasks that ran here, until they
+// have answered.
+void SendToPool(PoolBoard& board,
                 const wire::PoolMessage& message,
                 Micros now,
                 PoolActions& actions) {
   for (const auto& [address, member] : board.mesh.members) {
     if (ReceivesCrashes(board, member) &&
         IsPeerReachable(board.mesh, address, now)) {
-      SendTo(actions, address, message);
+      SendUntilAnswered(board, address, message, now, actions);
     }
   }
 }
@@ -84,7 +86,7 @@
   return true;
 }
 
-void SendCrashes(const PoolBoard& board,
+void SendCrashes(PoolBoard& board,
                  const std::vector<TaskCrash>& crashes,
                  const std::string& address,
                  Micros now,
@@ -97,7 +99,7 @@
   SendToPool(board, message, now, actions);
 }
 
-void SendWithdrawal(const PoolBoard& board,
+void SendWithdrawal(PoolBoard& board,
                     const CrashedProcess& process,
                     Micros now,
                     PoolActions& actions) {
--- a/pool/crash_news.h
+++ b/pool/crash_news.h
@@ -26,14 +26,14 @@
                     PoolActions& actions);
 
 // Sends the crashes of the worker at `address` to the other daemons.
-void SendCrashes(const PoolBoard& board,
+void SendCrashes(PoolBoard& board,
                  const std::vector<TaskCrash>& crashes,
                  const std::string& address,
                  Micros now,
                  PoolActions& actions);
 
 // Tells the other daemons that a process which counted as crashed is alive.
-void SendWithdrawal(const PoolBoard& board,
+void SendWithdrawal(PoolBoard& board,
                     const CrashedProcess& process,
                     Micros now,
                     PoolActions& actions);
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/cancel_requests.h"
 #include "pool/crash_news.h"
 #include "pool/entry_stop.h"
 #include "pool/job_admission.h"
+#include "pool/mesh_orders.h"
 #include "pool/pending_jobs.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
@@ -27,7 +29,6 @@
 using detail::RefusalDelayMs;
 using detail::Reply;
 using detail::RequestCancel;
-using detail::SendCancel;
 using detail::SendOrderTo;
 
 const wire::Queue* QueueByName(const wire::Routing& routing,
@@ -175,19 +176,7 @@
             PoolActions& actions) {
   const auto found = board.order_number_of_job.find(request.job_id);
   if (found == board.order_number_of_job.end()) {
-    // The job may belong to another entry daemon, so the cancellation is sent
-    // to all reachable control daemons.
-    PendingJob job;
-    job.job_id = request.job_id;
-    for (const auto& [address, member] : board.pool.mesh.members) {
-      if (member.last_heartbeat.control() &&
-          IsPeerReachable(board.pool.mesh, address, now)) {
-        job.control_address = address;
-        SendCancel(board, job, actions);
-      }
-    }
-    actions.emplace_back(
-        ReplyJob{request.token, wire::JOB_FATE_UNSPECIFIED, 0, true});
+    detail::RequestCancelElsewhere(board, request, now, actions);
     return;
   }
   PendingJob& job = board.pending.at(found->second);
@@ -240,13 +229,20 @@
                    actions);
   } else if (message.has_crash_news()) {
     OnCrashNews(board.pool, message.crash_news(), now, actions);
+    AnswerDelivery(message, true, actions);
   } else if (message.has_worker_request()) {
     OnHandoverRequest(board.pool, message.from(), message.worker_request(), now,
                       actions);
   } else if (message.has_job_order()) {
     OnJobOrder(board.pool, message.job_order(), now, actions);
   } else if (message.has_job_cancel()) {
-    OnJobCancel(board.pool, message.job_cancel(), now, actions);
+    const bool cancelled =
+        OnJobCancel(board.pool, message.job_cancel(), now, actions);
+    AnswerDelivery(message, cancelled, actions);
+  } else if (message.has_delivered()) {
+    const uint64_t number = OnDelivered(board.pool, message.delivered());
+    detail::OnCancelAnswered(board, number, message.delivered().had_effect(),
+                             actions);
   } else if (message.has_routing()) {
     HandleRouting(board, message.routing(), actions);
   } else if (message.has_job_ask()) {
@@ -309,6 +305,7 @@
     detail::ResolveFailedJobs(board, now.mono, actions);
     detail::SendHeldJobs(board, now.mono, actions);
     detail::ResendCancels(board, now.mono, actions);
+    detail::CancelRequestsTick(board, now.mono, actions);
     detail::StopTick(board, now.mono, actions);
     detail::KeepFullHeartbeatRate(board, now.mono, actions);
     StandbyTick(board.pool, now.mono, actions);
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -147,6 +147,14 @@
   Micros first_not_accepted_at = 0;
 };
 
+// Requests to cancel a job that this daemon does not have (cancel_requests.h).
+struct CancelElsewhere {
+  std::vector<ReplyToken> tokens;
+  std::set<uint64_t> unanswered;  // numbers of the orders to other daemons
+  bool all_ordered = true;        // every order is repeated until answered
+  Micros answer_by = 0;
+};
+
 struct EntryCounters {
   uint64_t received = 0;
   uint64_t moved = 0;  // jobs sent again, to another control daemon
@@ -171,6 +179,7 @@
   std::unordered_map<uint64_t, PendingJob> pending;  // by order number
   std::unordered_map<ReplyToken, uint64_t> order_number_of_token;
   std::unordered_map<std::string, uint64_t> order_number_of_job;
+  std::map<std::string, CancelElsewhere> cancels_elsewhere;  // by job id
   uint64_t next_order = 1;
   EntryCounters counters;
   std::vector<JobObservation> observations;  // drained by the edge
--- a/pool/entry_stop.cc
+++ b/pool/entry_stop.cc
@@ -159,6 +159,7 @@
       PoolStopTick(board.pool, AnswerBy(board) - kStandbyEndTime, now, actions);
   const Micros since = now - board.drain_started_at;
   const bool idle = pool_is_empty && board.pending.empty() &&
+                    board.cancels_elsewhere.empty() &&
                     since > board.options.shortest_drain &&
                     now - board.last_request_at > board.options.drain_idle_time;
   if (!idle && now < AnswerBy(board)) {
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -218,6 +218,11 @@
                   kShortestRetryAfterMs, true, actions);
     return;
   }
+  if (board.cancelled_until.contains(order.job_id())) {
+    EndWithoutJob(board, order, wire::JOB_CANCELLED, "asked_by_entry", 0, false,
+                  actions);
+    return;
+  }
   if (AttachToExistingJob(board, order, now, actions)) {
     return;
   }
--- /dev/null
+++ b/pool/mesh_orders.h
@@ -0,0 +1,39 @@
+#ifndef POOL_MESH_ORDERS_H_
+#define POOL_MESH_ORDERS_H_
+
+// Messages to other daemons that must arrive: cancellations of jobs that any
+// daemon may have, and news of crashes. They are repeated until the receiver
+// has answered (unanswered_orders.h); receivers carry out a repeated message
+// once.
+
+#include <cstdint>
+#include <string>
+
+#include "pool/pool_board.h"
+
+namespace goldcrest {
+
+// Sends a message to the daemon at a mesh address until it is answered. Returns
+// its number; 0 if it is sent once only, since too many are unanswered.
+uint64_t SendUntilAnswered(PoolBoard& board,
+                           const std::string& to,
+                           wire::PoolMessage message,
+                           Micros now,
+                           PoolActions& actions);
+
+// Answers a message if its sender repeats it. `had_effect`: see
+// wire::Delivered.
+void AnswerDelivery(const wire::PoolMessage& message,
+                    bool had_effect,
+                    PoolActions& actions);
+
+// Handles an answer. Returns the number of the message, 0 if it was one of an
+// earlier process of this daemon.
+uint64_t OnDelivered(PoolBoard& board, const wire::Delivered& answer);
+
+// Repeats the messages that are due, and drops those whose lifetime has passed.
+void MeshOrdersTick(PoolBoard& board, Micros now, PoolActions& actions);
+
+}  // namespace goldcrest
+
+#endif  // POOL_MESH_ORDERS_H_
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -258,23 +258,26 @@
   board.placement_due = true;
 }
 
-void OnJobCancel(PoolBoard& board,
+bool OnJobCancel(PoolBoard& board,
                  const wire::JobCancel& cancel,
                  Micros now,
                  PoolActions& actions) {
+  const bool any_order = cancel.order() == 0;
   const auto found = board.job_keys.find(cancel.job_id());
-  if (found == board.job_keys.end()) {
-    return;
+  const PoolJob* job = found == board.job_keys.end()
+                           ? nullptr
+                           : FindPoolJob(board, found->second);
+  if (any_order) {
+    board.cancelled_until[cancel.job_id()] = now + kCancelMemory;
   }
-  const PoolJob* job = FindPoolJob(board, found->second);
   const bool matches =
-      job != nullptr &&
-      (cancel.order() == 0 || (cancel.order() == job->order.order() &&
-                               cancel.entry() == job->order.entry()));
+      job != nullptr && (any_order || (cancel.order() == job->order.order() &&
+                                       cancel.entry() == job->order.entry()));
   if (matches) {
     EndJob(board, found->second, wire::JOB_CANCELLED, "asked_by_entry", now,
            actions);
   }
+  return matches;
 }
 
 void RequestStartPermission(PoolJob& job, Micros now, PoolActions& actions) {
@@ -488,6 +491,8 @@
     EndJob(board, key, fate, unreachable ? "entry_not_heard" : "time_is_up",
            now, actions);
   }
+  std::erase_if(board.cancelled_until,
+                [&](const auto& entry) { return now >= entry.second; });
   OverloadTick(board, now, actions);
 }
 
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -26,8 +26,14 @@
 // The shortest time after which a refused caller is told to come back.
 inline constexpr int64_t kShortestRetryAfterMs = 1000;
 
-// Ends a job whose cancellation was requested.
-void OnJobCancel(PoolBoard& board,
+// How long an order for a job that was cancelled elsewhere is refused: it may
+// have been on its way when all daemons were asked to cancel the job.
+inline constexpr Micros kCancelMemory = 3 * kSecond;
+
+// Ends a job whose cancellation was requested; returns whether it was here. If
+// not, and the request is for any order of the job, an order for it that comes
+// within kCancelMemory is cancelled.
+bool OnJobCancel(PoolBoard& board,
                  const wire::JobCancel& cancel,
                  Micros now,
                  PoolActions& actions);
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -4,6 +4,7 @@
 #include "pool/crash_news.h"
 #include "pool/job_admission.h"
 #include "pool/load_report.h"
+#include "pool/mesh_orders.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_placement.h"
 #include "pool/pool_stop.h"
@@ -82,7 +83,12 @@
       OnJobOrder(board, message.job_order(), now, actions);
       break;
     case wire::PoolMessage::kJobCancel:
-      OnJobCancel(board, message.job_cancel(), now, actions);
+      AnswerDelivery(message,
+                     OnJobCancel(board, message.job_cancel(), now, actions),
+                     actions);
+      return;
+    case wire::PoolMessage::kDelivered:
+      OnDelivered(board, message.delivered());
       return;
     case wire::PoolMessage::kJobGo:
       OnStartPermitted(board, message.from(), message.job_go());
@@ -92,6 +98,7 @@
       break;
     case wire::PoolMessage::kCrashNews:
       OnCrashNews(board, message.crash_news(), now, actions);
+      AnswerDelivery(message, true, actions);
       break;
     case wire::PoolMessage::kWorkerRequest:
       OnHandoverRequest(board, from, message.worker_request(), now, actions);
@@ -244,6 +251,7 @@
   ProfileTick(board, now, actions);
   CrashTick(board, now);
   OrphansTick(board, now);
+  MeshOrdersTick(board, now, actions);
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
   }
