--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -109,6 +109,23 @@
   }
 }
 
+// Appends the orders that must arrive, and what was found when workers were
+// asked whether their process had ended.
+void AppendOrders(std::string& text, const PoolBoard& board) {
+  AppendMetric(text, "unanswered_orders", "gauge",
+               std::to_string(board.unanswered.by_number.size()));
+  AppendMetric(text, "unanswered_order_bytes", "gauge",
+               std::to_string(board.unanswered.bytes));
+  AppendMetric(text, "orders_repeated_total", "counter",
+               std::to_string(board.unanswered.repeated));
+  AppendMetric(text, "orders_dropped_total", "counter",
+               std::to_string(board.unanswered.dropped));
+  AppendMetric(text, "process_end_claims_refuted_total", "counter",
+               std::to_string(board.counters.claims_refuted));
+  AppendMetric(text, "invariant_failures_total", "counter",
+               std::to_string(board.counters.invariant_failures));
+}
+
 // Appends a summary of the workers' profiles, if they are learned.
 void AppendProfiles(std::string& text, const PoolBoard& board) {
   if (!board.options.features.run_times_by_worker) {
@@ -166,6 +183,7 @@
   AppendMetric(text, "standbys_total", "counter",
                std::to_string(board.pool.counters.standbys));
   AppendReleasedWorkers(text, board.pool);
+  AppendOrders(text, board.pool);
   AppendByLabel(text, "jobs_answered_total", "outcome",
                 board.counters.answered);
   AppendMetric(text, "jobs_pending", "gauge",
@@ -209,6 +227,7 @@
   AppendByLabel(text, "overload_refusals_total", "reason",
                 board.counters.overload_refusals);
   AppendCrashes(text, board);
+  AppendOrders(text, board);
   AppendByLabel(text, "worker_orders_total", "outcome",
                 board.counters.order_outcomes);
   AppendByLabel(text, "runs_ended_total", "end", board.counters.attempt_ends);
