Take a worker's word that it drains, whatever the sequence of its report

Cause: the newest report of a process is the one with the highest sequence number.

Change: a process that drains does so until it ends, so its report of that counts in whatever order it comes, and no report of the same process takes it back.

--- a/pool/worker_report.cc
+++ b/pool/worker_report.cc
@@ -39,11 +39,32 @@
                      b.labels().end());
 }
 
+bool IsOfSameProcess(const wire::WorkerNews& a, const wire::WorkerNews& b) {
+  return a.born_ms() == b.born_ms() && a.address() == b.address();
+}
+
+// A process that drains does so until it ends, so a report of that counts
+// whatever its sequence: another writer's may be larger. Returns whether it
+// changed anything.
+bool ApplyLateDrain(PoolBoard& board,
+                    PoolWorker& worker,
+                    const wire::WorkerNews& report) {
+  const bool drains = report.leaving() && !worker.status.leaving() &&
+                      IsOfSameProcess(report, worker.status);
+  if (drains) {
+    worker.status.set_leaving(true);
+    board.placement_due = true;
+  }
+  return drains;
+}
+
 // Copies everything but the owner and its token.
 void CopyReport(const wire::WorkerNews& report, wire::WorkerNews& status) {
   const std::string owner = status.owner();
   const uint64_t token = status.token();
+  const bool drains = status.leaving() && IsOfSameProcess(report, status);
   status = report;
+  status.set_leaving(report.leaving() || drains);
   status.set_owner(owner);
   status.set_token(token);
 }
@@ -121,7 +142,7 @@
   const bool is_new = found == board.workers.end();
   PoolWorker& worker = board.workers[report.id()];
   if (!is_new && !IsNewerReport(board, report, worker.status)) {
-    return false;
+    return ApplyLateDrain(board, worker, report);
   }
   const bool restarted = !is_new && report.born_ms() > worker.status.born_ms();
   const bool moved = !is_new && report.address() != worker.status.address();
