--- a/pool/testing/run_search_test.cc
+++ b/pool/testing/run_search_test.cc
@@ -25,11 +25,9 @@
   return joined;
 }
 
-// Found by themselves on the code of landing 9: two runs of a task at once
-// after a stop without an answer, a late deregister call, a start that a new
-// process carried out; a sound job shown as failed under calls that a worker
-// closed; a job that goes on after a cancel at an entry daemon that was cut
-// off.
+// Guards against two runs of a task at once, sound jobs shown as failed, jobs
+// that go on after their cancelling was confirmed, and tasks that start on a
+// draining worker, under troubles in any order.
 TEST_CASE("Runs: random histories break no rule") {
   const TestOptions& options = Options();
   const uint64_t seeds = options.seeds == 0 ? kDefaultSeeds : options.seeds;
