--- a/pool/agreement_detail.h
+++ b/pool/agreement_detail.h
@@ -1,8 +1,9 @@
 #ifndef POOL_AGREEMENT_DETAIL_H_
 #define POOL_AGREEMENT_DETAIL_H_
 
-// Internals shared by the parts of the agreement: agreement.cc replicates and
-// serves, agreement_election.cc elects, agreement_voters.cc changes the voters.
+// Internals shared by the parts of the agreement: agreement.cc replicates,
+// agreement_requests.cc serves operators, agreement_election.cc elects,
+// agreement_voters.cc changes the voters.
 
 #include <compare>
 #include <cstdint>
@@ -89,6 +90,23 @@
 // it.
 void ReviewVoters(Agreement& agreement, Micros now, PoolActions& actions);
 
+// Returns what the leader knows about a voter's disk; null if it knows nothing
+// or if the VM at the voter's address now has another disk.
+const FollowerState* FollowerOf(const Agreement& agreement,
+                                const wire::Voter& voter);
+
+// Answers a change, here or at the daemon that has forwarded it.
+void AnswerChange(const Requester& requester,
+                  ChangeResult result,
+                  PoolActions& actions);
+
+// Answers the waiting changes that are committed.
+void AnswerWaiting(Agreement& agreement, PoolActions& actions);
+
+// Answers the changes that have waited for too long, and the forwarded requests
+// whose leader was replaced or is late.
+void ExpireRequests(Agreement& agreement, Micros now, PoolActions& actions);
+
 }  // namespace goldcrest::detail
 
 #endif  // POOL_AGREEMENT_DETAIL_H_
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -5,6 +5,7 @@
 
 #include "pool/cancel_requests.h"
 #include "pool/crash_news.h"
+#include "pool/daemon_choice.h"
 #include "pool/entry_stop.h"
 #include "pool/job_admission.h"
 #include "pool/mesh_orders.h"
@@ -14,6 +15,7 @@
 #include "pool/pool_step.h"
 #include "pool/retry_after.h"
 #include "pool/standby.h"
+#include "pool/worker_ownership.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
 
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -15,18 +15,6 @@
 // The wait that is assumed at this daemon while it drains.
 constexpr int64_t kDrainingWaitMs = 10'000;
 
-// Returns the CPU demand, in thousandths of a core, of the steps that can start
-// at once.
-int64_t InitialCpuDemand(const wire::JobOrder& order) {
-  int64_t cpu = 0;
-  for (const wire::JobStep& step : order.steps()) {
-    if (step.after_size() == 0) {
-      cpu += static_cast<int64_t>(step.tasks()) * step.cpu_millis();
-    }
-  }
-  return cpu;
-}
-
 // Returns whether jobs may be forwarded to the member: a control daemon, or
 // another entry daemon if this one is a standby (standby.h). One probe peer
 // that hears a control daemon ends that state while workers are still ordered
@@ -109,6 +97,16 @@
 
 }  // namespace
 
+int64_t InitialCpuDemand(const wire::JobOrder& order) {
+  int64_t cpu = 0;
+  for (const wire::JobStep& step : order.steps()) {
+    if (step.after_size() == 0) {
+      cpu += static_cast<int64_t>(step.tasks()) * step.cpu_millis();
+    }
+  }
+  return cpu;
+}
+
 void AddToKnownLoad(MeshMember& member, const wire::JobOrder& order) {
   wire::PoolLoad& load = *member.last_heartbeat.mutable_load();
   const int64_t cpu = InitialCpuDemand(order);
--- a/pool/job_forwarding.h
+++ b/pool/job_forwarding.h
@@ -8,10 +8,16 @@
 // Neighbours are rated by the load in their newest heartbeats, minus the jobs
 // that were forwarded to them since.
 
+#include <cstdint>
+
 #include "pool/pool_board.h"
 
 namespace goldcrest {
 
+// Returns the CPU demand, in thousandths of a core, of the steps that can start
+// at once.
+int64_t InitialCpuDemand(const wire::JobOrder& order);
+
 // Forwards an order to a neighbour that can start all of it at once, or whose
 // queue is so much shorter that it outweighs the forwarding delay. Returns
 // false if there is no such neighbour.
--- a/pool/pending_jobs.h
+++ b/pool/pending_jobs.h
@@ -48,14 +48,6 @@
                    Micros now,
                    PoolActions& actions);
 
-// Returns the address of the daemon to send a job to: a control daemon, or this
-// daemon if it has workers and no control daemon should get the job. Daemons in
-// `tried` are excluded.
-std::optional<std::string> ChooseDaemon(EntryBoard& board,
-                                        const wire::JobOrder& order,
-                                        const std::set<std::string>& tried,
-                                        Micros now);
-
 // Returns whether a job that no daemon can take now may be held, since a daemon
 // could take jobs a short time ago.
 bool MayHoldJobs(const EntryBoard& board, Micros now);
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -10,6 +10,7 @@
 #include "pool/pool_stop.h"
 #include "pool/run_ends.h"
 #include "pool/stragglers.h"
+#include "pool/worker_ownership.h"
 #include "pool/worker_record.h"
 #include "pool/worker_roster.h"
 #include "pool/worker_session.h"
--- a/pool/testing/entry_test.cc
+++ b/pool/testing/entry_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "pool/daemon_choice.h"
 #include "pool/entry.h"
 #include "pool/pending_jobs.h"
 
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -7,6 +7,7 @@
 #include "pool/run_ends.h"
 #include "pool/worker_lease.h"
 #include "pool/worker_loss.h"
+#include "pool/worker_ownership.h"
 #include "pool/worker_roster.h"
 
 namespace goldcrest {
