Send the outcome of a job until it is answered; never number orders twice

Cause: the daemon that had a job sent its outcome once. If that message was lost, the caller heard at its timeout that the outcome is unknown. And a restarted entry daemon counted its orders from 1 again, so that an outcome (or a permission, a forwarding, a cancel) of an order of its earlier process was taken for one of another job.

Change: job_outcome sends outcomes as orders that must arrive (mesh_orders), until the entry daemon has answered or waits no longer. The first order number of a process follows from the time of its start. Removed: the drop of orders for an earlier process, which nothing called; a new process answers them.

--- a/pool/cancel_requests.cc
+++ b/pool/cancel_requests.cc
@@ -51,8 +51,8 @@
     if (!MayHaveJobs(member)) {
       continue;
     }
-    const uint64_t number =
-        SendUntilAnswered(board.pool, address, message, now, actions);
+    const uint64_t number = SendUntilAnswered(
+        board.pool, address, message, now + kMeshOrderLifetime, now, actions);
     cancel.all_ordered = cancel.all_ordered && number != 0;
     if (number != 0) {
       cancel.unanswered.insert(number);
--- a/pool/crash_news.cc
+++ b/pool/crash_news.cc
@@ -60,7 +60,8 @@
   for (const auto& [address, member] : board.mesh.members) {
     if (ReceivesCrashes(board, member) &&
         IsPeerReachable(board.mesh, address, now)) {
-      SendUntilAnswered(board, address, message, now, actions);
+      SendUntilAnswered(board, address, message, now + kMeshOrderLifetime, now,
+                        actions);
     }
   }
 }
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -255,6 +255,7 @@
     HandleJobForwarded(board, message.job_moved(), now, actions);
   } else if (message.has_job_end()) {
     HandleJobEnd(board, message.job_end(), now, actions);
+    AnswerDelivery(message, true, actions);
   }
 }
 
@@ -274,6 +275,14 @@
 
 void Handle(EntryBoard&, const EntryTimeAdvanced&, Micros, PoolActions&) {}
 
+// Returns the first order number of an entry daemon that started at this time,
+// in milliseconds. No daemon takes a million jobs a second, so a restarted one
+// uses no number of its earlier process: messages about the orders of that are
+// recognized, whatever their age.
+uint64_t FirstOrderNumber(uint64_t incarnation) {
+  return 1024 * incarnation + 1;
+}
+
 }  // namespace
 
 EntryBoard MakeEntryBoard(const EntryOptions& options,
@@ -284,6 +293,7 @@
   board.pool.options.crashes = options.crashes;
   board.pool.mesh = MakeMesh(mesh);
   board.pool.mesh.options.standby_after = options.features.standby_after;
+  board.next_order = FirstOrderNumber(mesh.incarnation);
   return board;
 }
 
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -180,7 +180,7 @@
   std::unordered_map<ReplyToken, uint64_t> order_number_of_token;
   std::unordered_map<std::string, uint64_t> order_number_of_job;
   std::map<std::string, CancelElsewhere> cancels_elsewhere;  // by job id
-  uint64_t next_order = 1;
+  uint64_t next_order = 1;  // no other process of the daemon used it
   EntryCounters counters;
   std::vector<JobObservation> observations;  // drained by the edge
   Micros refuse_until = 0;
--- a/pool/job_admission.cc
+++ b/pool/job_admission.cc
@@ -9,6 +9,7 @@
 #include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_order_check.h"
+#include "pool/job_outcome.h"
 #include "pool/overload_control.h"
 #include "pool/pool_jobs.h"
 #include "pool/retry_after.h"
@@ -33,6 +34,7 @@
                    const std::string& reason,
                    int64_t retry_after_ms,
                    bool try_elsewhere,
+                   Micros now,
                    PoolActions& actions) {
   ++board.counters.jobs_ended[std::string(ToString(outcome))];
   LogPoolEvent(actions, LogLevel::kWarning, "job_not_taken",
@@ -44,7 +46,10 @@
                 {"budget_ms", std::to_string(order.budget_ms())},
                 {"waiting", std::to_string(board.waiting.size())},
                 {"retry_after_ms", std::to_string(retry_after_ms)}});
-  SendJobEnd(order, outcome, reason, retry_after_ms, try_elsewhere, actions);
+  const Micros deadline = now + order.budget_ms() * kMillisecond;
+  SendOutcome(board, order,
+              {outcome, reason, retry_after_ms, try_elsewhere, deadline}, now,
+              actions);
 }
 
 // Returns true if the entry daemon that sent the order is reachable and in the
@@ -141,7 +146,9 @@
   board.jobs.erase(found);
   // The earlier order is answered, so that its entry daemon does not send the
   // job to another control daemon.
-  SendJobEnd(job->order, wire::JOB_UNKNOWN, "sent_again", 0, false, actions);
+  SendOutcome(board, job->order,
+              {wire::JOB_UNKNOWN, "sent_again", 0, false, job->deadline}, now,
+              actions);
   job->key = JobKeyOf(order);
   ReplaceOrder(*job, order);
   job->deadline = now + order.budget_ms() * kMillisecond;
@@ -197,7 +204,7 @@
   const std::string error = ValidateJobOrder(order);
   if (!error.empty()) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, error, kShortestRetryAfterMs,
-                  false, actions);
+                  false, now, actions);
     return;
   }
   // When this daemon sent the newest of its heartbeats that the sender had
@@ -210,17 +217,17 @@
                              board.options.stale_order_slack;
   if (heartbeat_sent_at == 0 || now - heartbeat_sent_at > stale_after) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "order_out_of_date",
-                  kShortestRetryAfterMs, true, actions);
+                  kShortestRetryAfterMs, true, now, actions);
     return;
   }
   if (!IsKnownEntry(board, order, now)) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "entry_not_heard",
-                  kShortestRetryAfterMs, true, actions);
+                  kShortestRetryAfterMs, true, now, actions);
     return;
   }
   if (board.cancelled_until.contains(order.job_id())) {
     EndWithoutJob(board, order, wire::JOB_CANCELLED, "asked_by_entry", 0, false,
-                  actions);
+                  now, actions);
     return;
   }
   if (AttachToExistingJob(board, order, now, actions)) {
@@ -230,7 +237,7 @@
       FindGivenUpTask(board.crashes, board.options.crashes, order.job_id());
   if (given_up != nullptr) {
     EndWithoutJob(board, order, wire::JOB_FAILED, "task_crashed_workers", 0,
-                  false, actions);
+                  false, now, actions);
     return;
   }
   // An entry daemon that is a standby knows the workers of its own failure
@@ -239,7 +246,7 @@
       now - board.started_at > kWorkerDiscoveryTime &&
       !CanEverRun(board, order)) {
     EndWithoutJob(board, order, wire::JOB_FAILED, "no_worker_could_hold_it", 0,
-                  false, actions);
+                  false, now, actions);
     return;
   }
   std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
@@ -260,7 +267,7 @@
   const Micros budget = order.budget_ms() * kMillisecond;
   if (estimate >= kNever) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_workers",
-                  RetryAfterMs(board, *job, now), true, actions);
+                  RetryAfterMs(board, *job, now), true, now, actions);
     return;
   }
   const Micros limit = CrashLimitEndsIn(board, order.queue(), now);
@@ -268,12 +275,13 @@
     ++board.counters.crash_limit_refusals;
     EndWithoutJob(board, order, wire::JOB_REFUSED, "crash_limit",
                   RetryAfterMs(board, order, limit + first_step_run_time, now),
-                  false, actions);
+                  false, now, actions);
     return;
   }
   if (estimate > budget) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "no_room_in_time",
-                  RetryAfterMs(board, order, estimate, now), false, actions);
+                  RetryAfterMs(board, order, estimate, now), false, now,
+                  actions);
     return;
   }
   LogAccepted(board, *job, estimate, actions);
--- a/pool/mesh_orders.cc
+++ b/pool/mesh_orders.cc
@@ -6,9 +6,7 @@
 namespace goldcrest {
 namespace {
 
-// A daemon that is not heard for longer is removed from the mesh.
-constexpr RetryDelays kMessageRetries = {100 * kMillisecond, kSecond,
-                                         30 * kSecond};
+constexpr RetryDelays kMessageRetries = {100 * kMillisecond, kSecond};
 
 void Send(PoolBoard& board,
           UnansweredOrder& order,
@@ -23,11 +21,13 @@
 uint64_t SendUntilAnswered(PoolBoard& board,
                            const std::string& to,
                            wire::PoolMessage message,
+                           Micros drop_at,
                            Micros now,
                            PoolActions& actions) {
   UnansweredOrder order;
   order.receiver = to;
   order.bytes = message.ByteSizeLong();
+  order.drop_at = drop_at;
   message.set_delivery(board.unanswered.next_number);
   order.body = message;
   const uint64_t number = AddOrder(board.unanswered, std::move(order), now);
@@ -67,7 +67,7 @@
     if (!std::holds_alternative<wire::PoolMessage>(order.body)) {
       continue;  // worker_session sends it
     }
-    if (now - order.given_at > kMessageRetries.lifetime) {
+    if (now >= order.drop_at) {
       expired.push_back(number);
     } else if (now >= order.due) {
       Send(board, order, now, actions);
--- a/pool/mesh_orders.h
+++ b/pool/mesh_orders.h
@@ -1,10 +1,10 @@
 #ifndef POOL_MESH_ORDERS_H_
 #define POOL_MESH_ORDERS_H_
 
-// Messages to other daemons that must arrive: cancellations of jobs that any
-// daemon may have, and news of crashes. They are repeated until the receiver
-// has answered (unanswered_orders.h); receivers carry out a repeated message
-// once.
+// Messages to other daemons that must arrive: outcomes of jobs, cancellations
+// of jobs that any daemon may have, and news of crashes. They are repeated
+// until the receiver has answered (unanswered_orders.h); receivers carry out a
+// repeated message once.
 
 #include <cstdint>
 #include <string>
@@ -13,11 +13,17 @@
 
 namespace goldcrest {
 
-// Sends a message to the daemon at a mesh address until it is answered. Returns
-// its number; 0 if it is sent once only, since too many are unanswered.
+// How long a message that every daemon is to have is repeated: one that is not
+// heard for longer is removed from the mesh.
+inline constexpr Micros kMeshOrderLifetime = 30 * kSecond;
+
+// Sends a message to the daemon at a mesh address until it is answered, or
+// until `drop_at`. Returns its number; 0 if it is sent once only, since too
+// many are unanswered.
 uint64_t SendUntilAnswered(PoolBoard& board,
                            const std::string& to,
                            wire::PoolMessage message,
+                           Micros drop_at,
                            Micros now,
                            PoolActions& actions);
 
@@ -31,7 +37,7 @@
 // earlier process of this daemon.
 uint64_t OnDelivered(PoolBoard& board, const wire::Delivered& answer);
 
-// Repeats the messages that are due, and drops those whose lifetime has passed.
+// Repeats the messages that are due, and drops those whose time has passed.
 void MeshOrdersTick(PoolBoard& board, Micros now, PoolActions& actions);
 
 }  // namespace goldcrest
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/job_outcome.h"
 #include "pool/overload_control.h"
 #include "pool/retry_after.h"
 #include "pool/run_ends.h"
@@ -182,23 +183,6 @@
   }
 }
 
-void SendJobEnd(const wire::JobOrder& order,
-                wire::JobFate outcome,
-                const std::string& reason,
-                int64_t retry_after_ms,
-                bool try_elsewhere,
-                PoolActions& actions) {
-  wire::PoolMessage message;
-  wire::JobEnd& end = *message.mutable_job_end();
-  end.set_order(order.order());
-  end.set_job_id(order.job_id());
-  end.set_fate(outcome);
-  end.set_reason(reason);
-  end.set_retry_after_ms(static_cast<uint32_t>(retry_after_ms));
-  end.set_try_elsewhere(try_elsewhere);
-  SendTo(actions, order.entry(), std::move(message));
-}
-
 void QueueUnblockedTasks(PoolBoard& board, PoolJob& job) {
   for (uint32_t step = 0; step < job.steps.size(); ++step) {
     if (!IsUnblocked(job, step)) {
@@ -350,7 +334,9 @@
        {"open_tasks", std::to_string(job->open_tasks)},
        {"took_ms", std::to_string((now - job->received_at) / kMillisecond)},
        {"first_start_ms", std::to_string(waited / kMillisecond)}});
-  SendJobEnd(job->order, fate, reason, retry_after_ms, try_elsewhere, actions);
+  SendOutcome(board, job->order,
+              {fate, reason, retry_after_ms, try_elsewhere, job->deadline}, now,
+              actions);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -92,14 +92,6 @@
 // Ends jobs whose deadline has passed or whose entry daemon is unreachable.
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions);
 
-// Sends the outcome of the order to its entry daemon.
-void SendJobEnd(const wire::JobOrder& order,
-                wire::JobFate outcome,
-                const std::string& reason,
-                int64_t retry_after_ms,
-                bool try_elsewhere,
-                PoolActions& actions);
-
 // Adds the tasks of all steps that can start now to the queue.
 void QueueUnblockedTasks(PoolBoard& board, PoolJob& job);
 
--- a/pool/testing/entry_test.cc
+++ b/pool/testing/entry_test.cc
@@ -51,8 +51,10 @@
 constexpr char kControl[] = "10.0.0.2:7720";
 
 // Returns an entry daemon with one queue and one reachable control daemon.
-EntryBoard BoardWithControl(Micros now) {
-  EntryBoard board = MakeEntryBoard(EntryOptions(), MeshOptions());
+EntryBoard BoardWithControl(Micros now, uint64_t incarnation = 0) {
+  MeshOptions mesh;
+  mesh.incarnation = incarnation;
+  EntryBoard board = MakeEntryBoard(EntryOptions(), mesh);
   wire::Queue& queue = *board.routing.add_queues();
   queue.set_name("bells");
   queue.set_timeout_ms(1500);
@@ -100,6 +102,21 @@
   return event;
 }
 
+// Guards against an outcome that is taken for that of another job: order
+// numbers began with 1 in each process (issue 34).
+TEST_CASE(
+    "EntryStep: a restarted daemon ignores the outcome of an order of its "
+    "earlier process") {
+  EntryBoard earlier = BoardWithControl(kSecond, 1'700'000'000'000);
+  const uint64_t order = Step(earlier, MakeCallerJob(), kSecond).order;
+  EntryBoard board = BoardWithControl(kSecond, 1'700'000'000'400);
+  Step(board, MakeCallerJob(), kSecond);
+  const StepResult result =
+      Step(board, MakeJobEnd(order, wire::JOB_COMPLETED), 1100 * kMillisecond);
+  CHECK(result.outcomes.empty());
+  CHECK(board.pending.size() == 1);
+}
+
 // Guards against a caller being answered "cancelled" before the control daemon
 // has processed the cancellation: the job was started after that (soak seed
 // 12).
--- a/pool/unanswered_orders.cc
+++ b/pool/unanswered_orders.cc
@@ -51,20 +51,4 @@
   return found == orders.by_number.end() ? nullptr : &found->second;
 }
 
-void DropOrdersOfEarlierProcess(UnansweredOrders& orders,
-                                const std::string& receiver,
-                                uint64_t incarnation) {
-  for (auto it = orders.by_number.begin(); it != orders.by_number.end();) {
-    const UnansweredOrder& order = it->second;
-    const bool pointless = order.receiver == receiver &&
-                           order.receiver_incarnation != 0 &&
-                           order.receiver_incarnation != incarnation;
-    if (pointless) {
-      orders.bytes -= order.bytes;
-      ++orders.dropped;
-    }
-    it = pointless ? orders.by_number.erase(it) : std::next(it);
-  }
-}
-
 }  // namespace goldcrest
--- a/pool/unanswered_orders.h
+++ b/pool/unanswered_orders.h
@@ -5,10 +5,11 @@
 // doubles, until its receiver has answered it.
 //
 // An order that nobody has answered may have been lost, or carried out
-// unheard, so receivers carry out a repeated order once. An order is dropped
-// when the process that it was for has ended, since it can no longer have an
-// effect there, or when its lifetime has passed. Number and bytes are bounded:
-// beyond the bounds an order is given once and not repeated, which is counted.
+// unheard, so receivers carry out a repeated order once; a daemon that was
+// restarted answers the orders for its earlier process, too. An order is
+// dropped when it has become pointless: the run is over, or its time has
+// passed. Number and bytes are bounded: beyond the bounds an order is given
+// once and not repeated, which is counted.
 //
 // The module only keeps the record. Its users send the orders that are due:
 // worker_session (stops of runs) and mesh_orders (messages to daemons).
@@ -30,7 +31,6 @@
 struct RetryDelays {
   Micros first = 0;
   Micros longest = 0;
-  Micros lifetime = 0;  // after which an order is dropped; 0: never
 };
 
 // Stops a run of a task.
@@ -42,11 +42,10 @@
 struct UnansweredOrder {
   uint64_t number = 0;
   std::string receiver;  // id of a worker, or mesh address of a daemon
-  // Incarnation of a daemon; 0: unknown, or a worker.
-  uint64_t receiver_incarnation = 0;
   std::variant<StopRun, wire::PoolMessage> body;
   size_t bytes = 0;
   Micros given_at = 0;
+  Micros drop_at = 0;  // when it is pointless; 0: its giver drops it
   Micros due = 0;
   Micros delay = 0;  // until the next repetition after that
   int times_sent = 0;
@@ -85,11 +84,6 @@
 // Returns the order with this number, or null.
 UnansweredOrder* FindOrder(UnansweredOrders& orders, uint64_t number);
 
-// Drops the orders that were for an earlier process of the daemon.
-void DropOrdersOfEarlierProcess(UnansweredOrders& orders,
-                                const std::string& receiver,
-                                uint64_t incarnation);
-
 }  // namespace goldcrest
 
 #endif  // POOL_UNANSWERED_ORDERS_H_
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -15,8 +15,7 @@
 
 // Delays of the repetition of an order to stop a run. Without an answer, the
 // worker is reconciled first, which makes the stop due at once.
-constexpr RetryDelays kStopRetries = {100 * kMillisecond, 400 * kMillisecond,
-                                      0};
+constexpr RetryDelays kStopRetries = {100 * kMillisecond, 400 * kMillisecond};
 
 // Returns how long after an end it is acknowledged without another renewal. The
 // handover of a worker waits for that.
