Ask standbys that the entry daemon does not know to cancel a job

Cause: an entry daemon that is asked to cancel a job elsewhere orders that from the daemons it knows. A standby that it exchanges no heartbeats with may have the job; when all others had answered, the caller heard that there is no such job (410), and the job went on.

Change: a control daemon without the job names the owners of the workers in its table (Delivered.also_ask); those are ordered, too, before the caller is answered.

--- a/pool/cancel_requests.cc
+++ b/pool/cancel_requests.cc
@@ -38,25 +38,25 @@
   }
 }
 
-// Orders all daemons that may have the job to cancel it.
+// Orders a daemon to cancel the job, unless it was ordered before.
 void OrderCancel(EntryBoard& board,
+                 const std::string& to,
                  const std::string& job_id,
                  CancelElsewhere& cancel,
                  Micros now,
                  PoolActions& actions) {
+  if (to == board.pool.mesh.options.self || !cancel.asked.insert(to).second) {
+    return;
+  }
   wire::PoolMessage message;
   message.mutable_job_cancel()->set_job_id(job_id);
   message.mutable_job_cancel()->set_entry(board.pool.mesh.options.self);
-  for (const auto& [address, member] : board.pool.mesh.members) {
-    if (!MayHaveJobs(member)) {
-      continue;
-    }
-    const uint64_t number = SendUntilAnswered(
-        board.pool, address, message, now + kMeshOrderLifetime, now, actions);
-    cancel.all_ordered = cancel.all_ordered && number != 0;
-    if (number != 0) {
-      cancel.unanswered.insert(number);
-    }
+  const uint64_t number =
+      SendUntilAnswered(board.pool, to, std::move(message),
+                        now + kMeshOrderLifetime, now, actions);
+  cancel.all_ordered = cancel.all_ordered && number != 0;
+  if (number != 0) {
+    cancel.unanswered.insert(number);
   }
 }
 
@@ -78,7 +78,11 @@
     Answer(board, request.job_id, wire::JOB_CANCELLED, "had_job", actions);
     return;
   }
-  OrderCancel(board, request.job_id, cancel, now, actions);
+  for (const auto& [address, member] : board.pool.mesh.members) {
+    if (MayHaveJobs(member)) {
+      OrderCancel(board, address, request.job_id, cancel, now, actions);
+    }
+  }
   if (cancel.unanswered.empty()) {
     Answer(board, request.job_id, wire::JOB_UNKNOWN, "no_control_daemon",
            actions);
@@ -87,14 +91,18 @@
 
 void OnCancelAnswered(EntryBoard& board,
                       uint64_t number,
-                      bool had_effect,
+                      const wire::Delivered& answer,
+                      Micros now,
                       PoolActions& actions) {
   for (auto& [job_id, cancel] : board.cancels_elsewhere) {
     if (cancel.unanswered.erase(number) == 0) {
       continue;
     }
     const std::string id = job_id;
-    if (had_effect) {
+    for (const std::string& address : answer.also_ask()) {
+      OrderCancel(board, address, id, cancel, now, actions);
+    }
+    if (answer.had_effect()) {
       Answer(board, id, wire::JOB_CANCELLED, "had_job", actions);
     } else if (cancel.unanswered.empty() && cancel.all_ordered) {
       Answer(board, id, wire::JOB_FATE_UNSPECIFIED, "no_such_job", actions);
--- a/pool/cancel_requests.h
+++ b/pool/cancel_requests.h
@@ -6,11 +6,12 @@
 //
 // Any daemon may have the job, so all that are known here are asked, reachable
 // or not, until each has answered: the control daemons, and the entry daemons
-// that this one exchanges heartbeats with, which may be standbys. The caller
-// hears that the job is cancelled when one of them had it, and that there is no
-// such job only when all have answered that. If an answer is missing, the
-// caller hears after kCancelAnswerTime that the outcome is unknown and asks
-// again; the orders go on.
+// that this one exchanges heartbeats with, which may be standbys. Control
+// daemons name further ones that order workers; those are asked, too. The
+// caller hears that the job is cancelled when one of them had it, and that
+// there is no such job only when all have answered that. If an answer is
+// missing, the caller hears after kCancelAnswerTime that the outcome is unknown
+// and asks again; the orders go on.
 
 #include <cstdint>
 #include <string>
@@ -31,7 +32,8 @@
 // Handles the answer of a daemon to the order with this number.
 void OnCancelAnswered(EntryBoard& board,
                       uint64_t number,
-                      bool had_effect,
+                      const wire::Delivered& answer,
+                      Micros now,
                       PoolActions& actions);
 
 // Answers the requests that have waited for too long.
--- a/pool/entry.cc
+++ b/pool/entry.cc
@@ -243,8 +243,7 @@
     AnswerDelivery(message, cancelled, actions);
   } else if (message.has_delivered()) {
     const uint64_t number = OnDelivered(board.pool, message.delivered());
-    detail::OnCancelAnswered(board, number, message.delivered().had_effect(),
-                             actions);
+    detail::OnCancelAnswered(board, number, message.delivered(), now, actions);
   } else if (message.has_routing()) {
     HandleRouting(board, message.routing(), actions);
   } else if (message.has_job_ask()) {
--- a/pool/entry.h
+++ b/pool/entry.h
@@ -150,7 +150,8 @@
 // Requests to cancel a job that this daemon does not have (cancel_requests.h).
 struct CancelElsewhere {
   std::vector<ReplyToken> tokens;
-  std::set<uint64_t> unanswered;  // numbers of the orders to other daemons
+  std::set<std::string> asked;    // mesh addresses
+  std::set<uint64_t> unanswered;  // numbers of the orders to them
   bool all_ordered = true;        // every order is repeated until answered
   Micros answer_by = 0;
 };
--- a/pool/mesh_orders.cc
+++ b/pool/mesh_orders.cc
@@ -41,7 +41,8 @@
 
 void AnswerDelivery(const wire::PoolMessage& message,
                     bool had_effect,
-                    PoolActions& actions) {
+                    PoolActions& actions,
+                    const std::set<std::string>& also_ask) {
   if (message.delivery() == 0) {
     return;
   }
@@ -50,6 +51,9 @@
   delivered.set_delivery(message.delivery());
   delivered.set_incarnation(message.incarnation());
   delivered.set_had_effect(had_effect);
+  for (const std::string& address : also_ask) {
+    delivered.add_also_ask(address);
+  }
   SendTo(actions, message.from(), std::move(answer));
 }
 
--- a/pool/mesh_orders.h
+++ b/pool/mesh_orders.h
@@ -7,6 +7,7 @@
 // repeated message once.
 
 #include <cstdint>
+#include <set>
 #include <string>
 
 #include "pool/pool_board.h"
@@ -27,11 +28,12 @@
                            Micros now,
                            PoolActions& actions);
 
-// Answers a message if its sender repeats it. `had_effect`: see
+// Answers a message if its sender repeats it. `had_effect` and `also_ask`: see
 // wire::Delivered.
 void AnswerDelivery(const wire::PoolMessage& message,
                     bool had_effect,
-                    PoolActions& actions);
+                    PoolActions& actions,
+                    const std::set<std::string>& also_ask = {});
 
 // Handles an answer. Returns the number of the message, 0 if it was one of an
 // earlier process of this daemon.
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -1,5 +1,8 @@
 #include "pool/pool_step.h"
 
+#include <set>
+#include <string>
+
 #include "pool/crash_limit.h"
 #include "pool/crash_news.h"
 #include "pool/job_admission.h"
@@ -69,6 +72,23 @@
   }
 }
 
+// Cancels a job, and names the other daemons that order workers: an entry
+// daemon need not know a standby that has the job.
+void HandleCancel(PoolBoard& board,
+                  const wire::PoolMessage& message,
+                  Micros now,
+                  PoolActions& actions) {
+  const bool had_effect =
+      OnJobCancel(board, message.job_cancel(), now, actions);
+  std::set<std::string> owners;
+  for (const auto& [id, worker] : board.workers) {
+    if (!had_effect && !worker.status.owner().empty()) {
+      owners.insert(worker.status.owner());
+    }
+  }
+  AnswerDelivery(message, had_effect, actions, owners);
+}
+
 void Handle(PoolBoard& board,
             const PoolMessageReceived& event,
             Micros now,
@@ -84,9 +104,7 @@
       OnJobOrder(board, message.job_order(), now, actions);
       break;
     case wire::PoolMessage::kJobCancel:
-      AnswerDelivery(message,
-                     OnJobCancel(board, message.job_cancel(), now, actions),
-                     actions);
+      HandleCancel(board, message, now, actions);
       return;
     case wire::PoolMessage::kDelivered:
       OnDelivered(board, message.delivered());
--- a/pool/testing/cancel_requests_test.cc
+++ b/pool/testing/cancel_requests_test.cc
@@ -73,6 +73,28 @@
   CHECK(answer.fate == wire::JOB_FATE_UNSPECIFIED);
 }
 
+// Guards against a job that is denied since its daemon, a standby, is not known
+// to the entry daemon that is asked to cancel it.
+TEST_CASE(
+    "CancelRequests: daemons that order workers are asked, known or not") {
+  FakePool pool{FakePoolOptions()};
+  WaitUntilServing(pool);
+  const int job = pool.Submit(0, {1, 60, 2000, 60});
+  pool.Run(500 * kMillisecond);
+  const std::string standby = "10.9.9.9:7710";
+  wire::WorkerNews& worker =
+      pool.controls()[0].board.workers.begin()->second.status;
+  worker.set_owner(standby);
+  FakeCancelAnswer answer;
+  pool.Cancel(job, 1, &answer);
+  pool.Run(20 * kMillisecond);
+  const EntryBoard& board = pool.entries()[1].board;
+  REQUIRE(board.cancels_elsewhere.size() == 1);
+  CHECK(board.cancels_elsewhere.begin()->second.asked.contains(standby));
+  CHECK(board.cancels_elsewhere.begin()->second.unanswered.size() == 1);
+  CHECK_FALSE(answer.fate);
+}
+
 // Guards against an order that was on its way when all daemons were asked.
 TEST_CASE(
     "CancelRequests: an order that comes after the cancellation has no "
