Replace a voter in one change, and vote whoever the daemon takes for voters

Cause: a voter that came back with an empty disk was added under its new identity beside the old one, and the old one taken out 0.3 s later. Between the two, three of four voters were needed, one of which was gone for good: a kill of all with that disk lost again, or its domain cut off, left no quorum for ever. And a daemon that is no voter in its own state refused every candidate, also one whose state makes it a voter. No daemon said that it lacks a quorum.

Change: one change replaces the identity, with joint consensus until it is committed.

--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -257,6 +257,8 @@
                std::to_string(board.agreement.stored.term()));
   AppendMetric(text, "agreement_leads", "gauge",
                board.agreement.role == AgreementRole::kLeader ? "1" : "0");
+  AppendMetric(text, "agreement_has_quorum", "gauge",
+               HasQuorum(board.agreement, now) ? "1" : "0");
   AppendMetric(text, "agreement_unstored_writes", "gauge",
                std::to_string(board.agreement.write_sequence -
                               board.agreement.durable_sequence));
--- a/pool/agreement.cc
+++ b/pool/agreement.cc
@@ -29,31 +29,30 @@
   }
 }
 
-// Returns the highest index that a majority of the voters has on disk.
-uint64_t MajorityIndex(const Agreement& agreement) {
-  std::vector<uint64_t> indexes;
+// Returns the index of the newest state of this term that the voter has on
+// disk; 0 if there is none.
+uint64_t DurableIndexOf(const Agreement& agreement, const wire::Voter& voter) {
   const uint64_t term = agreement.stored.term();
-  for (const wire::Voter& voter : detail::NewestEntry(agreement).voters()) {
-    uint64_t index = 0;
-    const FollowerState* follower = detail::FollowerOf(agreement, voter);
-    if (voter.store_id() == detail::StoreId(agreement)) {
-      index = agreement.durable_term == term ? agreement.durable_index : 0;
-    } else if (follower != nullptr && follower->durable_term == term) {
-      index = follower->durable_index;
-    }
-    indexes.push_back(index);
-  }
-  if (indexes.empty()) {
-    return 0;
+  if (voter.store_id() == detail::StoreId(agreement)) {
+    return agreement.durable_term == term ? agreement.durable_index : 0;
   }
-  std::sort(indexes.begin(), indexes.end(), std::greater<>());
-  return indexes[MajorityOf(static_cast<int>(indexes.size())) - 1];
+  const FollowerState* follower = detail::FollowerOf(agreement, voter);
+  return follower != nullptr && follower->durable_term == term
+             ? follower->durable_index
+             : 0;
 }
 
 // Commits the newest proposed state that a majority has on disk.
 void AdvanceCommit(Agreement& agreement, PoolActions& actions) {
-  const uint64_t index = MajorityIndex(agreement);
-  auto after = agreement.uncommitted_states.upper_bound(index);
+  auto after = agreement.uncommitted_states.end();
+  while (after != agreement.uncommitted_states.begin() &&
+         !detail::HasMajority(detail::NewestEntry(agreement),
+                              [&](const wire::Voter& voter) {
+                                return DurableIndexOf(agreement, voter) >=
+                                       std::prev(after)->first;
+                              })) {
+    --after;
+  }
   if (after == agreement.uncommitted_states.begin()) {
     return;
   }
@@ -123,8 +122,31 @@
   return agreement.stored.state();
 }
 
+std::vector<wire::Voter> AllVoters(const wire::RegisterState& state) {
+  std::vector<wire::Voter> voters(state.voters().begin(), state.voters().end());
+  for (const wire::Voter& voter : state.replaced_voters()) {
+    if (std::none_of(voters.begin(), voters.end(), [&](const auto& other) {
+          return other.store_id() == voter.store_id();
+        })) {
+      voters.push_back(voter);
+    }
+  }
+  return voters;
+}
+
+bool HasMajority(const wire::RegisterState& state,
+                 const std::function<bool(const wire::Voter&)>& counts) {
+  const auto has_majority = [&](const auto& voters) {
+    const auto count = std::count_if(voters.begin(), voters.end(), counts);
+    return count >= MajorityOf(voters.size());
+  };
+  return has_majority(state.voters()) &&
+         (state.replaced_voters().empty() ||
+          has_majority(state.replaced_voters()));
+}
+
 bool IsVoter(const Agreement& agreement, uint64_t store_id) {
-  const auto& voters = NewestEntry(agreement).voters();
+  const std::vector<wire::Voter> voters = AllVoters(NewestEntry(agreement));
   return std::any_of(voters.begin(), voters.end(), [&](const auto& voter) {
     return voter.store_id() == store_id;
   });
@@ -239,6 +261,7 @@
   detail::Persist(agreement, actions);
   // A vote that this daemon cast before a restart may have elected a leader.
   agreement.leader_contact_at = now;
+  agreement.quorum_at = now;
   detail::ScheduleElection(agreement, now);
   return agreement;
 }
@@ -368,6 +391,7 @@
     detail::Persist(agreement, actions);
   }
   detail::ExpireRequests(agreement, now, actions);
+  detail::ReviewQuorum(agreement, now, actions);
   if (agreement.role == AgreementRole::kLeader) {
     if (now >= agreement.heartbeat_due) {
       detail::SendHeartbeatRound(agreement, now, actions);
--- a/pool/agreement.h
+++ b/pool/agreement.h
@@ -11,10 +11,13 @@
 // guarantees are Raft's: a committed entry is in every later leader's state.
 //
 // Voters are identified by their disk. A VM that restarts with an empty disk
-// has a new identity: it votes for nobody, receives the state from the leader
-// and becomes a voter again by a membership change, one voter at a time. A VM
-// that lost its disk can therefore never vote twice in a term or lose an entry
-// that it acknowledged.
+// has a new identity, whose vote counts for nothing until the leader has sent
+// it the state and made it a voter by a membership change, one voter at a time.
+// A VM that lost its disk can therefore never vote twice in a term or lose an
+// entry that it acknowledged. A voter that is gone is replaced in one change:
+// until that is committed, a majority of the voters before and one of the
+// voters after it are needed (Raft's joint consensus). So the daemons that were
+// enough before are enough at each step, whenever all are killed.
 //
 // The leader serves reads while a majority has answered it within
 // `leader_lease`. Voters refuse other candidates for longer than that after
@@ -144,6 +147,8 @@
   std::set<uint64_t> votes;
   Micros heartbeat_due = 0;
   Micros voter_review_due = 0;
+  Micros quorum_at = 0;  // when HasQuorum() last held; at first the start
+  bool no_quorum_reported = false;
   uint64_t round = 0;  // of heartbeats that this daemon sent as the leader
   std::map<uint64_t, Micros> round_sent_at;
   std::map<std::string, AgreementPeer> peers;      // by address
@@ -248,15 +253,19 @@
 // Returns whether this daemon is the leader and may serve reads now.
 bool MayServeReads(const Agreement& agreement, Micros now);
 
+// Returns whether this daemon can have a configuration changed: it is a leader
+// that a majority answers, or hears one.
+bool HasQuorum(const Agreement& agreement, Micros now);
+
 // Returns the size of a majority of `voters` voters.
 inline int MajorityOf(int voters) {
   return voters / 2 + 1;
 }
 
-// Returns the voters after the next membership change, which adds or removes
-// one voter, or `voters` if no change is needed. `healthy` are the VMs that
-// were reachable recently, with their current disks; those in `caught_up` (by
-// store id) hold the newest state.
+// Returns the voters after the next membership change, which adds, removes or
+// replaces one voter, or `voters` if no change is needed. `healthy` are the VMs
+// that were reachable recently, with their current disks; those in `caught_up`
+// (by store id) hold the newest state.
 std::vector<wire::Voter> NextVoters(const std::vector<wire::Voter>& voters,
                                     const std::vector<wire::Voter>& healthy,
                                     const std::set<uint64_t>& caught_up,
--- a/pool/agreement_detail.h
+++ b/pool/agreement_detail.h
@@ -3,11 +3,14 @@
 
 // Internals shared by the parts of the agreement: agreement.cc replicates,
 // agreement_requests.cc serves operators, agreement_election.cc elects,
-// agreement_voters.cc changes the voters.
+// agreement_voters.cc changes the voters,
+// agreement_quorum.cc reports a lack of them.
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <vector>
 
 #include "pool/agreement.h"
 
@@ -22,6 +25,14 @@
 // Returns the newest entry that this daemon holds.
 const wire::RegisterState& NewestEntry(const Agreement& agreement);
 
+// Returns the voters of a state, and those that they replace.
+std::vector<wire::Voter> AllVoters(const wire::RegisterState& state);
+
+// Returns whether `counts` holds for a majority of the voters and, while one of
+// them is replaced, for a majority of the voters before.
+bool HasMajority(const wire::RegisterState& state,
+                 const std::function<bool(const wire::Voter&)>& counts);
+
 // Returns whether a disk belongs to a voter, according to the newest entry.
 bool IsVoter(const Agreement& agreement, uint64_t store_id);
 
@@ -86,8 +97,11 @@
 // Starts a heartbeat round; sends the newest state to followers that lack it.
 void SendHeartbeatRound(Agreement& agreement, Micros now, PoolActions& actions);
 
-// Called on the leader: adds or removes one voter if the set of voters needs
-// it.
+// Logs when this daemon has lacked a quorum for seconds, and when it is back.
+void ReviewQuorum(Agreement& agreement, Micros now, PoolActions& actions);
+
+// Called on the leader: adds, removes or replaces one voter if the set of
+// voters needs it.
 void ReviewVoters(Agreement& agreement, Micros now, PoolActions& actions);
 
 // Returns what the leader knows about a voter's disk; null if it knows nothing
--- a/pool/agreement_election.cc
+++ b/pool/agreement_election.cc
@@ -13,7 +13,8 @@
 // that it is not the leader. If so, no leader holds a lease that relies on an
 // answer that this daemon gave before its start.
 bool NoOtherVoterLeads(const Agreement& agreement) {
-  const auto& voters = detail::NewestEntry(agreement).voters();
+  const std::vector<wire::Voter> voters =
+      detail::AllVoters(detail::NewestEntry(agreement));
   return std::all_of(voters.begin(), voters.end(), [&](const auto& voter) {
     if (voter.store_id() == detail::StoreId(agreement)) {
       return true;
@@ -51,11 +52,10 @@
 // Counts the votes of the present voters. Starts the election after a majority
 // of pre-votes; becomes leader after a majority of votes.
 void ActOnVotes(Agreement& agreement, Micros now, PoolActions& actions) {
-  int granted = 0;
-  for (const wire::Voter& voter : detail::NewestEntry(agreement).voters()) {
-    granted += agreement.votes.contains(voter.store_id()) ? 1 : 0;
-  }
-  if (granted < MajorityOf(detail::NewestEntry(agreement).voters_size())) {
+  if (!detail::HasMajority(detail::NewestEntry(agreement),
+                           [&](const wire::Voter& voter) {
+                             return agreement.votes.contains(voter.store_id());
+                           })) {
     return;
   }
   if (agreement.pre_vote) {
@@ -71,7 +71,11 @@
   if (agreement.role == AgreementRole::kLeader) {
     return MayServeReads(agreement, now);
   }
-  return !detail::MayElectQuickly(agreement) &&
+  // The leader may be a voter of a state that this daemon does not have yet.
+  const bool may_elect_quickly =
+      detail::MayElectQuickly(agreement) &&
+      detail::IsVoter(agreement, detail::StoreId(agreement));
+  return !may_elect_quickly &&
          now - agreement.leader_contact_at < agreement.options.election_timeout;
 }
 
@@ -91,7 +95,7 @@
 }
 
 void ScheduleQuickElection(Agreement& agreement, Micros now) {
-  const auto& voters = NewestEntry(agreement).voters();
+  const std::vector<wire::Voter> voters = AllVoters(NewestEntry(agreement));
   const auto rank = std::count_if(
       voters.begin(), voters.end(),
       [&](const auto& voter) { return voter.store_id() < StoreId(agreement); });
@@ -105,7 +109,7 @@
                   PoolActions& actions) {
   agreement.pre_vote = pre_vote;
   agreement.votes = {StoreId(agreement)};
-  for (const wire::Voter& voter : NewestEntry(agreement).voters()) {
+  for (const wire::Voter& voter : AllVoters(NewestEntry(agreement))) {
     if (voter.store_id() == StoreId(agreement)) {
       continue;
     }
@@ -149,8 +153,9 @@
                    const wire::VoteRequest& request,
                    Micros now,
                    PoolActions& actions) {
-  if (HasCurrentLeader(agreement, now) ||
-      !detail::IsVoter(agreement, detail::StoreId(agreement))) {
+  // A daemon that does not know itself as a voter votes, too: the candidate's
+  // state may be the one that makes it a voter, and counts its vote only then.
+  if (HasCurrentLeader(agreement, now)) {
     return;
   }
   if (!request.trial()) {
--- a/pool/agreement_requests.cc
+++ b/pool/agreement_requests.cc
@@ -189,21 +189,17 @@
       agreement.committed.term() != agreement.stored.term()) {
     return false;
   }
-  int reachable_voters = 0;
-  for (const wire::Voter& voter : detail::NewestEntry(agreement).voters()) {
-    if (voter.store_id() == detail::StoreId(agreement)) {
-      ++reachable_voters;
-      continue;
-    }
-    const FollowerState* follower = detail::FollowerOf(agreement, voter);
-    const bool answers = follower != nullptr &&
-                         follower->acknowledged_round_sent_at != 0 &&
-                         now - follower->acknowledged_round_sent_at <
-                             agreement.options.leader_lease;
-    reachable_voters += answers ? 1 : 0;
-  }
-  return reachable_voters >=
-         MajorityOf(detail::NewestEntry(agreement).voters_size());
+  return detail::HasMajority(
+      detail::NewestEntry(agreement), [&](const wire::Voter& voter) {
+        if (voter.store_id() == detail::StoreId(agreement)) {
+          return true;
+        }
+        const FollowerState* follower = detail::FollowerOf(agreement, voter);
+        return follower != nullptr &&
+               follower->acknowledged_round_sent_at != 0 &&
+               now - follower->acknowledged_round_sent_at <
+                   agreement.options.leader_lease;
+      });
 }
 
 }  // namespace goldcrest
--- a/pool/agreement_voters.cc
+++ b/pool/agreement_voters.cc
@@ -81,12 +81,20 @@
   const std::vector<wire::Voter> voters(NewestEntry(agreement).voters().begin(),
                                         NewestEntry(agreement).voters().end());
   const size_t wanted = 2 * agreement.options.tolerated_losses + 1;
-  const std::vector<wire::Voter> next = NextVoters(
-      voters, HealthyVms(agreement, now), CaughtUp(agreement), wanted);
-  if (SameVoters(voters, next)) {
+  const bool is_replacing = !NewestEntry(agreement).replaced_voters().empty();
+  const std::vector<wire::Voter> next =
+      is_replacing
+          ? voters  // committed, so a majority of the new voters is enough now
+          : NextVoters(voters, HealthyVms(agreement, now), CaughtUp(agreement),
+                       wanted);
+  if (!is_replacing && SameVoters(voters, next)) {
     return;
   }
   wire::RegisterState state = NewestEntry(agreement);
+  state.clear_replaced_voters();
+  if (!is_replacing && next.size() == voters.size()) {
+    *state.mutable_replaced_voters() = state.voters();
+  }
   state.clear_voters();
   std::string names;
   for (const wire::Voter& voter : next) {
@@ -95,7 +103,9 @@
     names += voter.address();
   }
   LogPoolEvent(actions, LogLevel::kInfo, "voters_changed",
-               {{"voters", names}, {"before", std::to_string(voters.size())}});
+               {{"voters", names},
+                {"before", std::to_string(voters.size())},
+                {"replaced", std::to_string(state.replaced_voters_size())}});
   Propose(agreement, std::move(state), now, actions);
 }
 
@@ -133,10 +143,20 @@
             CountInDomain(reachable, candidate->failure_domain());
     candidate = better ? &vm : candidate;
   }
-  const bool wants_more = unreachable != nullptr || voters.size() < wanted;
-  const bool has_majority = static_cast<int>(reachable.size()) + 1 >=
-                            MajorityOf(static_cast<int>(voters.size()) + 1);
-  if (candidate != nullptr && wants_more && has_majority) {
+  // The same majority as before the change is enough at each step of it.
+  const bool has_majority = static_cast<int>(reachable.size()) >=
+                            MajorityOf(static_cast<int>(voters.size()));
+  if (candidate == nullptr || !has_majority) {
+    return next;
+  }
+  if (unreachable != nullptr) {
+    std::replace_if(
+        next.begin(), next.end(),
+        [&](const auto& voter) {
+          return voter.store_id() == unreachable->store_id();
+        },
+        *candidate);
+  } else if (voters.size() < wanted) {
     next.push_back(*candidate);
   }
   return next;
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -387,8 +387,8 @@
   ++controls_[control].incarnation;
 }
 
-void FakePool::StartControl(size_t control) {
-  BootControl(control, false);
+void FakePool::StartControl(size_t control, bool first_start) {
+  BootControl(control, first_start);
 }
 
 void FakePool::WipeDisk(size_t control) {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -148,7 +148,8 @@
   void RequestConfiguration(size_t control, std::optional<uint64_t>* version);
 
   void KillControl(size_t control);
-  void StartControl(size_t control);
+  // `first_start`: as at the first start of the deployment (MakeAgreement()).
+  void StartControl(size_t control, bool first_start = false);
   void WipeDisk(size_t control);
   void KillEntry(size_t entry);
   void StartEntry(size_t entry);
