--- a/pool/testing/run_history.cc
+++ b/pool/testing/run_history.cc
@@ -119,6 +119,12 @@
     return static_cast<size_t>(
         Between(0, static_cast<int64_t>(pool_.entries().size()) - 1));
   }
+  // Half of the troubles meet the same worker, so that they meet each other.
+  size_t AnyWorker() {
+    const auto worker = static_cast<size_t>(
+        Between(0, static_cast<int64_t>(pool_.workers().size()) - 1));
+    return Chance(0.5) ? 0 : worker;
+  }
   size_t AnyControl() {
     return static_cast<size_t>(
         Between(0, static_cast<int64_t>(pool_.controls().size()) - 1));
@@ -129,8 +135,8 @@
     FakeJob job;
     job.tasks = static_cast<int>(Between(1, 3));
     job.run_ms = kRunMs[static_cast<size_t>(Between(0, 4))];
-    job.estimate_ms = Chance(0.7) ? job.run_ms : job.run_ms * 6 / 10;
-    job.timeout_ms = Chance(0.5) ? 1500 : Between(2000, 9000);
+    job.estimate_ms = Chance(0.5) ? job.run_ms : job.run_ms / 2;
+    job.timeout_ms = Chance(0.4) ? 1500 : Between(2000, 6000);
     job.queue = static_cast<size_t>(Between(0, 2));
     job.cpu_millis = 4000;
     const int sent = pool_.Submit(AnyEntry(), job);
@@ -233,8 +239,7 @@
 }
 
 void History::Begin(Trouble trouble) {
-  const auto worker = static_cast<size_t>(
-      Between(0, static_cast<int64_t>(pool_.workers().size()) - 1));
+  const size_t worker = AnyWorker();
   const Micros duration = Between(300, 5000) * kMillisecond;
   FakeWorker& troubled = pool_.workers()[worker];
   switch (trouble) {
