--- a/pool/testing/run_history.cc
+++ b/pool/testing/run_history.cc
@@ -84,7 +84,7 @@
     pool_.ChangeConfiguration(0, 5, &change);
     pool_.Run(kSecond);
     const Micros gap = Between(30, 300) * kMillisecond;
-    const int64_t troubles = Between(1, 4);
+    const int64_t troubles = Between(1, 6);
     for (int64_t i = 0; i < troubles; ++i) {
       const auto trouble = static_cast<Trouble>(
           Between(0, static_cast<int64_t>(kTroubleNames.size()) - 1));
