Do not pass on that a worker was replaced: each daemon knows it by itself

Cause: since a daemon without a session that concluded from a report that a worker was replaced at its address told all others. Each of them did the same: the square of their number in messages for each replaced worker.

Change: only the worker's own call that it ends, which no other daemon has received, and the owner's conclusion are announced. Also cheaper: a cancel of a pending job no longer lists the owners of all workers, and the quorum is reviewed every 0.1 s instead of at each event.

--- a/pool/agreement.h
+++ b/pool/agreement.h
@@ -148,6 +148,7 @@
   Micros heartbeat_due = 0;
   Micros voter_review_due = 0;
   Micros quorum_at = 0;  // when HasQuorum() last held; at first the start
+  Micros quorum_review_due = 0;
   bool no_quorum_reported = false;
   uint64_t round = 0;  // of heartbeats that this daemon sent as the leader
   std::map<uint64_t, Micros> round_sent_at;
--- a/pool/agreement_quorum.cc
+++ b/pool/agreement_quorum.cc
@@ -9,6 +9,8 @@
 
 // Elections, and the replacement of a voter, take less.
 constexpr Micros kReportNoQuorumAfter = 3 * kSecond;
+// The agreement is run at each event of the daemon.
+constexpr Micros kQuorumReviewPeriod = 100 * kMillisecond;
 
 // Returns the addresses of the voters that were not heard recently, or that
 // have another disk now.
@@ -42,6 +44,10 @@
 namespace detail {
 
 void ReviewQuorum(Agreement& agreement, Micros now, PoolActions& actions) {
+  if (now < agreement.quorum_review_due) {
+    return;
+  }
+  agreement.quorum_review_due = now + kQuorumReviewPeriod;
   if (HasQuorum(agreement, now)) {
     if (agreement.no_quorum_reported) {
       LogPoolEvent(actions, LogLevel::kInfo, "quorum_regained",
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -81,10 +81,11 @@
   const bool had_effect =
       OnJobCancel(board, message.job_cancel(), now, actions);
   std::set<std::string> owners;
-  for (const auto& [id, worker] : board.workers) {
-    if (!had_effect && !worker.status.owner().empty()) {
+  if (message.delivery() != 0 && !had_effect) {
+    for (const auto& [id, worker] : board.workers) {
       owners.insert(worker.status.owner());
     }
+    owners.erase("");
   }
   AnswerDelivery(message, had_effect, actions, owners);
 }
--- a/pool/process_claims.cc
+++ b/pool/process_claims.cc
@@ -28,18 +28,16 @@
 }
 
 // Records what the claim says. The worker has no session.
-void Believe(PoolBoard& board,
-             PoolWorker& worker,
-             const ProcessClaim& claim,
-             Micros now,
-             PoolActions& actions) {
+void Record(PoolBoard& board,
+            PoolWorker& worker,
+            const ProcessClaim& claim,
+            Micros now,
+            PoolActions& actions) {
   if (claim.report) {
     AdoptReport(board, worker, *claim.report, now, actions);
   } else {
     worker.status.set_gone(true);
   }
-  AnnounceWorker(board, worker, now, actions);
-  board.ownership_due = now;
 }
 
 // Whether both claims are about the same process.
@@ -81,7 +79,13 @@
                      Micros now,
                      PoolActions& actions) {
   if (worker.session == SessionState::kNone) {
-    Believe(board, worker, claim, now, actions);
+    Record(board, worker, claim, now, actions);
+    // Reports reach all daemons; if each passed on what it concludes, one
+    // worker that replaces another would cost the square of their number in
+    // messages. Only this daemon has received the worker's own call.
+    if (claim.reason == ProcessEnd::kLeft) {
+      AnnounceWorker(board, worker, now, actions);
+    }
     return;
   }
   const bool is_known = worker.claim && IsSameClaim(*worker.claim, claim);
@@ -131,7 +135,9 @@
   const ProcessClaim claim = *worker.claim;
   LogClaim(worker, "process_end_believed", claim, actions);
   EndProcessSession(board, worker, claim.reason, now, actions);
-  Believe(board, worker, claim, now, actions);
+  Record(board, worker, claim, now, actions);
+  AnnounceWorker(board, worker, now, actions);
+  board.ownership_due = now;
   return true;
 }
 
--- a/pool/testing/worker_report_test.cc
+++ b/pool/testing/worker_report_test.cc
@@ -2,6 +2,8 @@
 
 #include "pool/worker_report.h"
 
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 namespace goldcrest {
@@ -41,5 +43,29 @@
   CHECK_FALSE(board.workers.at("w").status.leaving());
 }
 
+// Guards against a storm of messages: each daemon told all others of each
+// worker that was replaced at its address (nadamani-sched-large, scale-1).
+TEST_CASE(
+    "WorkerReport: a replaced worker is not announced by those without a "
+    "session with it") {
+  PoolBoard board;
+  MeshMember& other = board.mesh.members["10.0.0.2:7720"];
+  other.address = "10.0.0.2:7720";
+  other.incarnation = 1;
+  other.last_received_at = kSecond;
+  other.last_heartbeat.set_control(true);
+  PoolActions actions;
+  ApplyReport(board, Report(1, false), kSecond, actions);
+  wire::WorkerNews successor = Report(1, false);
+  successor.set_id("w2");
+  successor.set_born_ms(2000);
+  ApplyReport(board, successor, kSecond, actions);
+  CHECK(board.workers.at("w").status.gone());
+  CHECK(std::none_of(actions.begin(), actions.end(),
+                     [](const PoolAction& action) {
+                       return std::holds_alternative<SendMessage>(action);
+                     }));
+}
+
 }  // namespace
 }  // namespace goldcrest
