--- a/pool/job_outcome.cc
+++ b/pool/job_outcome.cc
@@ -8,8 +8,8 @@
 namespace goldcrest {
 namespace {
 
-// An entry daemon answers its caller this long after the deadline at the
-// latest; the answers of a short job are sent again at least once.
+// When an outcome is dropped, after the deadline: the entry daemon has answered
+// its caller by then, and an outcome of the last moment is repeated before.
 constexpr Micros kAnswerSlack = 300 * kMillisecond;
 
 }  // namespace
