Send a stop beyond the bounds of unanswered orders once

Cause: such an order gets no number, and stops are sent by their number, so the stop was never sent, against what unanswered_orders.h says.

Result: the new case of run_ends_test failed before (the task ran until 1.1 s after its job was answered; 50 ms allowed) and passes.

--- a/pool/testing/run_ends_test.cc
+++ b/pool/testing/run_ends_test.cc
@@ -32,6 +32,24 @@
   }
 }
 
+// Guards against a stop that is never sent when too many orders are unanswered:
+// the run went on until its lease had expired.
+TEST_CASE(
+    "WorkerSession: a stop beyond the bounds of the record is sent once") {
+  FakePool pool(Options(1));
+  WaitUntilServing(pool);
+  const int job = pool.Submit(0, {1, 8000, 3000, 2000});
+  pool.Run(2900 * kMillisecond);
+  for (FakeControl& control : pool.controls()) {
+    control.board.unanswered.bytes = kMaxUnansweredBytes + 1;
+  }
+  pool.Run(2 * kSecond);
+  const FakeAnswer& answer = pool.answers().at(job);
+  REQUIRE(answer.fate == wire::JOB_TIMED_OUT);
+  CHECK(pool.RecordOf(job, 0).last_run_until <
+        answer.answered_at + 50 * kMillisecond);
+}
+
 // Guards against review/2: the order to stop a run was sent once. The run went
 // on, with its lease renewed, beside that of the job's next sending.
 TEST_CASE("WorkerSession: a stop without an answer is repeated") {
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -202,10 +202,16 @@
   UnansweredOrder stop;
   stop.receiver = worker.status.id();
   stop.body = StopRun{name, run.attempt_number};
-  run.stop_number = AddOrder(board.unanswered, std::move(stop), now);
+  run.stop_number = AddOrder(board.unanswered, stop, now);
   // A session that is being reconciled sends it afterwards.
-  if (worker.session == SessionState::kReady ||
-      worker.session == SessionState::kReleasing) {
+  if (worker.session != SessionState::kReady &&
+      worker.session != SessionState::kReleasing) {
+    return;
+  }
+  if (run.stop_number == 0) {
+    SendStop(board, worker, stop, now,
+             actions);  // once; the lease ends the run
+  } else {
     SendDueStops(board, worker, now, actions);
   }
 }
