--- a/pool/handover.cc
+++ b/pool/handover.cc
@@ -88,7 +88,7 @@
                    });
   size_t allowed = CountAllowedReleases(board);
   size_t released = 0;
-  // Sent before any release, which the new owner believes only from a daemon
+  // Sent before any release, which the new owner accepts only from a daemon
   // that it knows to be the owner.
   wire::PoolMessage answer;
   for (const PoolWorker* worker : requested) {
--- a/pool/process_claims.cc
+++ b/pool/process_claims.cc
@@ -124,16 +124,16 @@
   }
 }
 
-bool BelieveUnansweredClaim(PoolBoard& board,
-                            PoolWorker& worker,
-                            Micros now,
-                            PoolActions& actions) {
+bool AcceptUnansweredClaim(PoolBoard& board,
+                           PoolWorker& worker,
+                           Micros now,
+                           PoolActions& actions) {
   if (!worker.claim || !worker.attempts.empty() ||
       worker.ask_failed_at < worker.claim->made_at) {
     return false;
   }
   const ProcessClaim claim = *worker.claim;
-  LogClaim(worker, "process_end_believed", claim, actions);
+  LogClaim(worker, "process_end_accepted", claim, actions);
   EndProcessSession(board, worker, claim.reason, now, actions);
   Record(board, worker, claim, now, actions);
   AnnounceWorker(board, worker, now, actions);
--- a/pool/process_claims.h
+++ b/pool/process_claims.h
@@ -13,7 +13,7 @@
 //    over; others are as the answer lists them.
 //  - The same process answers: the claim is refuted, and the other daemons are
 //    told the worker's true state.
-//  - Nobody answers: the claim is believed when no run is left, which is at the
+//  - Nobody answers: the claim is accepted when no run is left, which is at the
 //    latest when the lease has expired.
 //
 // An answer takes one round trip. A worker that has ended costs what any silent
@@ -24,7 +24,7 @@
 namespace goldcrest {
 
 // Takes note of a claim: asks the worker if this daemon has a session with it,
-// and believes the claim if not.
+// and records the claim if not.
 void ClaimProcessEnd(PoolBoard& board,
                      PoolWorker& worker,
                      ProcessClaim claim,
@@ -40,12 +40,12 @@
                      Micros now,
                      PoolActions& actions);
 
-// Believes the worker's claim if it was asked in vain and has no run left.
+// Accepts the worker's claim if it was asked in vain and has no run left.
 // Returns whether it did; the session is over then.
-bool BelieveUnansweredClaim(PoolBoard& board,
-                            PoolWorker& worker,
-                            Micros now,
-                            PoolActions& actions);
+bool AcceptUnansweredClaim(PoolBoard& board,
+                           PoolWorker& worker,
+                           Micros now,
+                           PoolActions& actions);
 
 }  // namespace goldcrest
 
--- a/pool/worker_lease.cc
+++ b/pool/worker_lease.cc
@@ -7,7 +7,7 @@
 
 // A run of a job that has ended must be over when the caller sends the job
 // again; this and the longest lease are less than that time.
-constexpr Micros kStopPatience = 400 * kMillisecond;
+constexpr Micros kStopConfirmTime = 400 * kMillisecond;
 
 // Returns half of the longest expected run time on the worker, within bounds.
 Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
@@ -51,7 +51,7 @@
         const WorkerAttempt& run = entry.second;
         const bool overdue = run.state == AttemptState::kStopping &&
                              run.job_key.empty() &&
-                             now - run.stopping_since > kStopPatience;
+                             now - run.stopping_since > kStopConfirmTime;
         return run.unknown || overdue;
       });
 }
--- a/pool/worker_report.h
+++ b/pool/worker_report.h
@@ -19,7 +19,7 @@
                  Micros now,
                  PoolActions& actions);
 
-// Records a report that is believed, whatever was known before.
+// Records a report that is accepted, whatever was known before.
 void AdoptReport(PoolBoard& board,
                  PoolWorker& worker,
                  const wire::WorkerNews& report,
--- a/pool/worker_roster.cc
+++ b/pool/worker_roster.cc
@@ -72,7 +72,7 @@
   AnnounceWorker(board, worker, now, actions);
 }
 
-// Handles another daemon's word that the worker has left.
+// Handles another daemon's report that the worker has left.
 void HandleGoneRow(PoolBoard& board,
                    PoolWorker& worker,
                    Micros now,
@@ -85,14 +85,14 @@
   }
 }
 
-// Takes the owner's word for the state of its worker, which it has asked, over
-// a report that was not confirmed.
-void TakeOwnersWord(PoolBoard& board,
-                    const std::string& from,
-                    const wire::WorkerNews& row,
-                    PoolWorker& worker,
-                    Micros now,
-                    PoolActions& actions) {
+// Adopts the owner's report of the state of its worker, which it has asked,
+// over a report that was not confirmed.
+void AdoptOwnersReport(PoolBoard& board,
+                       const std::string& from,
+                       const wire::WorkerNews& row,
+                       PoolWorker& worker,
+                       Micros now,
+                       PoolActions& actions) {
   const bool from_owner = row.owner() == from && !row.gone() &&
                           row.token() >= worker.status.token();
   const bool differs = worker.status.gone() ||
@@ -165,7 +165,7 @@
         HandleGoneRow(board, worker, now, actions);
       }
     }
-    TakeOwnersWord(board, from, row, worker, now, actions);
+    AdoptOwnersReport(board, from, row, worker, now, actions);
     if (NamesPresentOwner(board, from, row)) {
       worker.fenced_at = 0;
     }
--- a/pool/worker_session.cc
+++ b/pool/worker_session.cc
@@ -79,7 +79,7 @@
   if (now - worker.reconciling_since > board.options.reconcile_timeout) {
     EndExpiredRuns(board, worker, now, actions);
   }
-  if (BelieveUnansweredClaim(board, worker, now, actions)) {
+  if (AcceptUnansweredClaim(board, worker, now, actions)) {
     return;
   }
   if (worker.reconcile_in_flight || now < worker.reconcile_due) {
