--- a/cmd/goldcrest_load.cc
+++ b/cmd/goldcrest_load.cc
@@ -23,9 +23,9 @@
               "Addresses of the entry VMs, as IP:PORT,...");
 DEFINE_string(trace, "", "Trace to replay. Empty: generate one.");
 DEFINE_string(save_trace, "", "File to write the trace to.");
-DEFINE_string(deployment,
-              "nadamani",
-              "Generated trace: mix of job kinds, nadamani or lonestar.");
+DEFINE_string(mix,
+              "bells",
+              "Generated trace: mix of job kinds, bells or orders.");
 DEFINE_int32(duration_s, 20, "Generated trace: duration, in seconds.");
 DEFINE_int32(slots,
              64,
@@ -308,7 +308,7 @@
     return *trace;
   }
   TraceOptions trace_options;
-  trace_options.deployment = FLAGS_deployment;
+  trace_options.mix = FLAGS_mix;
   trace_options.duration_ms = static_cast<int64_t>(FLAGS_duration_s) * 1000;
   trace_options.slots = FLAGS_slots;
   trace_options.load = FLAGS_load;
@@ -319,8 +319,8 @@
 }
 
 void CheckSettings() {
-  if (FLAGS_deployment != "nadamani" && FLAGS_deployment != "lonestar") {
-    FailUsage(kProgram, "--deployment must be nadamani or lonestar");
+  if (FLAGS_mix != "bells" && FLAGS_mix != "orders") {
+    FailUsage(kProgram, "--mix must be bells or orders");
   }
   if (FLAGS_slots < 1 || FLAGS_duration_s < 1 || FLAGS_load <= 0) {
     FailUsage(kProgram,
--- a/cmd/goldcrest_load_trace.cc
+++ b/cmd/goldcrest_load_trace.cc
@@ -31,14 +31,14 @@
   int64_t max_ms;
 };
 
-constexpr KindParameters kNadamani[] = {
+constexpr KindParameters kBells[] = {
     {"knell", "peal", 0.5, 1, 1, 50, 400},
     {"alarm", "alarm", 0.1, 1, 1, 50, 150},
     {"peal", "peal", 0.37, 1, 6, 50, 600},
     {"batch", "batch", 0.03, 20, 230, 50, 300},
 };
 
-constexpr KindParameters kLonestar[] = {
+constexpr KindParameters kOrders[] = {
     {"stock-check", "counter", 0.6, 1, 1, 50, 200},
     {"warranty", "counter", 0.15, 1, 1, 100, 500},
     {"proof", "counter", 0.22, 1, 8, 100, 1000},
@@ -214,11 +214,10 @@
 }
 
 Trace GenerateTrace(const TraceOptions& shape) {
-  const bool lonestar = shape.deployment == "lonestar";
+  const bool orders = shape.mix == "orders";
   const KindParameters* begin =
-      lonestar ? std::begin(kLonestar) : std::begin(kNadamani);
-  const KindParameters* end =
-      lonestar ? std::end(kLonestar) : std::end(kNadamani);
+      orders ? std::begin(kOrders) : std::begin(kBells);
+  const KindParameters* end = orders ? std::end(kOrders) : std::end(kBells);
   std::mt19937_64 random(shape.seed);
   const double per_ms = shape.load * shape.slots / MeanWorkMs(begin, end);
   Trace trace;
--- a/cmd/goldcrest_load_trace.h
+++ b/cmd/goldcrest_load_trace.h
@@ -45,10 +45,10 @@
 
 // Parameters of a generated trace.
 struct TraceOptions {
-  // The mix of kinds. nadamani: knells and alarms of one task each, and peals
-  // of up to 6 tasks. lonestar: stock checks, proofs and warranty claims. Both
+  // The mix of kinds. bells: knells and alarms of one task each, and peals
+  // of up to 6 tasks. orders: stock checks, proofs and warranty claims. Both
   // include large batch jobs.
-  std::string deployment = "nadamani";
+  std::string mix = "bells";
   int64_t duration_ms = 30'000;
   int slots = 64;
   double load = 0.7;  // used share of the slots
--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -6,7 +6,7 @@
 
 #include "edge/logging.h"
 #include "edge/pool_metrics.h"
-#include "pool/worker_roster.h"
+#include "pool/workers/worker_roster.h"
 
 namespace goldcrest {
 namespace {
@@ -54,7 +54,8 @@
           ServerOptions(options_),
           [this](RequestToken token, const HttpRequest&) {
             metrics_server_->Respond(
-                token, MetricsReply(ControlMetricsText(board_, loop_.mesh())));
+                token, MetricsReply(ControlMetricsText(board_, loop_.mesh(),
+                                                       loop_.delays())));
           },
           [](RequestToken) {});
     }
@@ -114,7 +115,7 @@
 
 void ControlDaemon::RunStep(const PoolEvent& event) {
   PoolActions actions;
-  PoolStep(board_, event, ReadBootClock(), actions);
+  HandlePoolEvent(board_, event, ReadBootClock(), actions);
   if (board_.draining) {
     // The next requests of workers and operators go to other daemons.
     server_->CloseAfterReplies();
@@ -169,6 +170,11 @@
     }
     RunStep(PoolTimeAdvanced());
   };
+  handlers.on_events_handled = [this] {
+    PoolActions actions;
+    PlaceTasks(board_, ReadBootClock(), actions);
+    Perform(actions);
+  };
   handlers.servers = {server_.get()};
   if (metrics_server_) {
     handlers.servers.push_back(metrics_server_.get());
--- a/edge/control_daemon.h
+++ b/edge/control_daemon.h
@@ -65,6 +65,8 @@
   // be sent again, to another daemon.
   void AnswerWaitingRequests();
   // Calls the decision code with one event and performs the resulting actions.
+  // Does not place tasks: that follows when all events that arrived together
+  // are handled.
   void RunStep(const PoolEvent& event);
   void Perform(PoolActions& actions);
   void PerformOne(SendMessage& action);
--- a/edge/daemon.cc
+++ b/edge/daemon.cc
@@ -224,7 +224,7 @@
   if (NextWakeUp(bb_, now) <= MonotonicMicros()) {
     RunStep(TimeAdvanced());
   }
-  CloseStale(MonotonicMicros());
+  CloseStale(loop_.polled_at());
 }
 
 void Daemon::RunFor(Micros duration) {
--- a/edge/daemon.h
+++ b/edge/daemon.h
@@ -73,7 +73,8 @@
   void PerformOne(const LogEvent& action);
   // Processes the events from other threads.
   void ProcessInbox();
-  // Closes connections past their timeouts, at most every 250 ms.
+  // Closes connections that were past their timeouts at the last poll, which
+  // was at `now`; at most every 250 ms.
   void CloseStale(Micros now);
   // Sends a reply unless `token` is kNoToken. While draining, the connection is
   // closed after it, so that the caller's next request goes to another VM.
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -55,7 +55,8 @@
           http,
           [this](RequestToken token, const HttpRequest&) {
             metrics_server_->Respond(
-                token, MetricsReply(metrics_.Text(board_, loop_.mesh())));
+                token, MetricsReply(metrics_.Text(board_, loop_.mesh(),
+                                                  loop_.delays())));
           },
           [](RequestToken) {});
     }
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -18,8 +18,8 @@
 #include "edge/pool_loop.h"
 #include "edge/pool_metrics.h"
 #include "edge/pool_protocol.h"
-#include "pool/entry.h"
-#include "pool/request_hold.h"
+#include "pool/entry/entry.h"
+#include "pool/entry/request_hold.h"
 
 namespace goldcrest {
 
--- a/edge/held_requests.h
+++ b/edge/held_requests.h
@@ -2,7 +2,7 @@
 #define EDGE_HELD_REQUESTS_H_
 
 // The requests that an entry daemon holds while it cannot serve them
-// (pool/request_hold.h), in the order of their arrival.
+// (pool/entry/request_hold.h), in the order of their arrival.
 
 #include <cstddef>
 #include <deque>
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -71,8 +71,10 @@
   // and from the loop or CloseStale() otherwise.
   void Call(const HttpCall& call, CallHandler handler);
 
-  // Ends calls that are past their timeouts and closes connections that have
-  // been idle for `idle_timeout`. Call it every few hundred milliseconds.
+  // Ends calls that were past their timeouts at `now`, and closes connections
+  // that have been idle for `idle_timeout`. `now` must not be later than the
+  // loop's last poll: an answer that came after that is still to be read. Call
+  // it every few hundred milliseconds.
   void CloseStale(Micros now);
 
   size_t connections() const { return connections_.size(); }
--- a/edge/mesh_link.cc
+++ b/edge/mesh_link.cc
@@ -106,6 +106,7 @@
   try {
     if (DealerTo(to).send(body, zmq::send_flags::dontwait)) {
       bytes_sent_ += bytes;
+      ++messages_sent_[message.body_case()];
     } else {
       ++messages_dropped_;
     }
--- a/edge/mesh_link.h
+++ b/edge/mesh_link.h
@@ -57,6 +57,10 @@
   void Receive();
 
   uint64_t bytes_sent() const { return bytes_sent_; }
+  // Returns the number of messages sent of each kind.
+  const std::map<wire::PoolMessage::BodyCase, uint64_t>& messages_sent() const {
+    return messages_sent_;
+  }
   uint64_t bytes_received() const { return bytes_received_; }
   uint64_t messages_dropped() const { return messages_dropped_; }
   // Returns the number of DEALER sockets opened so far. Each of them retries
@@ -81,6 +85,7 @@
   std::unique_ptr<RouterHandler> router_handler_;
   Poco::Net::StreamSocket router_poll_socket_;
   uint64_t bytes_sent_ = 0;
+  std::map<wire::PoolMessage::BodyCase, uint64_t> messages_sent_;
   uint64_t bytes_received_ = 0;
   uint64_t messages_dropped_ = 0;
   uint64_t dials_ = 0;
--- a/edge/pool_loop.h
+++ b/edge/pool_loop.h
@@ -3,7 +3,7 @@
 
 // The event loop of entry and control daemons: one thread that receives events
 // from the mesh, from workers and from other threads, and passes them to the
-// decision code one at a time.
+// decision code one at a time, and then lets it act on all of them together.
 //
 // `Event` is the variant of all events of the decision code. Its alternatives
 // include WorkerAnswer and `Received`, which holds a message from the mesh.
@@ -22,6 +22,7 @@
 #include "edge/http_server.h"
 #include "edge/inbox.h"
 #include "edge/logging.h"
+#include "edge/loop_delays.h"
 #include "edge/mesh_link.h"
 #include "edge/pool_protocol.h"
 #include "edge/socket_loop.h"
@@ -33,6 +34,9 @@
 struct PoolLoopHandlers {
   std::function<void(const Event&)> on_event;
   std::function<void()> on_tick;
+  // Called once for all requests and events that were handled together, and
+  // after each tick. May be empty.
+  std::function<void()> on_events_handled;
   // Called about every 50 ms, at the end of an iteration, to close connections
   // past their timeouts.
   std::function<void(Micros now)> close_stale;
@@ -63,6 +67,7 @@
         client_(sockets_, WorkerClientOptions()) {}
 
   SocketLoop& sockets() { return sockets_; }
+  const LoopDelays& delays() const { return delays_; }
   // Returns the mesh link. Valid only after OpenMesh().
   const MeshLink& mesh() const { return *mesh_; }
 
@@ -120,6 +125,9 @@
  private:
   // Period of closing stale connections and of flushing the log.
   static constexpr Micros kCloseStalePeriod = 50 * kMillisecond;
+  // After events that took this long, what has arrived meanwhile is handled
+  // before the tick, which judges by what was heard of others.
+  static constexpr Micros kLongestUnread = 20 * kMillisecond;
   // Limit on the time after the drain for callers that read their replies
   // slowly.
   static constexpr Micros kMaxReplyFlushTime = 300 * kMillisecond;
@@ -130,17 +138,33 @@
   // Runs one iteration and the periodic work that is due.
   void RunOnce(const PoolLoopOptions& options,
                const PoolLoopHandlers<Event>& handlers) {
-    RunIteration(tick_due_, handlers);
+    size_t events = RunIteration(tick_due_, handlers);
+    const Micros woke_at = sockets_.woke_at();
+    if (MonotonicMicros() - woke_at > kLongestUnread) {
+      events += RunIteration(0, handlers);
+    }
+    // Before the tick, which reports the load to others.
+    ActOnEvents(handlers);
     const Micros now = MonotonicMicros();
     if (now >= tick_due_) {
       tick_due_ = now + options.tick_period;
       handlers.on_tick();
+      ActOnEvents(handlers);
     }
     if (now >= maintenance_due_) {
       maintenance_due_ = now + kCloseStalePeriod;
       FlushLog();
-      client_.CloseStale(now);
-      handlers.close_stale(now);
+      // What arrived during this iteration has not been read yet, so nothing is
+      // known to be missing later than the last poll.
+      client_.CloseStale(sockets_.polled_at());
+      handlers.close_stale(sockets_.polled_at());
+    }
+    RecordIteration(delays_, MonotonicMicros() - woke_at, events);
+  }
+
+  void ActOnEvents(const PoolLoopHandlers<Event>& handlers) {
+    if (handlers.on_events_handled) {
+      handlers.on_events_handled();
     }
   }
 
@@ -175,6 +199,7 @@
     while (MonotonicMicros() < until) {
       RunOnce(options, handlers);
     }
+    ReadArrived(handlers);
     if (handlers.answer_waiting) {
       handlers.answer_waiting();
     }
@@ -183,6 +208,12 @@
     }
   }
 
+  // Processes what has arrived, without waiting. The last iteration may have
+  // ended long after its start.
+  void ReadArrived(const PoolLoopHandlers<Event>& handlers) {
+    RunIteration(0, handlers);
+  }
+
   // Decodes a worker's answer. If the decoder throws, the outcome of the order
   // is unknown, which is the default of WorkerAnswer.
   WorkerAnswer DecodeAnswer(const WorkerOrder& order,
@@ -201,17 +232,19 @@
   }
 
   // Waits for the sockets, at most until the time `until`, and processes all
-  // events.
-  void RunIteration(Micros until, const PoolLoopHandlers<Event>& handlers) {
+  // events. Returns their number.
+  size_t RunIteration(Micros until, const PoolLoopHandlers<Event>& handlers) {
     sockets_.Poll(pending_local_events_.empty() ? until - MonotonicMicros()
                                                 : 0);
-    for (const Event& event : inbox_.TakeAll()) {
+    const auto posted = inbox_.TakeAll();
+    for (const Event& event : posted) {
       handlers.on_event(event);
     }
     const std::vector<Event> events = std::exchange(pending_local_events_, {});
     for (const Event& event : events) {
       handlers.on_event(event);
     }
+    return posted.size() + events.size();
   }
 
   const WorkerProtocol& workers_;
@@ -221,6 +254,7 @@
   std::vector<Event> pending_local_events_;
   HttpClient client_;
   std::unique_ptr<MeshLink> mesh_;
+  LoopDelays delays_;
   Micros tick_due_ = 0;
   Micros maintenance_due_ = 0;
 };
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -1,5 +1,7 @@
 #include "edge/pool_metrics.h"
 
+#include <algorithm>
+#include <set>
 #include <vector>
 
 #include <boost/histogram/indexed.hpp>
@@ -7,7 +9,10 @@
 #include "edge/logging.h"
 #include "edge/socket_loop.h"
 #include "goldcrest/json_reader.h"
-#include "pool/worker_profile.h"
+#include "pool/mesh/message_kind.h"
+#include "pool/placement/task_requirements.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/worker_profile.h"
 
 namespace goldcrest {
 namespace {
@@ -56,6 +61,23 @@
   }
 }
 
+std::string Seconds(Micros duration) {
+  return std::to_string(static_cast<double>(duration) /
+                        static_cast<double>(kSecond));
+}
+
+// Iterations of the event loop, and how long it read nothing.
+void AppendLoopDelays(std::string& text, const LoopDelays& delays) {
+  AppendMetric(text, "loop_iterations_total", "counter",
+               std::to_string(delays.iterations));
+  AppendMetric(text, "loop_delays_total", "counter",
+               std::to_string(delays.delayed));
+  AppendMetric(text, "loop_busy_seconds_total", "counter",
+               Seconds(delays.busy));
+  AppendMetric(text, "loop_longest_iteration_seconds", "gauge",
+               Seconds(delays.longest));
+}
+
 // Workers that were lost, and what their tasks had to do with it.
 void AppendCrashes(std::string& text, const PoolBoard& board) {
   const PoolCounters& counters = board.counters;
@@ -72,9 +94,54 @@
                std::to_string(board.crashes.away.size()));
 }
 
-std::string Seconds(Micros duration) {
-  return std::to_string(static_cast<double>(duration) /
-                        static_cast<double>(kSecond));
+// Capacity that cannot be used, and waiting tasks that may not use what is
+// free.
+void AppendUnusableCapacity(std::string& text,
+                            const PoolBoard& board,
+                            Micros now) {
+  const UnusableCpu unusable = CountUnusableCpu(board, now);
+  AppendType(text, "unusable_cpu_millis", "gauge");
+  for (const auto& [obstacle, cpu_millis] : unusable.idle) {
+    AppendValue(text, "unusable_cpu_millis",
+                "{reason=" + JsonQuote(std::string(ToString(obstacle))) + "}",
+                std::to_string(cpu_millis));
+  }
+  AppendMetric(text, "silent_runs_cpu_millis", "gauge",
+               std::to_string(unusable.silent_runs));
+  AppendMetric(text, "orphaned_runs", "gauge",
+               std::to_string(board.orphans.size()));
+  AppendMetric(text, "runs_elsewhere", "gauge",
+               std::to_string(board.open_run_news.elsewhere.size()));
+  const std::set<std::string> limited = CrashLimitedQueues(board, now);
+  const auto tasks = std::count_if(
+      board.waiting.begin(), board.waiting.end(), [&](const auto& entry) {
+        return limited.contains(entry.second.job->order.queue());
+      });
+  AppendMetric(text, "crash_limited_queues", "gauge",
+               std::to_string(limited.size()));
+  AppendMetric(text, "crash_limited_tasks", "gauge", std::to_string(tasks));
+  AppendMetric(text, "known_workers", "gauge",
+               std::to_string(board.workers.size()));
+}
+
+// What this daemon knows of each control daemon, and that one of it.
+void AppendControlMembers(std::string& text, const Mesh& mesh, Micros now) {
+  std::string echo_ages;
+  AppendType(text, "control_heartbeat_age_seconds", "gauge");
+  for (const auto& [address, member] : mesh.members) {
+    if (!member.last_heartbeat.control() || member.last_heartbeat_at == 0) {
+      continue;
+    }
+    const std::string labels = "{address=" + JsonQuote(address) + "}";
+    AppendValue(text, "control_heartbeat_age_seconds", labels,
+                Seconds(now - member.last_heartbeat_at));
+    if (const auto echo_age = EchoAge(mesh, member, now)) {
+      AppendValue(echo_ages, "control_echo_age_seconds", labels,
+                  Seconds(*echo_age));
+    }
+  }
+  AppendType(text, "control_echo_age_seconds", "gauge");
+  text += echo_ages;
 }
 
 void AppendReleasedWorkers(std::string& text, const PoolBoard& board) {
@@ -99,6 +166,12 @@
                std::to_string(link.messages_dropped()));
   AppendMetric(text, "mesh_dials_total", "counter",
                std::to_string(link.dials()));
+  std::map<std::string, uint64_t> sent;
+  for (const auto& [kind, count] : link.messages_sent()) {
+    sent[MessageKindName(kind)] += count;
+  }
+  AppendByLabel(text, "mesh_sent_messages_total", "kind", sent);
+  AppendControlMembers(text, mesh, now);
   AppendType(text, "mesh_member_heard_age_seconds", "gauge");
   for (const auto& [address, member] : mesh.members) {
     if (member.last_received_at != 0) {
@@ -122,6 +195,18 @@
                std::to_string(board.unanswered.dropped));
   AppendMetric(text, "process_end_claims_refuted_total", "counter",
                std::to_string(board.counters.claims_refuted));
+  AppendMetric(text, "unknown_runs_total", "counter",
+               std::to_string(board.counters.unknown_runs));
+  AppendMetric(text, "runs_announced_total", "counter",
+               std::to_string(board.counters.runs_announced));
+  AppendMetric(text, "run_news_dropped_total", "counter",
+               std::to_string(board.counters.run_news_dropped));
+  AppendMetric(text, "starts_bound_total", "counter",
+               std::to_string(board.counters.starts_bound));
+  AppendMetric(text, "start_bindings", "gauge",
+               std::to_string(board.start_bindings.size()));
+  AppendMetric(text, "start_bindings_dropped_total", "counter",
+               std::to_string(board.counters.bindings_dropped));
   AppendMetric(text, "invariant_failures_total", "counter",
                std::to_string(board.counters.invariant_failures));
 }
@@ -170,8 +255,10 @@
 }
 
 std::string EntryMetrics::Text(const EntryBoard& board,
-                               const MeshLink& link) const {
+                               const MeshLink& link,
+                               const LoopDelays& delays) const {
   std::string text;
+  AppendLoopDelays(text, delays);
   AppendMetric(text, "jobs_received_total", "counter",
                std::to_string(board.counters.received));
   AppendMetric(text, "requests_held_total", "counter",
@@ -216,9 +303,12 @@
   return text;
 }
 
-std::string ControlMetricsText(const PoolBoard& board, const MeshLink& link) {
+std::string ControlMetricsText(const PoolBoard& board,
+                               const MeshLink& link,
+                               const LoopDelays& delays) {
   const Micros now = ReadBootClock().mono;
   std::string text;
+  AppendLoopDelays(text, delays);
   AppendMetric(text, "jobs_received_total", "counter",
                std::to_string(board.counters.jobs_received));
   AppendMetric(text, "jobs_forwarded_total", "counter",
@@ -237,6 +327,8 @@
                std::to_string(board.counters.starts_ahead));
   AppendMetric(text, "plan_reservations_total", "counter",
                std::to_string(board.counters.reservations));
+  AppendMetric(text, "plans_total", "counter",
+               std::to_string(board.counters.plans));
   AppendMetric(text, "plans_over_budget_total", "counter",
                std::to_string(board.counters.plans_over_budget));
   AppendMetric(text, "settles_total", "counter",
@@ -251,6 +343,7 @@
                std::to_string(board.mesh.load.workers()));
   AppendMetric(text, "free_cpu_millis", "gauge",
                std::to_string(board.mesh.load.free_cpu_millis()));
+  AppendUnusableCapacity(text, board, now);
   AppendMetric(text, "configuration_version", "gauge",
                std::to_string(board.agreement.committed.routing().version()));
   AppendMetric(text, "agreement_term", "gauge",
--- a/edge/pool_metrics.h
+++ b/edge/pool_metrics.h
@@ -15,8 +15,9 @@
 #include <boost/histogram/make_histogram.hpp>
 
 #include "edge/http_message.h"
+#include "edge/loop_delays.h"
 #include "edge/mesh_link.h"
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 #include "pool/pool_board.h"
 
 namespace goldcrest {
@@ -28,7 +29,9 @@
   void Observe(const JobObservation& observation);
 
   // Returns all metrics of an entry daemon in the Prometheus text format.
-  std::string Text(const EntryBoard& board, const MeshLink& link) const;
+  std::string Text(const EntryBoard& board,
+                   const MeshLink& link,
+                   const LoopDelays& delays) const;
 
  private:
   using Axis = boost::histogram::axis::variable<double>;
@@ -47,7 +50,9 @@
 };
 
 // Returns all metrics of a control daemon in the Prometheus text format.
-std::string ControlMetricsText(const PoolBoard& board, const MeshLink& link);
+std::string ControlMetricsText(const PoolBoard& board,
+                               const MeshLink& link,
+                               const LoopDelays& delays);
 
 // Returns the HTTP reply for a page of metrics.
 HttpReply MetricsReply(std::string text);
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -100,6 +100,15 @@
              "Part of a control daemon's workers, in percent, that may be away "
              "because tasks of a queue crash them, before the queue's tasks "
              "wait; 1 to 100.");
+DEFINE_int32(longest_granted_lease_ms,
+             1000,
+             "Longest lease that a worker grants, whatever an order asks for, "
+             "in milliseconds (100 to 60000).");
+DEFINE_int32(longest_order_delay_ms,
+             12000,
+             "An order without an answer may be carried out until this long "
+             "after it was sent, in milliseconds (0 to 600000). Its task waits "
+             "for as long while the worker is silent.");
 DEFINE_uint64(metrics_port, 0, "Port that serves the metrics page; 0: none.");
 DEFINE_string(log, "info", "Lowest level logged: debug, info, warning, error.");
 
@@ -109,6 +118,9 @@
 constexpr Micros kReloadPeriod = 1 * kSecond;
 // One crash may be a neighbour's, so it takes two to judge a task.
 constexpr int kMinTaskCrashLimit = 2;
+constexpr int kMinGrantedLeaseMs = 100;
+constexpr int kMaxGrantedLeaseMs = 60'000;
+constexpr int kMaxOrderDelayMs = 600'000;
 constexpr int kMaxTaskCrashLimit = 10;
 constexpr int32_t kMaxToleratedLosses = 10;
 constexpr uint64_t kMaxPort = 65535;
@@ -258,6 +270,19 @@
   return {FLAGS_task_crash_limit, FLAGS_crash_away_percent};
 }
 
+LateOrderBounds ReadLateOrderBounds(const ProgramInfo& program) {
+  if (FLAGS_longest_granted_lease_ms < kMinGrantedLeaseMs ||
+      FLAGS_longest_granted_lease_ms > kMaxGrantedLeaseMs) {
+    FailUsage(program, "--longest_granted_lease_ms: not in 100 to 60000");
+  }
+  if (FLAGS_longest_order_delay_ms < 0 ||
+      FLAGS_longest_order_delay_ms > kMaxOrderDelayMs) {
+    FailUsage(program, "--longest_order_delay_ms: not in 0 to 600000");
+  }
+  return {FLAGS_longest_granted_lease_ms * kMillisecond,
+          FLAGS_longest_order_delay_ms * kMillisecond};
+}
+
 std::string ReadMeshBind(const ProgramInfo& program) {
   return FLAGS_mesh_bind.empty()
              ? ""
@@ -282,6 +307,10 @@
              {"stop_grace_s", std::to_string(FLAGS_stop_grace_s)},
              {"task_crash_limit", std::to_string(FLAGS_task_crash_limit)},
              {"crash_away_percent", std::to_string(FLAGS_crash_away_percent)},
+             {"longest_granted_lease_ms",
+              std::to_string(FLAGS_longest_granted_lease_ms)},
+             {"longest_order_delay_ms",
+              std::to_string(FLAGS_longest_order_delay_ms)},
              {"disk", FLAGS_disk.empty() ? "none" : FLAGS_disk}}});
 }
 
@@ -366,6 +395,7 @@
     std::cerr << program.name << ": " << started.error() << "\n";
     return kExitFailure;
   }
+  WriteLog({LogLevel::kInfo, "daemon_listening", {{"program", program.name}}});
   SeedsWatcher watcher(settings_file);
   daemon.SetTickHandler([&](Mesh& mesh, Micros now) {
     const auto seeds = watcher.PollSeeds(now);
@@ -403,6 +433,7 @@
   options.entry.features = ReadFeatures(program);
   options.entry.stop_grace = ReadStopGrace(program);
   options.entry.crashes = ReadCrashOptions(program);
+  options.entry.late_orders = ReadLateOrderBounds(program);
   options.entry.hold_requests = FLAGS_hold_requests_ms * kMillisecond;
   options.mesh_bind = ReadMeshBind(program);
   LogStart(program, options.mesh);
@@ -437,6 +468,7 @@
   start.options.features = ReadFeatures(program);
   start.options.stop_grace = ReadStopGrace(program);
   start.options.crashes = ReadCrashOptions(program);
+  start.options.late_orders = ReadLateOrderBounds(program);
   options.mesh_bind = ReadMeshBind(program);
   start.mesh.control = true;
   start.mesh.control_address = options.control_address;
--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -14,7 +14,7 @@
 
 #include "edge/http_client.h"
 #include "edge/http_message.h"
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 #include "pool/pool_step.h"
 #include "pool/worker_order.h"
 
--- a/edge/socket_loop.cc
+++ b/edge/socket_loop.cc
@@ -62,7 +62,9 @@
 
 void SocketLoop::Poll(Micros timeout) {
   const Poco::Timespan wait(std::max<Micros>(timeout, 0));
+  polled_at_ = MonotonicMicros();
   const Poco::Net::PollSet::SocketModeMap ready = poll_set_.poll(wait);
+  woke_at_ = MonotonicMicros();
   for (const auto& [socket, mode] : ready) {
     if (socket == wake_socket_) {
       DrainWakeUps();
--- a/edge/socket_loop.h
+++ b/edge/socket_loop.h
@@ -56,6 +56,13 @@
   // thread.
   void Wake();
 
+  // When the last Poll() began, on the monotonic clock. The handler of each
+  // socket that was ready by then has been notified; what came later may wait
+  // unread, and so may what a handler leaves for its next notification.
+  Micros polled_at() const { return polled_at_; }
+  // When the last Poll() stopped waiting.
+  Micros woke_at() const { return woke_at_; }
+
  private:
   void DrainWakeUps();
 
@@ -63,6 +70,8 @@
   std::map<Poco::Net::Socket, SocketHandler*> handlers_;
   Poco::Net::DatagramSocket wake_socket_;
   std::atomic<bool> wake_pending_{false};
+  Micros polled_at_ = 0;
+  Micros woke_at_ = 0;
 };
 
 // Returns the time of the monotonic clock, in microseconds.
--- a/edge/testing/relay.cc
+++ b/edge/testing/relay.cc
@@ -71,12 +71,46 @@
 }
 
 void Relays::Reset(const IsAffected& is_affected) {
-  const std::lock_guard<std::mutex> lock(mutex_);
+  std::unique_lock<std::mutex> lock(mutex_);
   for (Connection& connection : connections_) {
     if (is_affected(connection.from, connection.to)) {
-      connection.must_close = true;
+      MarkClosing(connection, "reset");
     }
   }
+  processed_.wait(
+      lock, [this, before = iterations_] { return iterations_ > before; });
+}
+
+std::vector<InterruptedRequest> Relays::TakeInterruptedRequests() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::exchange(interrupted_requests_, {});
+}
+
+void Relays::MarkClosing(Connection& connection, const std::string& ended_by) {
+  if (!std::exchange(connection.must_close, true)) {
+    connection.ended_by = ended_by;
+  }
+}
+
+void Relays::CountRead(Connection& connection, const Flow& flow, size_t bytes) {
+  if (&flow == &connection.to_client) {
+    connection.request_bytes = bytes > 0 ? 0 : connection.request_bytes;
+    return;
+  }
+  if (connection.request_bytes == 0) {
+    connection.request_read_at = MonotonicMicros();
+  }
+  connection.request_bytes += bytes;
+}
+
+void Relays::RecordInterruptedRequest(const Connection& connection) {
+  if (connection.request_bytes == 0) {
+    return;
+  }
+  interrupted_requests_.push_back(
+      {connection.from, connection.to, connection.ended_by,
+       connection.request_bytes, connection.from_client.queued_bytes,
+       connection.request_read_at, MonotonicMicros()});
 }
 
 void Relays::ApplyState(Connection& connection) {
@@ -137,6 +171,7 @@
     return;
   }
   flow.eof_received = count == 0;
+  CountRead(connection, flow, static_cast<size_t>(count));
   const Micros due = MonotonicMicros() + connection.state.delay;
   flow.pieces.push_back(
       {due, std::string(bytes.data(), static_cast<size_t>(count))});
@@ -150,7 +185,8 @@
          flow.pieces.front().send_at <= MonotonicMicros()) {
     std::string& bytes = flow.pieces.front().bytes;
     if (bytes.empty()) {
-      connection.must_close = true;
+      MarkClosing(connection,
+                  &flow == &connection.from_client ? "client" : "server");
       return;
     }
     const size_t sent = SendSome(flow.to, bytes.data(), bytes.size());
@@ -164,6 +200,7 @@
 }
 
 void Relays::Close(Connection& connection) {
+  RecordInterruptedRequest(connection);
   for (Flow* flow : {&connection.from_client, &connection.to_client}) {
     flow->blocked = true;
     UpdateWatch(*flow);
@@ -215,8 +252,8 @@
         has_queued_data_ =
             has_queued_data_ || (!flow->blocked && !flow->pieces.empty());
       }
-    } catch (const Poco::Exception&) {
-      connection.must_close = true;
+    } catch (const Poco::Exception& error) {
+      MarkClosing(connection, error.displayText());
     }
   }
   for (auto it = connections_.begin(); it != connections_.end();) {
@@ -239,6 +276,8 @@
     }
     const std::lock_guard<std::mutex> lock(mutex_);
     ProcessEvents(ready);
+    ++iterations_;
+    processed_.notify_all();
   }
 }
 
--- a/edge/testing/relay.h
+++ b/edge/testing/relay.h
@@ -11,6 +11,8 @@
 // connections. All relays of a test share one thread.
 
 #include <atomic>
+#include <condition_variable>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <list>
@@ -39,6 +41,18 @@
   friend bool operator==(const RelayState&, const RelayState&) = default;
 };
 
+// A connection that ended while its client had sent bytes and received none
+// since. Times are monotonic.
+struct InterruptedRequest {
+  std::string from;
+  std::string to;
+  std::string ended_by;      // "client", "server", "reset" or an error's text
+  size_t read_bytes = 0;     // read from the client since the last reply bytes
+  size_t unsent_bytes = 0;   // of these, not passed on to the server
+  Micros first_read_at = 0;  // when the first of these bytes was read
+  Micros ended_at = 0;
+};
+
 class Relays {
  public:
   using StateFunction =
@@ -74,8 +88,13 @@
   void Cut(const IsAffected& is_cut);
 
   // Resets the currently open connections for which `is_affected` returns true.
+  // They are closed when this returns. Must not be called on the relays'
+  // thread.
   void Reset(const IsAffected& is_affected);
 
+  // Returns the requests that have been interrupted since the last call.
+  std::vector<InterruptedRequest> TakeInterruptedRequests();
+
  private:
   // Bytes that were read and are to be written at a given time; empty at the
   // end of the stream.
@@ -101,7 +120,10 @@
     RelayState state;
     Flow from_client;
     Flow to_client;
-    bool must_close = false;  // to be closed by the relays' thread
+    bool must_close = false;     // to be closed by the relays' thread
+    std::string ended_by;        // why it must be closed
+    size_t request_bytes = 0;    // read from the client since the last reply
+    Micros request_read_at = 0;  // when the first of them was read
   };
 
   struct Relay {
@@ -125,14 +147,22 @@
   void ApplyChanges();
   // Applies changes, accepts, relays data and closes connections once.
   void ProcessEvents(const std::set<Poco::Net::Socket>& ready);
+  // Counts bytes that were read, for RecordInterruptedRequest().
+  void CountRead(Connection& connection, const Flow& flow, size_t bytes);
+  // Marks a connection to be closed, unless it is already.
+  void MarkClosing(Connection& connection, const std::string& ended_by);
+  void RecordInterruptedRequest(const Connection& connection);
   void Close(Connection& connection);
 
   std::mutex mutex_;
+  std::condition_variable processed_;  // notified after each iteration
+  uint64_t iterations_ = 0;            // of the relays' thread
   StateFunction state_of_;
   bool changed_ = false;
   Poco::Net::PollSet poll_set_;
   std::vector<std::unique_ptr<Relay>> relays_;
   std::list<Connection> connections_;
+  std::vector<InterruptedRequest> interrupted_requests_;
   bool has_queued_data_ =
       false;  // data is queued in a direction that is not blocked
   std::atomic<bool> stopping_{false};
--- a/pool/job_admission.cc
+++ b/pool/admission/job_admission.cc
@@ -1,20 +1,21 @@
-#include "pool/job_admission.h"
+#include "pool/admission/job_admission.h"
 
 #include <algorithm>
 #include <memory>
 #include <utility>
 
-#include "pool/choose_worker.h"
-#include "pool/crash_limit.h"
-#include "pool/end_estimate.h"
+#include "pool/admission/job_order_check.h"
+#include "pool/admission/overload_control.h"
+#include "pool/admission/retry_after.h"
 #include "pool/job_forwarding.h"
-#include "pool/job_order_check.h"
 #include "pool/job_outcome.h"
-#include "pool/overload_control.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/end_estimate.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/retry_after.h"
-#include "pool/run_times.h"
-#include "pool/task_requirements.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/run_times.h"
 
 namespace goldcrest {
 namespace {
@@ -36,6 +37,11 @@
                    bool try_elsewhere,
                    Micros now,
                    PoolActions& actions) {
+  if (outcome == wire::JOB_REFUSED && MayStillRun(board, order)) {
+    outcome = wire::JOB_UNKNOWN;
+    retry_after_ms = 0;
+    try_elsewhere = false;
+  }
   ++board.counters.jobs_ended[std::string(ToString(outcome))];
   LogPoolEvent(actions, LogLevel::kWarning, "job_not_taken",
                {{"job", order.job_id()},
@@ -249,6 +255,9 @@
                   false, now, actions);
     return;
   }
+  if (!order.forwarded() && ForwardToOwnerOfRun(board, order, now, actions)) {
+    return;
+  }
   std::unique_ptr<PoolJob> job = MakeJob(board, order, now);
   // A draining daemon accepts no new jobs: it forwards them, or refuses them
   // with "no_workers".
--- a/pool/job_admission.h
+++ b/pool/admission/job_admission.h
@@ -1,5 +1,5 @@
-#ifndef POOL_JOB_ADMISSION_H_
-#define POOL_JOB_ADMISSION_H_
+#ifndef POOL_ADMISSION_JOB_ADMISSION_H_
+#define POOL_ADMISSION_JOB_ADMISSION_H_
 
 // The decision on a job order that arrives at a control daemon: the job is
 // accepted, attached to the job that exists for the same job id, forwarded to
@@ -17,4 +17,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_JOB_ADMISSION_H_
+#endif  // POOL_ADMISSION_JOB_ADMISSION_H_
--- a/pool/job_order_check.cc
+++ b/pool/admission/job_order_check.cc
@@ -1,4 +1,4 @@
-#include "pool/job_order_check.h"
+#include "pool/admission/job_order_check.h"
 
 #include <algorithm>
 
--- a/pool/job_order_check.h
+++ b/pool/admission/job_order_check.h
@@ -1,5 +1,5 @@
-#ifndef POOL_JOB_ORDER_CHECK_H_
-#define POOL_JOB_ORDER_CHECK_H_
+#ifndef POOL_ADMISSION_JOB_ORDER_CHECK_H_
+#define POOL_ADMISSION_JOB_ORDER_CHECK_H_
 
 // Validation of job orders. Orders are checked when they arrive from callers
 // and again when they arrive from other daemons, so that a malformed message
@@ -23,4 +23,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_JOB_ORDER_CHECK_H_
+#endif  // POOL_ADMISSION_JOB_ORDER_CHECK_H_
--- a/pool/overload_control.cc
+++ b/pool/admission/overload_control.cc
@@ -1,12 +1,12 @@
-#include "pool/overload_control.h"
+#include "pool/admission/overload_control.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "pool/choose_worker.h"
+#include "pool/admission/retry_after.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/retry_after.h"
-#include "pool/task_requirements.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/overload_control.h
+++ b/pool/admission/overload_control.h
@@ -1,5 +1,5 @@
-#ifndef POOL_OVERLOAD_CONTROL_H_
-#define POOL_OVERLOAD_CONTROL_H_
+#ifndef POOL_ADMISSION_OVERLOAD_CONTROL_H_
+#define POOL_ADMISSION_OVERLOAD_CONTROL_H_
 
 // Which jobs are served, and which are refused, when a pool cannot serve all.
 //
@@ -151,4 +151,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_OVERLOAD_CONTROL_H_
+#endif  // POOL_ADMISSION_OVERLOAD_CONTROL_H_
--- a/pool/retry_after.cc
+++ b/pool/admission/retry_after.cc
@@ -1,10 +1,10 @@
-#include "pool/retry_after.h"
+#include "pool/admission/retry_after.h"
 
 #include <algorithm>
 #include <functional>
 
-#include "pool/choose_worker.h"
-#include "pool/overload_control.h"
+#include "pool/admission/overload_control.h"
+#include "pool/placement/choose_worker.h"
 #include "pool/pool_jobs.h"
 
 namespace goldcrest {
--- a/pool/retry_after.h
+++ b/pool/admission/retry_after.h
@@ -1,5 +1,5 @@
-#ifndef POOL_RETRY_AFTER_H_
-#define POOL_RETRY_AFTER_H_
+#ifndef POOL_ADMISSION_RETRY_AFTER_H_
+#define POOL_ADMISSION_RETRY_AFTER_H_
 
 // When a refused caller is told to return.
 //
@@ -61,4 +61,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_RETRY_AFTER_H_
+#endif  // POOL_ADMISSION_RETRY_AFTER_H_
--- a/pool/agreement.cc
+++ b/pool/agreement/agreement.cc
@@ -1,11 +1,11 @@
-#include "pool/agreement.h"
+#include "pool/agreement/agreement.h"
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 
 #include "goldcrest/digest.h"
-#include "pool/agreement_detail.h"
+#include "pool/agreement/agreement_detail.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/agreement.h
+++ b/pool/agreement/agreement.h
@@ -1,5 +1,5 @@
-#ifndef POOL_AGREEMENT_H_
-#define POOL_AGREEMENT_H_
+#ifndef POOL_AGREEMENT_AGREEMENT_H_
+#define POOL_AGREEMENT_AGREEMENT_H_
 
 // Consensus of the control daemons on one replicated value.
 //
@@ -274,4 +274,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_AGREEMENT_H_
+#endif  // POOL_AGREEMENT_AGREEMENT_H_
--- a/pool/agreement_detail.h
+++ b/pool/agreement/agreement_detail.h
@@ -1,5 +1,5 @@
-#ifndef POOL_AGREEMENT_DETAIL_H_
-#define POOL_AGREEMENT_DETAIL_H_
+#ifndef POOL_AGREEMENT_AGREEMENT_DETAIL_H_
+#define POOL_AGREEMENT_AGREEMENT_DETAIL_H_
 
 // Internals shared by the parts of the agreement: agreement.cc replicates,
 // agreement_requests.cc serves operators, agreement_election.cc elects,
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "pool/agreement.h"
+#include "pool/agreement/agreement.h"
 
 namespace goldcrest::detail {
 
@@ -123,4 +123,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_AGREEMENT_DETAIL_H_
+#endif  // POOL_AGREEMENT_AGREEMENT_DETAIL_H_
--- a/pool/agreement_election.cc
+++ b/pool/agreement/agreement_election.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "pool/agreement.h"
-#include "pool/agreement_detail.h"
+#include "pool/agreement/agreement.h"
+#include "pool/agreement/agreement_detail.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/agreement_quorum.cc
+++ b/pool/agreement/agreement_quorum.cc
@@ -1,8 +1,8 @@
 // Whether this daemon is in contact with a majority of the voters, so that the
 // configuration can be changed.
 
-#include "pool/agreement.h"
-#include "pool/agreement_detail.h"
+#include "pool/agreement/agreement.h"
+#include "pool/agreement/agreement_detail.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/agreement_requests.cc
+++ b/pool/agreement/agreement_requests.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <utility>
 
-#include "pool/agreement.h"
-#include "pool/agreement_detail.h"
+#include "pool/agreement/agreement.h"
+#include "pool/agreement/agreement_detail.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/cancel_requests.cc
+++ b/pool/entry/cancel_requests.cc
@@ -1,10 +1,10 @@
-#include "pool/cancel_requests.h"
+#include "pool/entry/cancel_requests.h"
 
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "pool/mesh_orders.h"
+#include "pool/mesh/mesh_orders.h"
 #include "pool/pool_jobs.h"
 
 namespace goldcrest::detail {
--- a/pool/cancel_requests.h
+++ b/pool/entry/cancel_requests.h
@@ -1,5 +1,5 @@
-#ifndef POOL_CANCEL_REQUESTS_H_
-#define POOL_CANCEL_REQUESTS_H_
+#ifndef POOL_ENTRY_CANCEL_REQUESTS_H_
+#define POOL_ENTRY_CANCEL_REQUESTS_H_
 
 // Requests to cancel a job that the entry daemon does not have: the job came
 // through another entry daemon, or has ended.
@@ -16,7 +16,7 @@
 #include <cstdint>
 #include <string>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest::detail {
 
@@ -41,4 +41,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_CANCEL_REQUESTS_H_
+#endif  // POOL_ENTRY_CANCEL_REQUESTS_H_
--- a/pool/daemon_choice.cc
+++ b/pool/entry/daemon_choice.cc
@@ -1,8 +1,8 @@
-#include "pool/daemon_choice.h"
+#include "pool/entry/daemon_choice.h"
 
+#include "pool/entry/standby.h"
 #include "pool/job_forwarding.h"
 #include "pool/load_report.h"
-#include "pool/standby.h"
 
 namespace goldcrest::detail {
 namespace {
--- a/pool/daemon_choice.h
+++ b/pool/entry/daemon_choice.h
@@ -1,5 +1,5 @@
-#ifndef POOL_DAEMON_CHOICE_H_
-#define POOL_DAEMON_CHOICE_H_
+#ifndef POOL_ENTRY_DAEMON_CHOICE_H_
+#define POOL_ENTRY_DAEMON_CHOICE_H_
 
 // The choice of the daemon that gets a caller's job; internal to entry.cc.
 
@@ -7,7 +7,7 @@
 #include <set>
 #include <string>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest::detail {
 
@@ -25,4 +25,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_DAEMON_CHOICE_H_
+#endif  // POOL_ENTRY_DAEMON_CHOICE_H_
--- a/pool/entry.cc
+++ b/pool/entry/entry.cc
@@ -1,23 +1,24 @@
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "pool/cancel_requests.h"
-#include "pool/crash_news.h"
-#include "pool/daemon_choice.h"
-#include "pool/entry_stop.h"
-#include "pool/job_admission.h"
-#include "pool/mesh_orders.h"
-#include "pool/pending_jobs.h"
+#include "pool/admission/job_admission.h"
+#include "pool/admission/retry_after.h"
+#include "pool/entry/cancel_requests.h"
+#include "pool/entry/daemon_choice.h"
+#include "pool/entry/entry_stop.h"
+#include "pool/entry/pending_jobs.h"
+#include "pool/entry/standby.h"
+#include "pool/mesh/mesh_orders.h"
+#include "pool/placement/pool_placement.h"
 #include "pool/pool_jobs.h"
-#include "pool/pool_placement.h"
 #include "pool/pool_step.h"
-#include "pool/retry_after.h"
-#include "pool/standby.h"
-#include "pool/worker_ownership.h"
-#include "pool/worker_roster.h"
-#include "pool/worker_session.h"
+#include "pool/workers/crash_news.h"
+#include "pool/workers/open_run_news.h"
+#include "pool/workers/worker_ownership.h"
+#include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -225,6 +226,7 @@
                     {"incarnation", std::to_string(message.incarnation())}});
       SendWorkerTable(board.pool, message.from(), now, actions);
       SendCrashLedger(board.pool, message.from(), now, actions);
+      SendOpenRuns(board.pool, message.from(), now, actions);
     }
   } else if (message.has_worker_news()) {
     OnWorkerUpdate(board.pool, message.from(), message.worker_news(), now,
@@ -232,6 +234,10 @@
   } else if (message.has_crash_news()) {
     OnCrashNews(board.pool, message.crash_news(), now, actions);
     AnswerDelivery(message, true, actions);
+  } else if (message.has_open_run_news()) {
+    OnOpenRunNews(board.pool, {message.from(), message.incarnation()},
+                  message.open_run_news(), now, actions);
+    AnswerDelivery(message, true, actions);
   } else if (message.has_worker_request()) {
     OnHandoverRequest(board.pool, message.from(), message.worker_request(), now,
                       actions);
@@ -290,6 +296,7 @@
   board.options = options;
   board.pool.options.features = options.features;
   board.pool.options.crashes = options.crashes;
+  board.pool.options.late_orders = options.late_orders;
   board.pool.mesh = MakeMesh(mesh);
   board.pool.mesh.options.standby_after = options.features.standby_after;
   board.next_order = FirstOrderNumber(mesh.incarnation);
--- a/pool/entry.h
+++ b/pool/entry/entry.h
@@ -1,5 +1,5 @@
-#ifndef POOL_ENTRY_H_
-#define POOL_ENTRY_H_
+#ifndef POOL_ENTRY_ENTRY_H_
+#define POOL_ENTRY_ENTRY_H_
 
 // The decision code of an entry daemon, which passes callers' jobs to control
 // daemons and returns their outcomes.
@@ -30,7 +30,7 @@
 #include <vector>
 
 #include "goldcrest/time_units.h"
-#include "pool/mesh.h"
+#include "pool/mesh/mesh.h"
 #include "pool/pool_action.h"
 #include "pool/pool_board.h"
 #include "proto/pool.pb.h"
@@ -60,6 +60,7 @@
   Micros hold_requests = 0;
   // Used while this daemon orders workers as a standby.
   PoolFeatures features;
+  LateOrderBounds late_orders;
   CrashOptions crashes;
 };
 
@@ -224,4 +225,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_ENTRY_H_
+#endif  // POOL_ENTRY_ENTRY_H_
--- a/pool/entry_choices.cc
+++ b/pool/entry/entry_choices.cc
@@ -3,7 +3,7 @@
 
 #include <tuple>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest {
 
--- a/pool/entry_stop.cc
+++ b/pool/entry/entry_stop.cc
@@ -1,10 +1,10 @@
-#include "pool/entry_stop.h"
+#include "pool/entry/entry_stop.h"
 
 #include <algorithm>
 #include <string>
 #include <vector>
 
-#include "pool/pending_jobs.h"
+#include "pool/entry/pending_jobs.h"
 #include "pool/pool_stop.h"
 
 namespace goldcrest::detail {
--- a/pool/entry_stop.h
+++ b/pool/entry/entry_stop.h
@@ -1,5 +1,5 @@
-#ifndef POOL_ENTRY_STOP_H_
-#define POOL_ENTRY_STOP_H_
+#ifndef POOL_ENTRY_ENTRY_STOP_H_
+#define POOL_ENTRY_ENTRY_STOP_H_
 
 // The graceful stop of an entry daemon; internal to entry.cc.
 //
@@ -11,7 +11,7 @@
 // job without a start permission has not run and is refused, any other has an
 // unknown outcome. So no caller of a stopped daemon is left without an answer.
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest::detail {
 
@@ -45,4 +45,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_ENTRY_STOP_H_
+#endif  // POOL_ENTRY_ENTRY_STOP_H_
--- a/pool/pending_jobs.cc
+++ b/pool/entry/pending_jobs.cc
@@ -1,16 +1,16 @@
 // The pending jobs of an entry daemon: how they are sent, sent again when their
 // control daemon fails, held while no daemon can take them, and answered.
 
-#include "pool/pending_jobs.h"
+#include "pool/entry/pending_jobs.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "pool/daemon_choice.h"
-#include "pool/entry_stop.h"
+#include "pool/admission/retry_after.h"
+#include "pool/entry/daemon_choice.h"
+#include "pool/entry/entry_stop.h"
+#include "pool/entry/standby.h"
 #include "pool/job_forwarding.h"
-#include "pool/retry_after.h"
-#include "pool/standby.h"
 
 namespace goldcrest::detail {
 namespace {
--- a/pool/pending_jobs.h
+++ b/pool/entry/pending_jobs.h
@@ -1,5 +1,5 @@
-#ifndef POOL_PENDING_JOBS_H_
-#define POOL_PENDING_JOBS_H_
+#ifndef POOL_ENTRY_PENDING_JOBS_H_
+#define POOL_ENTRY_PENDING_JOBS_H_
 
 // The pending jobs of an entry daemon; internal to entry.cc. A job is sent to a
 // daemon that has workers, sent again if that daemon fails before it has the
@@ -9,7 +9,7 @@
 #include <set>
 #include <string>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest::detail {
 
@@ -104,4 +104,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_PENDING_JOBS_H_
+#endif  // POOL_ENTRY_PENDING_JOBS_H_
--- a/pool/request_hold.cc
+++ b/pool/entry/request_hold.cc
@@ -1,7 +1,7 @@
-#include "pool/request_hold.h"
+#include "pool/entry/request_hold.h"
 
-#include "pool/pending_jobs.h"
-#include "pool/standby.h"
+#include "pool/entry/pending_jobs.h"
+#include "pool/entry/standby.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/request_hold.h
+++ b/pool/entry/request_hold.h
@@ -1,5 +1,5 @@
-#ifndef POOL_REQUEST_HOLD_H_
-#define POOL_REQUEST_HOLD_H_
+#ifndef POOL_ENTRY_REQUEST_HOLD_H_
+#define POOL_ENTRY_REQUEST_HOLD_H_
 
 // Whether an entry daemon keeps a caller's request for a short time instead of
 // refusing it, while it cannot serve any.
@@ -13,7 +13,7 @@
 // that, nothing tells when the outage will end, so requests are refused at
 // once.
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest {
 
@@ -42,4 +42,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_REQUEST_HOLD_H_
+#endif  // POOL_ENTRY_REQUEST_HOLD_H_
--- a/pool/standby.cc
+++ b/pool/entry/standby.cc
@@ -1,4 +1,4 @@
-#include "pool/standby.h"
+#include "pool/entry/standby.h"
 
 #include <algorithm>
 #include <string>
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "goldcrest/digest.h"
-#include "pool/mesh.h"
-#include "pool/worker_session.h"
+#include "pool/mesh/mesh.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/standby.h
+++ b/pool/entry/standby.h
@@ -1,5 +1,5 @@
-#ifndef POOL_STANDBY_H_
-#define POOL_STANDBY_H_
+#ifndef POOL_ENTRY_STANDBY_H_
+#define POOL_ENTRY_STANDBY_H_
 
 // Fallback: entry daemons order workers themselves while no control daemon is
 // reachable.
@@ -51,4 +51,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_STANDBY_H_
+#endif  // POOL_ENTRY_STANDBY_H_
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "pool/standby.h"
+#include "pool/entry/standby.h"
 
 namespace goldcrest {
 namespace {
@@ -95,6 +95,25 @@
   AddToKnownLoad(to, order);
 }
 
+// Returns a reachable daemon with an open run of the task, or null. The next
+// process of a daemon that has announced a run does not have it.
+MeshMember* FindOwnerOfRun(PoolBoard& board, const TaskName& task, Micros now) {
+  const auto found = board.open_run_news.elsewhere.find(task);
+  if (found == board.open_run_news.elsewhere.end()) {
+    return nullptr;
+  }
+  for (const auto& [process, run] : found->second) {
+    const auto member = board.mesh.members.find(process.address);
+    if (run.open && member != board.mesh.members.end() &&
+        member->second.incarnation == process.incarnation &&
+        IsPeerReachable(board.mesh, process.address, now) &&
+        TakesForwardedJobs(board, member->second, now)) {
+      return &member->second;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 int64_t InitialCpuDemand(const wire::JobOrder& order) {
@@ -128,6 +147,26 @@
   return true;
 }
 
+bool ForwardToOwnerOfRun(PoolBoard& board,
+                         const wire::JobOrder& order,
+                         Micros now,
+                         PoolActions& actions) {
+  if (board.open_run_news.elsewhere.empty()) {
+    return false;
+  }
+  for (int step = 0; step < order.steps_size(); ++step) {
+    for (uint32_t i = 0; i < order.steps(step).tasks(); ++i) {
+      MeshMember* owner = FindOwnerOfRun(
+          board, {order.job_id(), 0, static_cast<uint32_t>(step), i}, now);
+      if (owner != nullptr) {
+        Forward(board, order, *owner, actions);
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 bool ForwardJob(PoolBoard& board,
                 const wire::JobOrder& order,
                 Micros now,
--- a/pool/job_forwarding.h
+++ b/pool/job_forwarding.h
@@ -36,6 +36,14 @@
 // next heartbeat.
 void AddToKnownLoad(MeshMember& member, const wire::JobOrder& order);
 
+// Forwards the job to a reachable daemon that has announced an open run of one
+// of its tasks: it can end that run, or start the task on the worker that it is
+// bound to, and this daemon can do neither. Returns false if there is none.
+bool ForwardToOwnerOfRun(PoolBoard& board,
+                         const wire::JobOrder& order,
+                         Micros now,
+                         PoolActions& actions);
+
 }  // namespace goldcrest
 
 #endif  // POOL_JOB_FORWARDING_H_
--- a/pool/job_outcome.cc
+++ b/pool/job_outcome.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "pool/mesh_orders.h"
+#include "pool/mesh/mesh_orders.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/load_report.cc
+++ b/pool/load_report.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "pool/crash_limit.h"
-#include "pool/task_requirements.h"
+#include "pool/placement/task_requirements.h"
+#include "pool/workers/crash_limit.h"
 
 namespace goldcrest {
 
--- a/pool/heartbeat_rate.cc
+++ b/pool/mesh/heartbeat_rate.cc
@@ -1,4 +1,4 @@
-#include "pool/heartbeat_rate.h"
+#include "pool/mesh/heartbeat_rate.h"
 
 #include <algorithm>
 
--- a/pool/heartbeat_rate.h
+++ b/pool/mesh/heartbeat_rate.h
@@ -1,5 +1,5 @@
-#ifndef POOL_HEARTBEAT_RATE_H_
-#define POOL_HEARTBEAT_RATE_H_
+#ifndef POOL_MESH_HEARTBEAT_RATE_H_
+#define POOL_MESH_HEARTBEAT_RATE_H_
 
 // How often two daemons exchange heartbeats.
 //
@@ -39,4 +39,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_HEARTBEAT_RATE_H_
+#endif  // POOL_MESH_HEARTBEAT_RATE_H_
--- a/pool/mesh.cc
+++ b/pool/mesh/mesh.cc
@@ -1,9 +1,10 @@
-#include "pool/mesh.h"
+#include "pool/mesh/mesh.h"
 
 #include <algorithm>
 
 #include "goldcrest/digest.h"
-#include "pool/standby.h"
+#include "pool/mesh/heartbeat_message.h"
+#include "pool/mesh/routing_source.h"
 
 namespace goldcrest {
 namespace {
@@ -11,9 +12,6 @@
 // Number of heartbeat rounds whose send times are recorded for
 // HeartbeatSentAt(): 10 s at the default period.
 constexpr size_t kMaxRecordedHeartbeats = 100;
-// Answers to entry daemons list probe peers during one in this many heartbeat
-// rounds.
-constexpr uint64_t kProbePeersInterval = 8;
 // A reported load is usable for this long.
 constexpr Micros kMaxLoadAge = 350 * kMillisecond;
 // An entry daemon that received nothing from its own domain's control daemons
@@ -32,25 +30,6 @@
   return member.last_heartbeat.failure_domain() == mesh.options.failure_domain;
 }
 
-bool WasReceivedWithin(const MeshMember& member, Micros timeout, Micros now) {
-  return member.last_received_at != 0 &&
-         now - member.last_received_at < timeout;
-}
-
-bool IsControl(const Mesh& mesh, const std::string& address) {
-  const auto found = mesh.members.find(address);
-  return found != mesh.members.end() && found->second.last_heartbeat.control();
-}
-
-// Returns how recently a control daemon must have been heard to be listed in
-// the `hears` of heartbeats to `to`.
-Micros HearsTimeout(const Mesh& mesh, const std::string& to) {
-  const bool between_entries = !mesh.options.control && !IsControl(mesh, to);
-  return between_entries && mesh.options.standby_after != 0
-             ? mesh.options.standby_after
-             : mesh.options.rates.full_rate_timeout;
-}
-
 // Returns whether this entry daemon has recently sent a job to the member, an
 // entry daemon that is a standby.
 bool SharesJobWithEntry(const Mesh& mesh,
@@ -149,89 +128,6 @@
   return true;
 }
 
-wire::PoolMessage MakeHeartbeat(Mesh& mesh,
-                                const std::string& to,
-                                Micros now,
-                                bool is_answer) {
-  wire::PoolMessage message;
-  wire::Presence& heartbeat = *message.mutable_presence();
-  heartbeat.set_control(mesh.options.control);
-  heartbeat.set_failure_domain(mesh.options.failure_domain);
-  heartbeat.set_control_address(mesh.options.control_address);
-  heartbeat.set_sequence(mesh.sequence);
-  heartbeat.set_echoed_sequence(NewestHeartbeatSequence(mesh, to));
-  heartbeat.set_draining(mesh.draining);
-  heartbeat.set_is_answer(is_answer);
-  heartbeat.set_routing_version(mesh.routing_version);
-  heartbeat.set_store_id(mesh.store_id);
-  heartbeat.set_leads(mesh.is_leader);
-  heartbeat.set_wants_routing(mesh.routing_request_due && !is_answer &&
-                              to == mesh.routing_source);
-  const Micros hears_timeout = HearsTimeout(mesh, to);
-  for (const auto& [address, member] : mesh.members) {
-    if (!member.last_heartbeat.control() || address == to) {
-      continue;
-    }
-    // Other daemons use this to decide whether a daemon has failed, so `hears`
-    // lists only daemons that were reachable within the full-rate timeout, or a
-    // shorter one.
-    if (WasReceivedWithin(member, hears_timeout, now)) {
-      heartbeat.add_hears(address);
-    } else {
-      heartbeat.add_knows(address);
-    }
-  }
-  if (mesh.options.control) {
-    heartbeat.set_entry_daemons(mesh.entry_daemons);
-  }
-  if (mesh.options.control || mesh.options.standby_after != 0) {
-    *heartbeat.mutable_load() = mesh.load;
-  }
-  if (mesh.options.control && is_answer &&
-      mesh.sequence % kProbePeersInterval == 0) {
-    for (const std::string& address : ProbePeersFor(mesh, to, now)) {
-      heartbeat.add_witnesses(address);
-    }
-  }
-  return message;
-}
-
-// Chooses the daemon to request a newer configuration from: preferably one of
-// the own failure domain, and another one if the last choice did not send it.
-void ChooseRoutingSource(Mesh& mesh, Micros now) {
-  mesh.routing_request_due = false;
-  const bool request_pending =
-      !mesh.routing_source.empty() &&
-      now - mesh.routing_requested_at < mesh.options.routing_request_timeout;
-  std::string best;
-  bool best_in_own_domain = false;
-  for (const auto& [address, member] : mesh.members) {
-    const wire::Presence& heartbeat = member.last_heartbeat;
-    if (!heartbeat.control() || !IsPeerReachable(mesh, address, now) ||
-        heartbeat.routing_version() <= mesh.routing_version ||
-        address == mesh.routing_source) {
-      continue;
-    }
-    const bool in_own_domain =
-        heartbeat.failure_domain() == mesh.options.failure_domain;
-    if (best.empty() || (in_own_domain && !best_in_own_domain)) {
-      best = address;
-      best_in_own_domain = in_own_domain;
-    }
-  }
-  if (best.empty() || request_pending) {
-    if (best.empty() && !request_pending) {
-      // No other daemon has it: in the next round, the last one is requested
-      // again.
-      mesh.routing_source.clear();
-    }
-    return;
-  }
-  mesh.routing_source = best;
-  mesh.routing_requested_at = now;
-  mesh.routing_request_due = true;
-}
-
 // Starts a heartbeat round: assigns its sequence number and records its time.
 void StartHeartbeatRound(Mesh& mesh, Micros now) {
   ++mesh.sequence;
@@ -440,6 +336,11 @@
                                      : MemberTimeout(mesh, found->second, now);
 }
 
+bool WasReceivedWithin(const MeshMember& member, Micros timeout, Micros now) {
+  return member.last_received_at != 0 &&
+         now - member.last_received_at < timeout;
+}
+
 bool IsPeerReachable(const Mesh& mesh, const std::string& address, Micros now) {
   const auto found = mesh.members.find(address);
   return found != mesh.members.end() &&
@@ -474,6 +375,14 @@
   return is_recorded ? mesh.sent_heartbeats[sequence - first].second : 0;
 }
 
+std::optional<Micros> EchoAge(const Mesh& mesh,
+                              const MeshMember& member,
+                              Micros now) {
+  const Micros sent_at =
+      HeartbeatSentAt(mesh, member.last_heartbeat.echoed_sequence());
+  return sent_at == 0 ? std::nullopt : std::optional(now - sent_at);
+}
+
 uint64_t NewestHeartbeatSequence(const Mesh& mesh, const std::string& address) {
   const auto found = mesh.members.find(address);
   return found == mesh.members.end() ? 0
--- a/pool/mesh.h
+++ b/pool/mesh/mesh.h
@@ -1,5 +1,5 @@
-#ifndef POOL_MESH_H_
-#define POOL_MESH_H_
+#ifndef POOL_MESH_MESH_H_
+#define POOL_MESH_MESH_H_
 
 // Membership and reachability of the daemons.
 //
@@ -18,12 +18,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "goldcrest/time_units.h"
-#include "pool/heartbeat_rate.h"
+#include "pool/mesh/heartbeat_rate.h"
 #include "pool/pool_action.h"
 #include "proto/pool.pb.h"
 
@@ -147,6 +148,9 @@
 // as unreachable.
 Micros ContactTimeout(const Mesh& mesh, const std::string& address, Micros now);
 
+// Returns whether a message of the member was received within `timeout`.
+bool WasReceivedWithin(const MeshMember& member, Micros timeout, Micros now);
+
 // Returns whether a message of the daemon at `address` was received within its
 // timeout, which depends on the rate at which heartbeats are exchanged with it.
 bool IsPeerReachable(const Mesh& mesh, const std::string& address, Micros now);
@@ -163,10 +167,17 @@
 // recorded.
 Micros HeartbeatSentAt(const Mesh& mesh, uint64_t sequence);
 
+// Returns how old the newest heartbeat of this daemon is that the other one has
+// confirmed to have received: the time since it was sent.
+// Returns nothing if it has echoed none that is recorded.
+std::optional<Micros> EchoAge(const Mesh& mesh,
+                              const MeshMember& member,
+                              Micros now);
+
 // Returns the newest heartbeat sequence number received from `address`, 0 if
 // none.
 uint64_t NewestHeartbeatSequence(const Mesh& mesh, const std::string& address);
 
 }  // namespace goldcrest
 
-#endif  // POOL_MESH_H_
+#endif  // POOL_MESH_MESH_H_
--- a/pool/mesh_orders.cc
+++ b/pool/mesh/mesh_orders.cc
@@ -1,4 +1,4 @@
-#include "pool/mesh_orders.h"
+#include "pool/mesh/mesh_orders.h"
 
 #include <utility>
 #include <vector>
@@ -39,6 +39,25 @@
   return number;
 }
 
+bool MayGetTasks(const PoolBoard& board, const MeshMember& member) {
+  return member.last_heartbeat.control() ||
+         (member.incarnation != 0 && member.last_heartbeat.failure_domain() ==
+                                         board.mesh.options.failure_domain);
+}
+
+void SendToPool(PoolBoard& board,
+                const wire::PoolMessage& message,
+                Micros drop_at,
+                Micros now,
+                PoolActions& actions) {
+  for (const auto& [address, member] : board.mesh.members) {
+    if (MayGetTasks(board, member) &&
+        IsPeerReachable(board.mesh, address, now)) {
+      SendUntilAnswered(board, address, message, drop_at, now, actions);
+    }
+  }
+}
+
 void AnswerDelivery(const wire::PoolMessage& message,
                     bool had_effect,
                     PoolActions& actions,
--- a/pool/mesh_orders.h
+++ b/pool/mesh/mesh_orders.h
@@ -1,5 +1,5 @@
-#ifndef POOL_MESH_ORDERS_H_
-#define POOL_MESH_ORDERS_H_
+#ifndef POOL_MESH_MESH_ORDERS_H_
+#define POOL_MESH_MESH_ORDERS_H_
 
 // Messages to other daemons that must arrive: outcomes of jobs, cancellations
 // of jobs that any daemon may have, and news of crashes. They are repeated
@@ -28,6 +28,18 @@
                            Micros now,
                            PoolActions& actions);
 
+// Returns whether the daemon may get tasks that ran here: it is a control
+// daemon, or a known entry daemon of the own failure domain.
+bool MayGetTasks(const PoolBoard& board, const MeshMember& member);
+
+// Sends a message to all reachable daemons that may get tasks that ran here,
+// until each has answered or until `drop_at`.
+void SendToPool(PoolBoard& board,
+                const wire::PoolMessage& message,
+                Micros drop_at,
+                Micros now,
+                PoolActions& actions);
+
 // Answers a message if its sender repeats it. `had_effect` and `also_ask`: see
 // wire::Delivered.
 void AnswerDelivery(const wire::PoolMessage& message,
@@ -44,4 +56,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_MESH_ORDERS_H_
+#endif  // POOL_MESH_MESH_ORDERS_H_
--- a/pool/choose_worker.cc
+++ b/pool/placement/choose_worker.cc
@@ -1,4 +1,4 @@
-#include "pool/choose_worker.h"
+#include "pool/placement/choose_worker.h"
 
 #include <algorithm>
 #include <functional>
--- a/pool/choose_worker.h
+++ b/pool/placement/choose_worker.h
@@ -1,5 +1,5 @@
-#ifndef POOL_CHOOSE_WORKER_H_
-#define POOL_CHOOSE_WORKER_H_
+#ifndef POOL_PLACEMENT_CHOOSE_WORKER_H_
+#define POOL_PLACEMENT_CHOOSE_WORKER_H_
 
 // Selection of a worker for a task, and estimation of the end of a job.
 //
@@ -53,4 +53,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_CHOOSE_WORKER_H_
+#endif  // POOL_PLACEMENT_CHOOSE_WORKER_H_
--- a/pool/end_estimate.cc
+++ b/pool/placement/end_estimate.cc
@@ -1,12 +1,12 @@
-#include "pool/end_estimate.h"
+#include "pool/placement/end_estimate.h"
 
 #include <algorithm>
 
-#include "pool/choose_worker.h"
-#include "pool/crash_limit.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_profile.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/worker_profile.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/end_estimate.h
+++ b/pool/placement/end_estimate.h
@@ -1,5 +1,5 @@
-#ifndef POOL_END_ESTIMATE_H_
-#define POOL_END_ESTIMATE_H_
+#ifndef POOL_PLACEMENT_END_ESTIMATE_H_
+#define POOL_PLACEMENT_END_ESTIMATE_H_
 
 // Estimate of the end of a job, used on its arrival to refuse or forward it.
 
@@ -15,4 +15,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_END_ESTIMATE_H_
+#endif  // POOL_PLACEMENT_END_ESTIMATE_H_
--- a/pool/placement_input.cc
+++ b/pool/placement/placement_input.cc
@@ -1,12 +1,13 @@
-#include "pool/placement_input.h"
+#include "pool/placement/placement_input.h"
 
 #include <algorithm>
 
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/run_times.h"
-#include "pool/stragglers.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_health.h"
+#include "pool/workers/run_times.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/stragglers.h"
+#include "pool/workers/worker_health.h"
 
 namespace goldcrest {
 namespace {
@@ -98,26 +99,32 @@
          step.most_per_worker() > 0;
 }
 
-std::vector<PlanMatch> MakePlanMatches(const std::vector<PoolWorker*>& ready,
-                                       const wire::JobOrder& order,
-                                       uint32_t step_index,
-                                       const std::string& last_worker) {
-  const wire::JobStep& step = order.steps(static_cast<int>(step_index));
+std::vector<PlanMatch> MakePlanMatches(const PoolBoard& board,
+                                       const std::vector<PoolWorker*>& ready,
+                                       const PoolJob& job,
+                                       const TaskName& first) {
+  const wire::JobOrder& order = job.order;
+  const wire::JobStep& step = order.steps(static_cast<int>(first.step));
+  const PoolTask& task = job.steps[first.step].tasks[first.index];
   std::vector<PlanMatch> matches;
   bool limited = false;
+  const StartBinding* binding = FindBinding(board, first);
   for (const PoolWorker* worker : ready) {
     PlanMatch match{UINT32_MAX, false};
-    if (!Matches(*worker, order, step)) {
+    const bool bound_elsewhere =
+        binding != nullptr && binding->worker != worker->status.id();
+    if (bound_elsewhere || !Matches(*worker, order, step)) {
       match.most = 0;
     } else if (step.most_per_worker() > 0) {
       const uint32_t attempts =
-          CountAttemptsOfStep(*worker, order.job_id(), step_index);
+          CountAttemptsOfStep(*worker, order.job_id(), first.step);
       match.most =
           step.most_per_worker() - std::min(attempts, step.most_per_worker());
     }
     // A worker's rack is one of its labels.
     match.avoid =
-        (!last_worker.empty() && worker->status.id() == last_worker) ||
+        (!task.last_worker.empty() &&
+         worker->status.id() == task.last_worker) ||
         (!step.data_rack().empty() && !HasLabel(*worker, step.data_rack()));
     limited = limited || match.most != UINT32_MAX || match.avoid;
     matches.push_back(match);
--- a/pool/placement_input.h
+++ b/pool/placement/placement_input.h
@@ -1,11 +1,11 @@
-#ifndef POOL_PLACEMENT_INPUT_H_
-#define POOL_PLACEMENT_INPUT_H_
+#ifndef POOL_PLACEMENT_PLACEMENT_INPUT_H_
+#define POOL_PLACEMENT_PLACEMENT_INPUT_H_
 
 // The workers and waiting tasks of a board, as a placement plan takes them.
 
 #include <vector>
 
-#include "pool/placement_plan.h"
+#include "pool/placement/placement_plan.h"
 #include "pool/pool_board.h"
 
 namespace goldcrest {
@@ -27,12 +27,12 @@
 bool IsRestricted(const wire::JobOrder& order, uint32_t step);
 
 // Returns what applies to tasks of the step on each of the workers; empty if
-// each of them can be used without a limit. `last_worker` is the id of the
-// worker to avoid, or empty.
-std::vector<PlanMatch> MakePlanMatches(const std::vector<PoolWorker*>& ready,
-                                       const wire::JobOrder& order,
-                                       uint32_t step,
-                                       const std::string& last_worker);
+// each of them can be used without a limit. `first` is the first of the tasks:
+// all of a group avoid the same worker, or are bound to the same one.
+std::vector<PlanMatch> MakePlanMatches(const PoolBoard& board,
+                                       const std::vector<PoolWorker*>& ready,
+                                       const PoolJob& job,
+                                       const TaskName& first);
 
 // Returns `count` tasks of the step, as a plan takes them, without their
 // matches.
@@ -43,4 +43,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_PLACEMENT_INPUT_H_
+#endif  // POOL_PLACEMENT_PLACEMENT_INPUT_H_
--- a/pool/placement_lookahead.cc
+++ b/pool/placement/placement_lookahead.cc
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 
-#include "pool/crash_limit.h"
-#include "pool/placement_input.h"
-#include "pool/placement_plan.h"
-#include "pool/placement_start.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/placement_input.h"
+#include "pool/placement/placement_plan.h"
+#include "pool/placement/placement_start.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_session.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest::detail {
 namespace {
@@ -19,7 +21,7 @@
 // A plan chooses among this many groups of equal waiting tasks of one job that
 // have a start permission. Others do not count, so that many of them at the
 // head of the queue, as of an entry daemon that is paused, do not idle the
-// pool.
+// pool; nor do tasks bound to a worker that cannot start them now.
 constexpr size_t kMaxPlannedGroups = 64;
 
 // Equal waiting tasks of one job: their position in the queue and their number.
@@ -27,21 +29,37 @@
   std::map<WaitingKey, WaitingTask>::iterator first;
   const PoolJob* job = nullptr;
   uint32_t count = 0;
+  // The worker that they are bound to (start_bindings.h); empty: none.
+  std::string bound_worker;
 };
 
+// Returns the id of the worker that the task is bound to, empty if it is not.
+std::string BoundWorker(const PoolBoard& board,
+                        const std::string& job_id,
+                        const WaitingKey& key) {
+  const StartBinding* binding =
+      board.start_bindings.empty()
+          ? nullptr
+          : FindBinding(board, {job_id, 0, key.step, key.index});
+  return binding == nullptr ? "" : binding->worker;
+}
+
 // Returns the group that begins at `position`: the next waiting tasks of the
-// same step that avoid the same worker.
+// same step that avoid the same worker, or are bound to the same one.
 WaitingGroup GroupAt(PoolBoard& board,
                      std::map<WaitingKey, WaitingTask>::iterator position) {
   const WaitingKey& key = position->first;
   const std::vector<PoolTask>& tasks =
       position->second.job->steps[key.step].tasks;
-  WaitingGroup group{position, position->second.job, 0};
+  WaitingGroup group{position, position->second.job, 0, ""};
+  group.bound_worker = BoundWorker(board, group.job->order.job_id(), key);
   for (; position != board.waiting.end() &&
          position->first.sequence == key.sequence &&
          position->first.step == key.step &&
          tasks[position->first.index].last_worker ==
              tasks[key.index].last_worker &&
+         BoundWorker(board, group.job->order.job_id(), position->first) ==
+             group.bound_worker &&
          !IsSuspectTask(board, *position->second.job, position->first);
        ++position) {
     ++group.count;
@@ -49,6 +67,21 @@
   return group;
 }
 
+// Returns whether the group is bound to a worker that cannot start a task of it
+// now.
+bool WaitsForItsWorker(const PoolBoard& board,
+                       const WaitingGroup& group,
+                       Micros now) {
+  if (group.bound_worker.empty()) {
+    return false;
+  }
+  const auto found = board.owned.find(group.bound_worker);
+  const wire::JobStep& step =
+      group.job->order.steps(static_cast<int>(group.first->first.step));
+  return found == board.owned.end() || !AcceptsStarts(*found->second, now) ||
+         !Fits(ResourcesOf(step), FreeCapacity(*found->second));
+}
+
 // Ends jobs that are too late, requests start permissions, and returns the
 // groups of tasks for a plan, in the order of the queue.
 std::vector<WaitingGroup> GroupsToPlan(PoolBoard& board,
@@ -92,9 +125,12 @@
       }
       unpermitted_tasks += static_cast<int>(group.count);
     }
+    std::advance(position, group.count);
+    if (WaitsForItsWorker(board, group, now)) {
+      continue;
+    }
     startable_groups += job.start_permitted ? 1 : 0;
     groups.push_back(group);
-    std::advance(position, group.count);
   }
   return groups;
 }
@@ -160,13 +196,14 @@
   for (const WaitingGroup& group : groups) {
     const WaitingKey& key = group.first->first;
     const PoolJob& job = *group.first->second.job;
-    const std::string& last_worker =
-        job.steps[key.step].tasks[key.index].last_worker;
+    const TaskName first{job.order.job_id(), 0, key.step, key.index};
+    const PoolTask& first_task = job.steps[key.step].tasks[key.index];
     PlanTask& task =
         tasks.emplace_back(MakePlanTask(job, key.step, group.count, now));
     if (service == nullptr || *service != job.order.service() ||
-        !last_worker.empty() || IsRestricted(job.order, key.step)) {
-      task.matches = MakePlanMatches(ready, job.order, key.step, last_worker);
+        !first_task.last_worker.empty() || !group.bound_worker.empty() ||
+        IsRestricted(job.order, key.step)) {
+      task.matches = MakePlanMatches(board, ready, job, first);
     }
     if (!at_risk.empty()) {
       SeparateCrashProne(at_risk,
--- a/pool/placement_plan.cc
+++ b/pool/placement/placement_plan.cc
@@ -1,4 +1,4 @@
-#include "pool/placement_plan.h"
+#include "pool/placement/placement_plan.h"
 
 #include <algorithm>
 #include <limits>
@@ -6,7 +6,7 @@
 #include <optional>
 #include <tuple>
 
-#include "pool/choose_worker.h"
+#include "pool/placement/choose_worker.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/placement_plan.h
+++ b/pool/placement/placement_plan.h
@@ -1,5 +1,5 @@
-#ifndef POOL_PLACEMENT_PLAN_H_
-#define POOL_PLACEMENT_PLAN_H_
+#ifndef POOL_PLACEMENT_PLACEMENT_PLAN_H_
+#define POOL_PLACEMENT_PLACEMENT_PLAN_H_
 
 // The choice of the waiting tasks that start now, with regard to what else is
 // waiting and to what ends soon.
@@ -124,4 +124,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_PLACEMENT_PLAN_H_
+#endif  // POOL_PLACEMENT_PLACEMENT_PLAN_H_
--- a/pool/placement_start.cc
+++ b/pool/placement/placement_start.cc
@@ -1,17 +1,17 @@
-#include "pool/placement_start.h"
+#include "pool/placement/placement_start.h"
 
 #include <utility>
 #include <vector>
 
-#include "pool/crash_limit.h"
+#include "pool/admission/retry_after.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/retry_after.h"
-#include "pool/run_ends.h"
-#include "pool/run_times.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_health.h"
-#include "pool/worker_profile.h"
-#include "pool/worker_session.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/run_times.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_profile.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest::detail {
 namespace {
--- a/pool/placement_start.h
+++ b/pool/placement/placement_start.h
@@ -1,5 +1,5 @@
-#ifndef POOL_PLACEMENT_START_H_
-#define POOL_PLACEMENT_START_H_
+#ifndef POOL_PLACEMENT_PLACEMENT_START_H_
+#define POOL_PLACEMENT_PLACEMENT_START_H_
 
 // The start of a waiting task, and what forbids it; internal to the two ways of
 // placement (pool_placement.cc, placement_lookahead.cc).
@@ -58,4 +58,4 @@
 
 }  // namespace goldcrest::detail
 
-#endif  // POOL_PLACEMENT_START_H_
+#endif  // POOL_PLACEMENT_PLACEMENT_START_H_
--- a/pool/pool_placement.cc
+++ b/pool/placement/pool_placement.cc
@@ -1,16 +1,17 @@
-#include "pool/pool_placement.h"
+#include "pool/placement/pool_placement.h"
 
 #include <algorithm>
 
-#include "pool/choose_worker.h"
-#include "pool/crash_limit.h"
-#include "pool/placement_start.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/placement_start.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/run_times.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_health.h"
-#include "pool/worker_profile.h"
-#include "pool/worker_session.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/run_times.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_profile.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -55,6 +56,7 @@
                                     Micros now) {
   const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
   const PoolTask& task = job.steps[key.step].tasks[key.index];
+  const TaskName name{job.order.job_id(), 0, key.step, key.index};
   const Resources required = ResourcesOf(step);
   EligibleWorkers result;
   for (PoolWorker* worker : ready) {
@@ -66,7 +68,8 @@
     const bool full = step.most_per_worker() > 0 &&
                       CountAttemptsOfStep(*worker, job.order.job_id(),
                                           key.step) >= step.most_per_worker();
-    if (full || !Matches(*worker, job.order, step)) {
+    if (full || !Matches(*worker, job.order, step) ||
+        !MayStartOn(board, name, *worker)) {
       continue;
     }
     WorkerOffer offer;
@@ -109,7 +112,7 @@
       continue;
     }
     const SuspectPlacement placement =
-        PlaceSuspect(ReadyWorkers(board, now), job, key, now);
+        PlaceSuspect(board, ReadyWorkers(board, now), job, key, now);
     if (placement.start_on != nullptr) {
       position = board.waiting.erase(position);
       StartTaskOn(board, *placement.start_on, job, key, false, now, actions);
@@ -134,6 +137,7 @@
     return;
   }
   board.placement_due = false;
+  ++board.counters.plans;
   if (board.options.features.placement_lookahead) {
     PlaceWithLookahead(board, now, actions);
     return;
--- a/pool/pool_placement.h
+++ b/pool/placement/pool_placement.h
@@ -1,5 +1,5 @@
-#ifndef POOL_POOL_PLACEMENT_H_
-#define POOL_POOL_PLACEMENT_H_
+#ifndef POOL_PLACEMENT_POOL_PLACEMENT_H_
+#define POOL_PLACEMENT_POOL_PLACEMENT_H_
 
 // Placement of waiting tasks on workers.
 
@@ -13,4 +13,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_POOL_PLACEMENT_H_
+#endif  // POOL_PLACEMENT_POOL_PLACEMENT_H_
--- a/pool/task_requirements.cc
+++ b/pool/placement/task_requirements.cc
@@ -1,10 +1,10 @@
-#include "pool/task_requirements.h"
+#include "pool/placement/task_requirements.h"
 
 #include <algorithm>
 
-#include "pool/choose_worker.h"
-#include "pool/worker_health.h"
-#include "pool/worker_lease.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_lease.h"
 
 namespace goldcrest {
 
@@ -31,11 +31,48 @@
 
 }  // namespace
 
+StartObstacle ObstacleToStarts(const PoolWorker& worker, Micros now) {
+  if (!IsInPool(worker)) {
+    return StartObstacle::kGone;
+  }
+  if (worker.session != SessionState::kReady) {
+    return worker.session == SessionState::kReleasing
+               ? StartObstacle::kReleasing
+               : StartObstacle::kReconciling;
+  }
+  if (worker.status.leaving()) {
+    return StartObstacle::kLeaving;
+  }
+  if (worker.clock_ms == 0 || worker.unreported) {
+    return StartObstacle::kUnreported;
+  }
+  if (!MayExtendLease(worker, now)) {
+    return StartObstacle::kLeaseNotExtended;
+  }
+  if (!MayTakeTask(worker, now)) {
+    return StartObstacle::kFailing;
+  }
+  return IsKeptAlone(worker) ? StartObstacle::kSuspect : StartObstacle::kNone;
+}
+
 bool AcceptsStarts(const PoolWorker& worker, Micros now) {
-  return IsInPool(worker) && worker.session == SessionState::kReady &&
-         !worker.status.leaving() && worker.clock_ms != 0 &&
-         !worker.unreported && MayExtendLease(worker, now) &&
-         MayTakeTask(worker, now) && !IsKeptAlone(worker);
+  return ObstacleToStarts(worker, now) == StartObstacle::kNone;
+}
+
+UnusableCpu CountUnusableCpu(const PoolBoard& board, Micros now) {
+  UnusableCpu result;
+  for (const auto& [id, worker] : board.owned) {
+    const StartObstacle obstacle = ObstacleToStarts(*worker, now);
+    if (obstacle == StartObstacle::kNone) {
+      continue;
+    }
+    result.idle[obstacle] +=
+        std::max<int64_t>(FreeCapacity(*worker).cpu_millis, 0);
+    if (worker->session == SessionState::kReconciling) {
+      result.silent_runs += worker->used_resources.cpu_millis;
+    }
+  }
+  return result;
 }
 
 bool Matches(const PoolWorker& worker,
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -19,13 +19,14 @@
 #include <vector>
 
 #include "goldcrest/time_units.h"
-#include "pool/agreement.h"
-#include "pool/crash_ledger.h"
-#include "pool/mesh.h"
+#include "pool/agreement/agreement.h"
+#include "pool/mesh/mesh.h"
 #include "pool/pool_action.h"
 #include "pool/pool_worker.h"
-#include "pool/unanswered_orders.h"
 #include "pool/worker_order.h"
+#include "pool/workers/crash_ledger.h"
+#include "pool/workers/open_runs.h"
+#include "pool/workers/unanswered_orders.h"
 #include "proto/pool.pb.h"
 
 namespace goldcrest {
@@ -66,6 +67,7 @@
   int64_t clock_drift_percent = 2;
   // Added to the length of a lease before it counts as expired.
   Micros lease_slack = 15 * kMillisecond;
+  LateOrderBounds late_orders;
   // An entry daemon from which nothing was received for this long is considered
   // to have lost its callers.
   Micros entry_timeout = 400 * kMillisecond;
@@ -101,6 +103,10 @@
   Micros reconcile_max_retry_delay = 1000 * kMillisecond;
   // Workers without a report for this long are removed.
   Micros worker_timeout = 6 * kSecond;
+  // Workers that have left the pool are forgotten when nothing was received
+  // from them for this long. Until then, a report that arrives late is known to
+  // be out of date.
+  Micros forget_gone_after = 30 * kSecond;
   // After its start, a control daemon does not claim workers of other failure
   // domains for this long: the control daemons of those domains may be
   // starting, too.
@@ -274,6 +280,7 @@
   // whose budget did not suffice.
   uint64_t starts_ahead = 0;
   uint64_t reservations = 0;
+  uint64_t plans = 0;
   uint64_t plans_over_budget = 0;
   std::map<std::string, uint64_t> worker_losses;  // by cause
   uint64_t task_crashes = 0;       // a task was there when its worker crashed
@@ -281,7 +288,12 @@
   uint64_t crashes_withdrawn = 0;  // the worker turned out to be alive
   uint64_t crash_limit_refusals = 0;
   uint64_t claims_refuted = 0;  // of the end of a worker's process
+  uint64_t unknown_runs = 0;  // listed by a worker, not started in its session
   uint64_t invariant_failures = 0;
+  uint64_t runs_announced = 0;    // without a known end, to other daemons
+  uint64_t run_news_dropped = 0;  // beyond kMaxRunsElsewhere
+  uint64_t starts_bound = 0;      // tasks bound to a worker
+  uint64_t bindings_dropped = 0;  // beyond kMaxStartBindings
 };
 
 // CPU work that jobs of one queue brought lately, as an exponential average of
@@ -298,12 +310,6 @@
   std::map<Micros, Micros> returns;
 };
 
-// A run whose session has ended before it (run_ends.h).
-struct OrphanedRun {
-  TaskName task;
-  Micros lease_expires_at = 0;
-};
-
 // State of one control daemon, or of the part of an entry daemon that owns
 // workers as a standby.
 struct PoolBoard {
@@ -311,6 +317,8 @@
   Mesh mesh;
   Agreement agreement;
   std::map<std::string, PoolWorker> workers;
+  // The ids of `workers` by the address that they reported last.
+  std::map<std::string, std::set<std::string>> worker_ids_at;
   // Workers with a session of this daemon, by id. Most entries of `workers` are
   // owned by other daemons.
   std::map<std::string, PoolWorker*> owned;
@@ -324,6 +332,9 @@
   // `orphans`.
   std::map<TaskName, int> open_runs;
   std::vector<OrphanedRun> orphans;
+  // Where tasks may be started whose start had no answer (start_bindings.h).
+  std::map<TaskName, StartBinding> start_bindings;
+  OpenRunNewsState open_run_news;
   RunTimes run_times;
   OverloadState overload;
   CrashLedger crashes;
@@ -333,6 +344,7 @@
   Micros started_at = 0;
   Micros last_step_at = 0;
   Micros ownership_due = 0;
+  Micros forget_due = 0;
   Micros profile_update_due = 0;
   OwnerCandidates owner_candidates;
   uint64_t next_sequence = 1;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/admission/overload_control.h"
+#include "pool/admission/retry_after.h"
 #include "pool/job_outcome.h"
-#include "pool/overload_control.h"
-#include "pool/retry_after.h"
-#include "pool/run_ends.h"
-#include "pool/run_times.h"
-#include "pool/worker_health.h"
-#include "pool/worker_session.h"
+#include "pool/workers/open_run_news.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -80,68 +80,6 @@
                                             : ExpectedLateness::kVeryLate;
 }
 
-// Counts the failure of an attempt against its worker, unless the job has
-// already failed on another worker and thus is likely to be at fault itself.
-void CountWorkerFailure(PoolBoard& board,
-                        PoolWorker& worker,
-                        const PoolJob& job,
-                        Micros now,
-                        PoolActions& actions) {
-  const bool fails_elsewhere =
-      !job.failed_on.empty() && (job.failed_on.size() > 1 ||
-                                 *job.failed_on.begin() != worker.status.id());
-  if (fails_elsewhere || !RecordFailure(worker, now)) {
-    return;
-  }
-  ++board.counters.ejections;
-  LogPoolEvent(actions, LogLevel::kWarning, "worker_ejected",
-               {{"worker", worker.status.id()},
-                {"failures", std::to_string(worker.health.failures_in_row)},
-                {"for_ms", std::to_string((worker.health.ejected_until - now) /
-                                          kMillisecond)}});
-}
-
-void OnTaskDone(PoolBoard& board,
-                PoolWorker& worker,
-                PoolJob& job,
-                const TaskName& name,
-                const WorkerAttempt& attempt,
-                Micros now,
-                PoolActions& actions) {
-  // 0: unknown, since the start was not confirmed or the completion was
-  // reported late.
-  const Micros took = attempt.answered_at != 0 ? now - attempt.answered_at : 0;
-  RecordSuccess(worker, took, attempt.expected_run_time);
-  if (took != 0) {
-    LearnRunTime(board, job, name.step, worker, took);
-  }
-  job.steps[name.step].tasks[name.index].phase = TaskPhase::kDone;
-  --job.steps[name.step].open_tasks;
-  --job.open_tasks;
-  if (job.open_tasks == 0) {
-    EndJob(board, job.key, wire::JOB_COMPLETED, "", now, actions);
-  } else if (job.steps[name.step].open_tasks == 0) {
-    QueueUnblockedTasks(board, job);
-  }
-}
-
-void OnTaskFailed(PoolBoard& board,
-                  PoolWorker& worker,
-                  PoolJob& job,
-                  const TaskName& name,
-                  Micros now,
-                  PoolActions& actions) {
-  CountWorkerFailure(board, worker, job, now, actions);
-  job.failed_on.insert(worker.status.id());
-  PoolTask& task = job.steps[name.step].tasks[name.index];
-  ++task.failures;
-  if (task.failures >= job.order.max_attempts()) {
-    EndJob(board, job.key, wire::JOB_FAILED, "attempts_used_up", now, actions);
-    return;
-  }
-  QueueTask(board, job, name.step, name.index);
-}
-
 }  // namespace
 
 WaitingKey WaitingKeyOf(const PoolJob& job, uint32_t step, uint32_t index) {
@@ -201,9 +139,6 @@
   return found == board.jobs.end() ? nullptr : found->second.get();
 }
 
-namespace {
-
-// Returns the present job with the task, or null.
 PoolJob* FindJobOfTask(PoolBoard& board, const TaskName& name) {
   const auto key = board.job_keys.find(name.job_id);
   PoolJob* job =
@@ -213,8 +148,6 @@
   return has_task ? job : nullptr;
 }
 
-}  // namespace
-
 void QueueHeldTask(PoolBoard& board, const TaskName& name) {
   PoolJob* job = FindJobOfTask(board, name);
   if (job != nullptr &&
@@ -299,6 +232,20 @@
 
 namespace {
 
+// Announces the tasks that are bound to a worker here: another daemon may get
+// the job when it is sent again.
+void AnnounceBoundTasks(PoolBoard& board, const PoolJob& job) {
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      const TaskName name{job.order.job_id(), 0, step, i};
+      const StartBinding* binding = FindBinding(board, name);
+      if (binding != nullptr) {
+        AnnounceOpenRun(board, name, binding->until);
+      }
+    }
+  }
+}
+
 // Ends a job. A refused caller is told to return after `retry_after_ms`.
 void EndJobAs(PoolBoard& board,
               const std::string& key,
@@ -314,6 +261,11 @@
   }
   const std::unique_ptr<PoolJob> job = std::move(found->second);
   board.jobs.erase(found);
+  if (fate == wire::JOB_REFUSED && MayStillRun(board, job->order)) {
+    fate = wire::JOB_UNKNOWN;
+    retry_after_ms = 0;
+    try_elsewhere = false;
+  }
   RemoveFromQueue(board, *job);
   const auto by_id = board.job_keys.find(job->order.job_id());
   if (by_id != board.job_keys.end() && by_id->second == key) {
@@ -337,6 +289,7 @@
   SendOutcome(board, job->order,
               {fate, reason, retry_after_ms, try_elsewhere, job->deadline}, now,
               actions);
+  AnnounceBoundTasks(board, *job);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
@@ -383,69 +336,6 @@
            actions);
 }
 
-void OnAttemptEnded(PoolBoard& board,
-                    PoolWorker& worker,
-                    const TaskName& name,
-                    const WorkerAttempt& run,
-                    AttemptEnd end,
-                    bool never_ran,
-                    Micros now,
-                    PoolActions& actions) {
-  PoolJob* job = FindPoolJob(board, run.job_key);
-  if (job == nullptr) {
-    return;
-  }
-  PoolTask& task = job->steps[name.step].tasks[name.index];
-  if (task.phase != TaskPhase::kRunning ||
-      task.attempt_count != run.attempt_number ||
-      task.worker != worker.status.id()) {
-    return;
-  }
-  if (end != AttemptEnd::kDone) {
-    task.last_worker = worker.status.id();
-    LogPoolEvent(
-        actions, LogLevel::kWarning, "run_ended",
-        {{"job", name.job_id},
-         {"task", ToString(name)},
-         {"run", std::to_string(run.attempt_number)},
-         {"worker", worker.status.id()},
-         {"end", std::string(ToString(end))},
-         {"never_ran", never_ran ? "1" : "0"},
-         {"age_ms", std::to_string((now - run.sent_at) / kMillisecond)}});
-  }
-  if (!never_ran && end == AttemptEnd::kDone) {
-    OnTaskDone(board, worker, *job, name, run, now, actions);
-  } else if (!never_ran && end == AttemptEnd::kFailed) {
-    OnTaskFailed(board, worker, *job, name, now, actions);
-  } else {
-    QueueTask(board, *job, name.step, name.index);
-  }
-}
-
-void OnLateCompletion(PoolBoard& board,
-                      PoolWorker& worker,
-                      const TaskName& name,
-                      uint32_t run,
-                      Micros now,
-                      PoolActions& actions) {
-  PoolJob* job = FindJobOfTask(board, name);
-  if (job == nullptr) {
-    return;
-  }
-  const PoolTask& task = job->steps[name.step].tasks[name.index];
-  if (task.phase != TaskPhase::kWaiting || task.attempt_count != run ||
-      task.last_worker != worker.status.id()) {
-    return;
-  }
-  LogPoolEvent(actions, LogLevel::kInfo, "late_end_taken",
-               {{"job", name.job_id},
-                {"task", ToString(name)},
-                {"run", std::to_string(run)},
-                {"worker", worker.status.id()}});
-  board.waiting.erase(WaitingKeyOf(*job, name.step, name.index));
-  OnTaskDone(board, worker, *job, name, WorkerAttempt(), now, actions);
-}
-
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions) {
   const double margin = LatenessMargin(board.options.features);
   // The keys of the jobs, and whether the entry daemon is unreachable.
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -67,28 +67,6 @@
             Micros now,
             PoolActions& actions);
 
-// Handles the end of an attempt. `never_ran` means that the attempt certainly
-// never started.
-void OnAttemptEnded(PoolBoard& board,
-                    PoolWorker& worker,
-                    const TaskName& name,
-                    const WorkerAttempt& run,
-                    AttemptEnd end,
-                    bool never_ran,
-                    Micros now,
-                    PoolActions& actions);
-
-// Handles the late report that an attempt was done which this daemon had
-// counted as ended, because its worker had not answered until its lease
-// expired. The task is done and is not started again, unless a new attempt
-// already runs.
-void OnLateCompletion(PoolBoard& board,
-                      PoolWorker& worker,
-                      const TaskName& name,
-                      uint32_t run,
-                      Micros now,
-                      PoolActions& actions);
-
 // Ends jobs whose deadline has passed or whose entry daemon is unreachable.
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions);
 
@@ -123,6 +101,9 @@
                  ExpectedLateness lateness,
                  QueueRank rank);
 
+// Returns the present job with the task, or null.
+PoolJob* FindJobOfTask(PoolBoard& board, const TaskName& name);
+
 // Returns the job with this key, or null.
 PoolJob* FindPoolJob(PoolBoard& board, const std::string& key);
 
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -3,20 +3,23 @@
 #include <set>
 #include <string>
 
-#include "pool/crash_limit.h"
-#include "pool/crash_news.h"
-#include "pool/job_admission.h"
+#include "pool/admission/job_admission.h"
 #include "pool/load_report.h"
-#include "pool/mesh_orders.h"
+#include "pool/mesh/mesh_orders.h"
+#include "pool/placement/pool_placement.h"
 #include "pool/pool_jobs.h"
-#include "pool/pool_placement.h"
 #include "pool/pool_stop.h"
-#include "pool/run_ends.h"
-#include "pool/stragglers.h"
-#include "pool/worker_ownership.h"
-#include "pool/worker_record.h"
-#include "pool/worker_roster.h"
-#include "pool/worker_session.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/crash_news.h"
+#include "pool/workers/open_run_news.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/stragglers.h"
+#include "pool/workers/worker_ownership.h"
+#include "pool/workers/worker_record.h"
+#include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_session.h"
+#include "pool/workers/worker_table.h"
 
 namespace goldcrest {
 namespace {
@@ -52,6 +55,7 @@
     if (change != MemberChange::kNone) {
       SendWorkerTable(board, message.from(), now, actions);
       SendCrashLedger(board, message.from(), now, actions);
+      SendOpenRuns(board, message.from(), now, actions);
     }
     if (presence.wants_routing()) {
       OfferRouting(board, message.from(), presence.routing_version(), actions);
@@ -66,6 +70,7 @@
                   {"failure_domain", presence.failure_domain()}});
     SendWorkerTable(board, message.from(), now, actions);
     SendCrashLedger(board, message.from(), now, actions);
+    SendOpenRuns(board, message.from(), now, actions);
     // The other one needs this daemon's state for an election, so it does not
     // wait for the next period.
     board.mesh.next_heartbeat_at = now;
@@ -120,6 +125,11 @@
       OnCrashNews(board, message.crash_news(), now, actions);
       AnswerDelivery(message, true, actions);
       break;
+    case wire::PoolMessage::kOpenRunNews:
+      OnOpenRunNews(board, {from, message.incarnation()},
+                    message.open_run_news(), now, actions);
+      AnswerDelivery(message, true, actions);
+      break;
     case wire::PoolMessage::kWorkerRequest:
       OnHandoverRequest(board, from, message.worker_request(), now, actions);
       break;
@@ -266,11 +276,14 @@
 
 void RunDuePoolWork(PoolBoard& board, Micros now, PoolActions& actions) {
   OwnershipTick(board, now, actions);
+  ForgetGoneWorkers(board, now);
   JobsTick(board, now, actions);
   MoveStragglers(board, now, actions);
   ProfileTick(board, now, actions);
   CrashTick(board, now);
   OrphansTick(board, now);
+  BindingsTick(board, now);
+  OpenRunsTick(board, now, actions);
   MeshOrdersTick(board, now, actions);
   for (PoolWorker* worker : OwnedWorkers(board)) {
     SessionTick(board, *worker, now, actions);
@@ -296,10 +309,10 @@
   return board;
 }
 
-void PoolStep(PoolBoard& board,
-              const PoolEvent& event,
-              StepTime now,
-              PoolActions& actions) {
+void HandlePoolEvent(PoolBoard& board,
+                     const PoolEvent& event,
+                     StepTime now,
+                     PoolActions& actions) {
   board.wall_ms = now.wall_ms;
   HandleProcessPause(board, now.mono, actions);
   std::visit(
@@ -315,7 +328,20 @@
     DrainTick(board, now.mono, actions);
     MeshTick(board.mesh, now.mono, actions);
   }
+}
+
+void PlaceTasks(PoolBoard& board, StepTime now, PoolActions& actions) {
+  board.wall_ms = now.wall_ms;
+  HandleProcessPause(board, now.mono, actions);
   PlaceWaitingTasks(board, now.mono, actions);
 }
 
+void PoolStep(PoolBoard& board,
+              const PoolEvent& event,
+              StepTime now,
+              PoolActions& actions) {
+  HandlePoolEvent(board, event, now, actions);
+  PlaceTasks(board, now, actions);
+}
+
 }  // namespace goldcrest
--- a/pool/pool_step.h
+++ b/pool/pool_step.h
@@ -1,15 +1,18 @@
 #ifndef POOL_POOL_STEP_H_
 #define POOL_POOL_STEP_H_
 
-// PoolStep() is the only entry point to the decision code of a control daemon;
-// RunDuePoolWork() and HandleProcessPause() are shared with entry daemons.
+// The entry points to the decision code of a control daemon; RunDuePoolWork()
+// and HandleProcessPause() are shared with entry daemons.
 //
 //   PoolBoard board = MakePoolBoard(...);
-//   PoolStep(board, event, now, actions);   // once for each event
+//   HandlePoolEvent(board, event, now, actions);  // once for each event
+//   PlaceTasks(board, now, actions);              // after the last of them
 //
-// Each step detects a pause of the process, handles the event, advances the
-// configuration agreement, and places waiting tasks on workers. Periodic work
-// runs only in steps for PoolTimeAdvanced, before tasks are placed.
+// HandlePoolEvent() detects a pause of the process, handles the event and
+// advances the configuration agreement. Periodic work runs only in steps for
+// PoolTimeAdvanced. PlaceTasks() places waiting tasks on workers: one plan for
+// all events that arrived together, since a plan costs far more than an event
+// does. PoolStep() is both, for one event.
 
 #include <cstdint>
 #include <string>
@@ -99,7 +102,17 @@
 // if there was a pause.
 bool HandleProcessPause(PoolBoard& board, Micros now, PoolActions& actions);
 
-// Handles `event` and appends the resulting actions to `actions`.
+// Handles `event`, without placing tasks, and appends the resulting actions to
+// `actions`.
+void HandlePoolEvent(PoolBoard& board,
+                     const PoolEvent& event,
+                     StepTime now,
+                     PoolActions& actions);
+
+// Places waiting tasks on workers if an event since the last call allows that.
+void PlaceTasks(PoolBoard& board, StepTime now, PoolActions& actions);
+
+// Handles `event` and places waiting tasks.
 void PoolStep(PoolBoard& board,
               const PoolEvent& event,
               StepTime now,
--- a/pool/pool_stop.cc
+++ b/pool/pool_stop.cc
@@ -6,10 +6,10 @@
 #include <utility>
 #include <vector>
 
-#include "pool/end_estimate.h"
 #include "pool/job_forwarding.h"
+#include "pool/placement/end_estimate.h"
 #include "pool/pool_jobs.h"
-#include "pool/worker_session.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/pool_worker.h
+++ b/pool/pool_worker.h
@@ -53,6 +53,12 @@
   // Start time of the worker's process that confirmed the attempt, as the
   // worker reports it; 0: not known.
   int64_t process_ms = 0;
+  // The worker has refused its start, since this run or a later one of the task
+  // has ended there: it is over, or never was, and the next list shows that.
+  bool stale = false;
+  // Whether the worker's `lease_expires_at` bounds it: a process has confirmed
+  // it, on whose clock that lease is counted.
+  bool lease_known = false;
   AttemptState state = AttemptState::kSent;
   Resources resources;
   Micros sent_at = 0;
@@ -183,8 +189,8 @@
   AnnouncedRecord announced;
   int64_t clock_ms = 0;  // the worker's clock at clock_at; 0: unknown
   Micros clock_at = 0;
-  // By then the lease has certainly expired and no attempt runs, unless an
-  // order renews it.
+  // By then the lease has certainly expired on the present process, unless an
+  // order renews it, and no attempt with `lease_known` runs.
   Micros lease_expires_at = 0;
   Micros last_answer_at = 0;  // when it last answered an order of this daemon
   std::map<TaskName, WorkerAttempt> attempts;
@@ -193,6 +199,9 @@
   WorkerProfile profile;
   WorkerLoss loss;
   std::optional<ProcessClaim> claim;
+  // When a list last had a run of a task beside another one of that task here,
+  // which was stopped.
+  Micros second_run_at = 0;
   // Its present process has answered an order and has not reported yet, so that
   // its capacity is not known: it gets no tasks.
   bool unreported = false;
--- a/pool/testing/agreement_voters_test.cc
+++ b/pool/testing/agreement_voters_test.cc
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/agreement.h"
+#include "pool/agreement/agreement.h"
 #include "pool/testing/pool_load.h"
 
 namespace goldcrest {
--- a/pool/testing/cancel_requests_test.cc
+++ b/pool/testing/cancel_requests_test.cc
@@ -1,6 +1,6 @@
 // Cancels of jobs that the asked entry daemon does not have.
 
-#include "pool/cancel_requests.h"
+#include "pool/entry/cancel_requests.h"
 
 #include <catch2/catch.hpp>
 
--- a/pool/testing/capacity_change_test.cc
+++ b/pool/testing/capacity_change_test.cc
@@ -3,9 +3,9 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/task_requirements.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/testing/pool_load.h"
-#include "pool/worker_session.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -124,6 +124,7 @@
   OnWorkerAnswer(board, answer, kSecond, actions);
   worker.status.set_cpu_millis(kFullCpuMillis);
   CHECK_FALSE(AcceptsStarts(worker, kSecond));
+  answer.clock_ms = 1001;
   answer.running.clear();
   answer.ended.push_back({1, {"job", 0, 0, 0}, 1, AttemptEnd::kStopped});
   OnWorkerAnswer(board, answer, 2 * kSecond, actions);
--- a/pool/testing/choose_worker_test.cc
+++ b/pool/testing/choose_worker_test.cc
@@ -6,8 +6,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/choose_worker.h"
-#include "pool/worker_health.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/workers/worker_health.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/crash_limit_test.cc
+++ b/pool/testing/crash_limit_test.cc
@@ -3,9 +3,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/crash_limit.h"
 #include "pool/testing/pool_load.h"
-#include "pool/worker_loss.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/crash_news.h"
+#include "pool/workers/worker_loss.h"
+#include "pool/workers/worker_roster.h"
 
 namespace goldcrest {
 namespace {
@@ -119,6 +121,22 @@
   }
 }
 
+TEST_CASE("CrashNews: late news does not count a worker as away that is back") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    WaitUntilServing(pool);
+    pool.Submit(0, DeadlyJob(1));
+    pool.Run(20 * kMillisecond);
+    pool.KillControl(1);  // the news of the first crash is repeated to it
+    pool.Run(kSecond + kOutageOfCrash);
+    pool.StartControl(1);
+    pool.Run(2 * kSecond);
+    CHECK(pool.controls()[1].board.crashes.jobs.size() == 1);
+    CHECK(pool.controls()[1].board.crashes.away.empty());
+    CHECK(pool.controls()[1].board.crashes.queue_crashes.empty());
+  }
+}
+
 TEST_CASE("CrashNews: a job that was given up fails at once at every daemon") {
   FakePool pool(Options());
   WaitUntilServing(pool);
@@ -152,6 +170,56 @@
   RequireNoViolation(pool);
 }
 
+// Returns a report of a worker at the one address of these tests.
+wire::WorkerNews ReportOf(const std::string& id, int64_t born_ms) {
+  wire::WorkerNews report;
+  report.set_id(id);
+  report.set_address("10.0.0.1:80");
+  report.set_failure_domain("a");
+  report.set_born_ms(born_ms);
+  report.set_sequence(1);
+  return report;
+}
+
+// Returns the board of a control daemon that has no session with a worker and
+// has been told at `now` that the worker crashed.
+PoolBoard BoardTold(Micros now, PoolActions& actions) {
+  PoolBoard board;
+  board.mesh.options.failure_domain = "a";
+  OnWorkerReport(board, ReportOf("first", 1), now, actions);
+  wire::CrashNews news;
+  wire::TaskCrash& crash = *news.add_crashes();
+  crash.set_job_id("job");
+  crash.set_queue("q");
+  crash.set_address("10.0.0.1:80");
+  crash.set_born_ms(1);
+  wire::AwayWorker& away = *news.add_away();
+  away.set_address("10.0.0.1:80");
+  away.set_failure_domain("a");
+  away.set_queue("q");
+  OnCrashNews(board, news, now, actions);
+  return board;
+}
+
+// Guards against a queue that is held for 10 s at the daemons that did not own
+// the crashed worker.
+TEST_CASE(
+    "CrashLedger: a worker with a successor is not away, whoever owns it") {
+  PoolActions actions;
+  PoolBoard board = BoardTold(kSecond, actions);
+  CHECK(board.crashes.away.size() == 1);
+  // The successor at the address has another id.
+  OnWorkerReport(board, ReportOf("second", 2), 4 * kSecond, actions);
+  CHECK(board.crashes.away.empty());
+
+  PoolBoard told_gone = BoardTold(kSecond, actions);
+  wire::WorkerTableNews update;
+  *update.add_workers() = ReportOf("first", 1);
+  update.mutable_workers(0)->set_gone(true);
+  OnWorkerUpdate(told_gone, "10.0.0.9:7060", update, 4 * kSecond, actions);
+  CHECK(told_gone.crashes.away.empty());
+}
+
 TEST_CASE("WorkerLoss: the cause follows from the evidence") {
   LossEvidence evidence;
   evidence.lost_workers = 1;
--- a/pool/testing/entry_stop_test.cc
+++ b/pool/testing/entry_stop_test.cc
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/entry_test.cc
+++ b/pool/testing/entry_test.cc
@@ -2,9 +2,9 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/daemon_choice.h"
-#include "pool/entry.h"
-#include "pool/pending_jobs.h"
+#include "pool/entry/daemon_choice.h"
+#include "pool/entry/entry.h"
+#include "pool/entry/pending_jobs.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -161,8 +161,25 @@
     return;
   }
   PoolActions actions;
-  PoolStep(control.board, event, Clock(), actions);
+  HandlePoolEvent(control.board, event, Clock(), actions);
   Perform(index, true, std::move(actions));
+  PlaceAfterEvents(index);
+}
+
+void FakePool::PlaceAfterEvents(size_t index) {
+  if (std::exchange(controls_[index].placement_scheduled, true)) {
+    return;
+  }
+  Schedule(now_, [this, index] {
+    FakeControl& control = controls_[index];
+    control.placement_scheduled = false;
+    if (!control.running || control.paused) {
+      return;
+    }
+    PoolActions actions;
+    PlaceTasks(control.board, Clock(), actions);
+    Perform(index, true, std::move(actions));
+  });
 }
 
 void FakePool::StepEntry(size_t index, const EntryEvent& event) {
@@ -243,6 +260,7 @@
                        uint64_t incarnation) {
   send.message.set_from(from);
   send.message.set_incarnation(incarnation);
+  ++messages_[send.message.body_case()];
   routings_sent_ += send.message.has_routing() ? 1 : 0;
   const bool entry_to_control =
       from.starts_with("entry") != send.to.starts_with("entry");
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -22,7 +22,7 @@
 #include <utility>
 #include <vector>
 
-#include "pool/entry.h"
+#include "pool/entry/entry.h"
 #include "pool/pool_step.h"
 #include "pool/testing/fake_worker.h"
 
@@ -78,6 +78,7 @@
   bool running = true;
   bool paused = false;
   bool disk_write_fails = false;
+  bool placement_scheduled = false;
   // Incremented by each start and kill, so that events of the previous process
   // are dropped.
   int incarnation = 0;
@@ -125,6 +126,9 @@
 
   // Ends the process of a worker, which is back after `outage` under its id.
   void CrashWorker(size_t worker, Micros outage);
+  // Another process takes the place of a worker at its address at once, under
+  // the id `id`, which may be the same.
+  void ReplaceWorker(size_t worker, const std::string& id);
   // The worker reports that it drains, sends its deregister call after `drain`
   // and ends; it is back after `outage`. The call arrives `delay` after it was
   // sent.
@@ -201,6 +205,11 @@
   // Number of daemons that were killed at the end of a graceful stop.
   int killed_at_stop() const { return killed_at_stop_; }
 
+  // Number of messages between daemons since the start that a single event
+  // causes: all but those that are sent periodically, of heartbeats and the
+  // agreement.
+  uint64_t CountEventMessages() const;
+
   // Number of log lines with this event name.
   int CountLogged(const std::string& event) const;
 
@@ -212,6 +221,8 @@
     return {now_, 1'700'000'000'000 + now_ / kMillisecond};
   }
   void StepControl(size_t index, const PoolEvent& event);
+  // Places tasks once for all events of this moment, as the daemon's loop does.
+  void PlaceAfterEvents(size_t index);
   void StepEntry(size_t index, const EntryEvent& event);
   void Perform(size_t index, bool is_control, PoolActions actions);
   void Deliver(const std::string& from, SendMessage send, uint64_t incarnation);
@@ -226,6 +237,8 @@
   void AnswerAt(Micros when, const Sender& sender, const WorkerAnswer& answer);
   // Whether something happens that has this probability.
   bool Happens(double share);
+  // Executes the order now, unless another worker has its address.
+  WorkerAnswer Execute(const WorkerOrder& order);
   // Executes the order now and answers it, at once or when an attempt ends.
   void ExecuteAndAnswer(const Sender& sender, const WorkerOrder& order);
   void DeliverReport(const wire::WorkerNews& report);
@@ -261,6 +274,7 @@
   int killed_at_stop_ = 0;
   std::map<std::string, std::string> domain_of_address_;  // by address
   std::map<std::string, int> logged_;
+  std::map<wire::PoolMessage::BodyCase, uint64_t> messages_;  // sent, by kind
 };
 
 }  // namespace goldcrest
--- a/pool/testing/fake_pool_counts.cc
+++ b/pool/testing/fake_pool_counts.cc
@@ -18,4 +18,15 @@
       }));
 }
 
+uint64_t FakePool::CountEventMessages() const {
+  uint64_t count = 0;
+  for (const auto& [kind, messages] : messages_) {
+    const bool periodic = kind == wire::PoolMessage::kPresence ||
+                          kind == wire::PoolMessage::kAppend ||
+                          kind == wire::PoolMessage::kAppendReply;
+    count += periodic ? 0 : messages;
+  }
+  return count;
+}
+
 }  // namespace goldcrest
--- a/pool/testing/fake_pool_workers.cc
+++ b/pool/testing/fake_pool_workers.cc
@@ -52,7 +52,7 @@
 void FakePool::SendToWorker(const Sender& sender, WorkerOrder order) {
   const std::string& from = sender.is_control ? controls_[sender.index].address
                                               : entries_[sender.index].address;
-  FakeWorker* worker = FindWorker(workers_, order.worker);
+  FakeWorker* worker = FindWorker(workers_, order.address);
   const bool cut = cuts_.contains({from, worker->status.failure_domain()});
   const bool late = Happens(worker->late_order_share);
   if (!cut && worker->reachable && worker->crashed) {
@@ -72,9 +72,8 @@
       std::uniform_int_distribution<Micros> delay(worker->shortest_delay,
                                                   worker->longest_delay);
       Schedule(now_ + delay(random_), [this, order] {
-        FakeWorker* target = FindWorker(workers_, order.worker);
-        if (target->up) {
-          ExecuteOrder(workers_, *target, order, now_);
+        if (FindWorker(workers_, order.address)->up) {
+          Execute(order);
         }
       });
     }
@@ -84,12 +83,21 @@
            [this, sender, order] { ExecuteAndAnswer(sender, order); });
 }
 
+WorkerAnswer FakePool::Execute(const WorkerOrder& order) {
+  FakeWorker& worker = *FindWorker(workers_, order.address);
+  if (worker.status.id() != order.worker && worker.up) {
+    return Unanswered(order, OrderOutcome::kOtherIncarnation,
+                      CallFailure::kNone);
+  }
+  return ExecuteOrder(workers_, worker, order, now_);
+}
+
 void FakePool::ExecuteAndAnswer(const Sender& sender,
                                 const WorkerOrder& order) {
-  FakeWorker* target = FindWorker(workers_, order.worker);
-  WorkerAnswer answer = ExecuteOrder(workers_, *target, order, now_);
+  FakeWorker* target = FindWorker(workers_, order.address);
+  WorkerAnswer answer = Execute(order);
   if (target->up && Happens(target->duplicate_share)) {
-    answer = ExecuteOrder(workers_, *target, order, now_);
+    answer = Execute(order);
   }
   if (target->up && Happens(target->lost_answer_share)) {
     AnswerAt(now_ + order.timeout, sender,
@@ -108,8 +116,7 @@
   *poll = [this, order, sender, until, poll] {
     WorkerOrder query = order;
     query.lease_until_ms = 0;
-    WorkerAnswer listed = ExecuteOrder(
-        workers_, *FindWorker(workers_, order.worker), query, now_);
+    WorkerAnswer listed = Execute(query);
     listed.order = order;
     if (listed.ended.empty() && now_ < until &&
         listed.outcome == OrderOutcome::kDone) {
@@ -147,7 +154,7 @@
 // Delivers a report to a control daemon that the worker can reach: the one that
 // it was told to report to comes first.
 void FakePool::DeliverReport(const wire::WorkerNews& report) {
-  FakeWorker& worker = *FindWorker(workers_, report.id());
+  FakeWorker& worker = *FindWorker(workers_, report.address());
   std::vector<size_t> order;
   for (size_t i = 0; i < controls_.size(); ++i) {
     order.push_back(i);
@@ -194,6 +201,13 @@
   }
 }
 
+void FakePool::ReplaceWorker(size_t worker, const std::string& id) {
+  FakeWorker& replaced = workers_.all[worker];
+  EndProcess(workers_, replaced, now_);
+  replaced.status.set_id(id);
+  replaced.report_to.clear();
+}
+
 void FakePool::LeaveWorker(size_t worker,
                            Micros drain,
                            Micros delay,
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -23,9 +23,11 @@
          order.spec.substr(last + 1) == std::to_string(order.task.index);
 }
 
+// The clock starts anew with each process.
 Micros WorkerClock(const FakeWorker& worker, Micros now) {
   return worker.clock_offset +
-         static_cast<Micros>(worker.clock_rate * static_cast<double>(now));
+         static_cast<Micros>(worker.clock_rate *
+                             static_cast<double>(now - worker.born_at));
 }
 
 void EndRun(FakeWorkers& workers,
@@ -136,6 +138,7 @@
 }
 
 void ListAttempts(const FakeWorker& worker, Micros now, WorkerAnswer& answer) {
+  answer.worker_started_ms = worker.status.born_ms();
   answer.ended = worker.unacknowledged_ends;
   for (const auto& [name, run] : worker.attempts) {
     const Micros run_time = std::max<Micros>(run.ends_at - run.started_at, 1);
@@ -160,14 +163,13 @@
                           Micros now) {
   WorkerAnswer answer;
   answer.order = order;
-  answer.clock_ms = WorkerClock(worker, now) / kMillisecond;
-  answer.worker_started_ms = worker.status.born_ms();
   if (!worker.up || !worker.reachable) {
     answer.outcome = OrderOutcome::kNoAnswer;
     answer.failure =
         worker.crashed ? CallFailure::kClosed : CallFailure::kTimeout;
     return answer;
   }
+  answer.clock_ms = WorkerClock(worker, now) / kMillisecond;
   if (order.token < worker.highest_token) {
     answer.outcome = OrderOutcome::kFenced;
     return answer;
@@ -220,7 +222,7 @@
     worker.status.set_sequence(0);
     worker.status.set_leaving(false);
     worker.draining_confirmed_at = 0;
-    worker.report_due = now;
+    worker.report_due = now + worker.first_report_after;
   }
 }
 
@@ -239,9 +241,9 @@
   }
 }
 
-FakeWorker* FindWorker(FakeWorkers& workers, const std::string& id) {
+FakeWorker* FindWorker(FakeWorkers& workers, const std::string& address) {
   for (FakeWorker& worker : workers.all) {
-    if (worker.status.id() == id) {
+    if (worker.status.address() == address) {
       return &worker;
     }
   }
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -60,7 +60,7 @@
   double duplicate_share = 0;
   double closed_share = 0;
   double lost_report_share = 0;  // of its reports that arrive late, or never
-  Micros clock_offset = 0;       // of its own clock relative to the model's
+  Micros clock_offset = 0;       // of its own clock at the process's start
   double clock_rate = 1;         // of its own clock: below 1 it runs slow
   Micros born_at = 0;  // when its process started, on the model's clock
   // When a control daemon first confirmed its report that it drains; 0: never.
@@ -74,6 +74,8 @@
   std::vector<EndedAttempt> unacknowledged_ends;
   uint64_t next_end = 1;
   Micros report_due = 0;
+  // Time from the start of its process to its first report.
+  Micros first_report_after = 0;
   std::string report_to;  // address of a control daemon
 };
 
@@ -120,8 +122,8 @@
 // Ends the attempts that are finished, stopped, or past the worker's lease.
 void EndFinishedAttempts(FakeWorkers& workers, FakeWorker& worker, Micros now);
 
-// Returns the worker with this id, or null if there is none.
-FakeWorker* FindWorker(FakeWorkers& workers, const std::string& id);
+// Returns the worker at this address, or null if there is none.
+FakeWorker* FindWorker(FakeWorkers& workers, const std::string& address);
 
 }  // namespace goldcrest
 
--- a/pool/testing/operator_troubles_test.cc
+++ b/pool/testing/operator_troubles_test.cc
@@ -6,11 +6,11 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/end_estimate.h"
-#include "pool/job_admission.h"
+#include "pool/admission/job_admission.h"
+#include "pool/placement/end_estimate.h"
 #include "pool/pool_jobs.h"
 #include "pool/testing/pool_load.h"
-#include "pool/worker_roster.h"
+#include "pool/workers/worker_roster.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -6,9 +6,9 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/overload_control.h"
+#include "pool/admission/overload_control.h"
+#include "pool/admission/retry_after.h"
 #include "pool/pool_jobs.h"
-#include "pool/retry_after.h"
 #include "pool/testing/pool_load.h"
 
 namespace goldcrest {
--- a/pool/testing/placement_measure.cc
+++ b/pool/testing/placement_measure.cc
@@ -28,9 +28,11 @@
 #include <string>
 #include <vector>
 
-#include "pool/job_admission.h"
+#include "pool/admission/job_admission.h"
+#include "pool/placement/pool_placement.h"
 #include "pool/pool_jobs.h"
-#include "pool/pool_placement.h"
+#include "pool/task_ends.h"
+#include "pool/workers/run_ends.h"
 
 namespace goldcrest {
 namespace {
@@ -358,8 +360,10 @@
     if (--job.open == 0) {
       job.end_at = now_;
     }
-    OnAttemptEnded(board_, worker, name, attempt, AttemptEnd::kDone, false,
-                   now_, actions_);
+    const auto proof = ProveListedEnd(
+        attempt, {1, name, attempt.attempt_number, AttemptEnd::kDone});
+    OnAttemptEnded(board_, worker, name, attempt, *proof, false, now_,
+                   actions_);
   }
 
   void Schedule(Micros at, std::function<void()> run) {
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -5,10 +5,12 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/placement_plan.h"
+#include "pool/placement/placement_plan.h"
+#include "pool/placement/pool_placement.h"
 #include "pool/pool_jobs.h"
-#include "pool/pool_placement.h"
+#include "pool/pool_step.h"
 #include "pool/testing/pool_load.h"
+#include "pool/workers/start_bindings.h"
 
 namespace goldcrest {
 namespace {
@@ -290,6 +292,65 @@
   CHECK(board.waiting.size() == 100);
 }
 
+// Adds a job of one task, which may be started.
+void QueueJob(PoolBoard& board, const std::string& id) {
+  auto job = std::make_unique<PoolJob>();
+  job->key = id;
+  job->order.set_job_id(id);
+  job->sequence = board.next_sequence++;
+  job->start_permitted = true;
+  job->deadline = kSecond;
+  wire::JobStep& step = *job->order.add_steps();
+  step.set_tasks(1);
+  step.set_cpu_millis(8'000);
+  job->steps.emplace_back().tasks.resize(1);
+  job->steps[0].open_tasks = 1;
+  QueueUnblockedTasks(board, *job);
+  board.jobs[id] = std::move(job);
+}
+
+// Guards against free workers that stay idle while the tasks at the head of the
+// queue wait for workers that have not answered their starts.
+TEST_CASE(
+    "Placement with lookahead starts a job behind 100 tasks that are bound to "
+    "workers without free capacity") {
+  PoolBoard board;
+  const PoolWorker& free = AddWorker(board);
+  PoolWorker& busy = board.workers["busy"];
+  busy.status.set_id("busy");
+  busy.session = GENERATE(SessionState::kReady, SessionState::kReconciling);
+  busy.clock_ms = 1;
+  board.owned["busy"] = &busy;
+  PoolActions actions;
+  for (int i = 0; i < 100; ++i) {
+    const std::string id = "bound" + std::to_string(i);
+    QueueJob(board, id);
+    BindTask(board, {id, 0, 0, 0}, "busy", kSecond, actions);
+  }
+  QueueJob(board, "last");
+  board.placement_due = true;
+  PlaceWaitingTasks(board, 1, actions);
+  CHECK(free.attempts.contains({"last", 0, 0, 0}));
+  CHECK(board.waiting.size() == 100);
+}
+
+// Guards against a daemon that is busy with plans while the answers to its
+// orders wait: at a burst, a plan for each event took most of its time.
+TEST_CASE("PoolStep: events that arrive together are planned once") {
+  PoolBoard board;
+  const PoolWorker& worker = AddWorker(board);
+  PoolActions actions;
+  for (const std::string id : {"a", "b"}) {
+    QueueJob(board, id);
+    board.placement_due = true;
+    HandlePoolEvent(board, WorkerLeft{"unknown"}, {1, 1}, actions);
+  }
+  CHECK(board.counters.plans == 0);
+  PlaceTasks(board, {1, 1}, actions);
+  CHECK(board.counters.plans == 1);
+  CHECK(worker.attempts.size() == 2);
+}
+
 TEST_CASE(
     "Placement with lookahead starts no step of a job of which another step is "
     "too late") {
--- a/pool/testing/pool_promises_test.cc
+++ b/pool/testing/pool_promises_test.cc
@@ -313,8 +313,8 @@
   }
 }
 
-// Reproduces the scenario trouble-1 of lscb-ops: all VMs lose power, and until
-// a leader is elected every job is refused.
+// Guards against a time without a leader, in which every job is refused, after
+// all VMs have lost power.
 TEST_CASE(
     "Agreement: after a power loss of all VMs a leader is elected without "
     "delay") {
--- a/pool/testing/request_hold_test.cc
+++ b/pool/testing/request_hold_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/request_hold.h"
+#include "pool/entry/request_hold.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/run_history.h
+++ b/pool/testing/run_history.h
@@ -7,10 +7,11 @@
 // Two control daemons, two entry daemons and a few workers serve jobs of
 // different lengths while a few troubles happen at random: orders and their
 // answers are lost, late, doubled or carried out by a later process; workers
-// crash and come back, leave, and are cut off; reports are late or from another
-// writer; clocks run slow; daemons are paused, killed and cut off; callers
-// cancel their jobs and send them again. What the workers and callers have seen
-// is checked afterwards; the order of events is not prescribed.
+// crash and come back, several times, with a new clock each time, leave, and
+// are cut off; reports are late or from another writer; clocks run slow;
+// daemons are paused, killed and cut off; callers cancel their jobs and send
+// them again. What the workers and callers have seen is checked afterwards; the
+// order of events is not prescribed.
 
 #include <cstdint>
 #include <string>
--- a/pool/testing/worker_loss_test.cc
+++ b/pool/testing/worker_loss_test.cc
@@ -1,10 +1,13 @@
 // What counts as a crash of a worker's process, and against which tasks.
 
-#include "pool/worker_loss.h"
+#include "pool/workers/worker_loss.h"
+
+#include <algorithm>
 
 #include <catch2/catch.hpp>
 
 #include "pool/testing/pool_load.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -118,5 +121,53 @@
   CHECK(CountCrashes(board.crashes, sent) == 0);
 }
 
+// Guards against a job shown as failed after one crash: its run on the second
+// worker had been refused as one that had ended there before.
+TEST_CASE("WorkerLoss: a run that its worker refused as ended is not charged") {
+  PoolBoard board;
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_id("w");
+  worker.session = SessionState::kReady;
+  worker.session_number = 1;
+  board.owned["w"] = &worker;
+  const TaskName name{"job", 0, 0, 0};
+  board.jobs["job"] = std::make_unique<PoolJob>();
+  worker.attempts[name].job_key = "job";
+  worker.attempts[name].attempt_number = 1;
+  WorkerAnswer answer;
+  answer.order.worker = "w";
+  answer.order.session = 1;
+  answer.order.kind = OrderKind::kStart;
+  answer.order.task = name;
+  answer.order.attempt = 1;
+  answer.outcome = OrderOutcome::kStaleAttempt;
+  PoolActions actions;
+  OnWorkerAnswer(board, answer, kSecond, actions);
+  REQUIRE(worker.attempts.at(name).answered_at != 0);
+  OnWorkerProcessLost(board, worker, true, 2 * kSecond, actions);
+  CHECK(CountCrashes(board.crashes, name) == 0);
+}
+
+// Guards against messages without content, which each daemon must answer.
+TEST_CASE("WorkerLoss: a restart that is charged to no task is not announced") {
+  PoolBoard board;
+  MeshMember& other = board.mesh.members["other"];
+  other.address = "other";
+  other.incarnation = 1;
+  other.last_received_at = kSecond;
+  other.last_heartbeat.set_control(true);
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_address("10.0.0.1:80");
+  board.owned["w"] = &worker;
+  worker.attempts[{"sent", 0, 0, 0}].job_key = "sent";
+  PoolActions actions;
+  OnWorkerProcessLost(board, worker, true, kSecond, actions);
+  CHECK(std::none_of(actions.begin(), actions.end(),
+                     [](const PoolAction& action) {
+                       return std::holds_alternative<SendMessage>(action);
+                     }));
+  CHECK(board.unanswered.by_number.empty());
+}
+
 }  // namespace
 }  // namespace goldcrest
--- a/pool/testing/worker_profile_test.cc
+++ b/pool/testing/worker_profile_test.cc
@@ -1,16 +1,16 @@
 // The run times learned for each worker, and their transfer between daemons.
 
-#include "pool/worker_profile.h"
+#include "pool/workers/worker_profile.h"
 
 #include <cmath>
 #include <random>
 
 #include <catch2/catch.hpp>
 
-#include "pool/run_times.h"
-#include "pool/slow_evidence.h"
 #include "pool/testing/pool_load.h"
-#include "pool/worker_record.h"
+#include "pool/workers/run_times.h"
+#include "pool/workers/slow_evidence.h"
+#include "pool/workers/worker_record.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/testing/worker_report_test.cc
+++ b/pool/testing/worker_report_test.cc
@@ -1,6 +1,6 @@
 // What workers' reports change, in whatever order they arrive.
 
-#include "pool/worker_report.h"
+#include "pool/workers/worker_report.h"
 
 #include <algorithm>
 
@@ -44,7 +44,7 @@
 }
 
 // Guards against a storm of messages: each daemon told all others of each
-// worker that was replaced at its address (nadamani-sched-large, scale-1).
+// worker that was replaced at its address.
 TEST_CASE(
     "WorkerReport: a replaced worker is not announced by those without a "
     "session with it") {
--- a/pool/crash_ledger.cc
+++ b/pool/workers/crash_ledger.cc
@@ -1,4 +1,4 @@
-#include "pool/crash_ledger.h"
+#include "pool/workers/crash_ledger.h"
 
 #include <algorithm>
 #include <set>
--- a/pool/crash_ledger.h
+++ b/pool/workers/crash_ledger.h
@@ -1,5 +1,5 @@
-#ifndef POOL_CRASH_LEDGER_H_
-#define POOL_CRASH_LEDGER_H_
+#ifndef POOL_WORKERS_CRASH_LEDGER_H_
+#define POOL_WORKERS_CRASH_LEDGER_H_
 
 // The record of tasks under which workers have crashed, and of the workers that
 // are away because of that.
@@ -129,4 +129,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_CRASH_LEDGER_H_
+#endif  // POOL_WORKERS_CRASH_LEDGER_H_
--- a/pool/crash_limit.cc
+++ b/pool/workers/crash_limit.cc
@@ -1,10 +1,11 @@
-#include "pool/crash_limit.h"
+#include "pool/workers/crash_limit.h"
 
 #include <algorithm>
 
-#include "pool/choose_worker.h"
-#include "pool/placement_input.h"
-#include "pool/task_requirements.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/placement_input.h"
+#include "pool/placement/task_requirements.h"
+#include "pool/workers/start_bindings.h"
 
 namespace goldcrest {
 namespace {
@@ -42,13 +43,17 @@
 }
 
 // Returns whether the worker, when it is idle, could run the task.
-bool CouldHold(const PoolWorker& worker,
+bool CouldHold(const PoolBoard& board,
+               const PoolWorker& worker,
                const PoolJob& job,
                const WaitingKey& key) {
   const wire::JobStep& step = job.order.steps(static_cast<int>(key.step));
   const PoolTask& task = job.steps[key.step].tasks[key.index];
+  const TaskName name{job.order.job_id(), 0, key.step, key.index};
   return FitsWhenIdle(worker, job.order, step) &&
-         worker.status.id() != task.last_worker;
+         MayStartOn(board, name, worker) &&
+         (worker.status.id() != task.last_worker ||
+          IsBoundTo(board, name, worker.status.id()));
 }
 
 }  // namespace
@@ -107,14 +112,15 @@
       });
 }
 
-SuspectPlacement PlaceSuspect(const std::vector<PoolWorker*>& ready,
+SuspectPlacement PlaceSuspect(const PoolBoard& board,
+                              const std::vector<PoolWorker*>& ready,
                               const PoolJob& job,
                               const WaitingKey& key,
                               Micros now) {
   SuspectPlacement best;
   Micros best_time = 0;
   for (PoolWorker* worker : ready) {
-    if (worker->held_for_suspect || !CouldHold(*worker, job, key)) {
+    if (worker->held_for_suspect || !CouldHold(board, *worker, job, key)) {
       continue;
     }
     if (worker->attempts.empty()) {
--- a/pool/crash_limit.h
+++ b/pool/workers/crash_limit.h
@@ -1,5 +1,5 @@
-#ifndef POOL_CRASH_LIMIT_H_
-#define POOL_CRASH_LIMIT_H_
+#ifndef POOL_WORKERS_CRASH_LIMIT_H_
+#define POOL_WORKERS_CRASH_LIMIT_H_
 
 // The limits of what tasks that crash workers may take from the others.
 //
@@ -53,7 +53,8 @@
 // Chooses a worker for a suspect among those that accept starts: the idle one
 // with the least capacity that holds it, else the one that is idle first. Not
 // the worker where it ran last.
-SuspectPlacement PlaceSuspect(const std::vector<PoolWorker*>& ready,
+SuspectPlacement PlaceSuspect(const PoolBoard& board,
+                              const std::vector<PoolWorker*>& ready,
                               const PoolJob& job,
                               const WaitingKey& key,
                               Micros now);
@@ -63,4 +64,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_CRASH_LIMIT_H_
+#endif  // POOL_WORKERS_CRASH_LIMIT_H_
--- a/pool/crash_news.cc
+++ b/pool/workers/crash_news.cc
@@ -1,9 +1,11 @@
-#include "pool/crash_news.h"
+#include "pool/workers/crash_news.h"
 
+#include <algorithm>
 #include <utility>
 
-#include "pool/mesh_orders.h"
+#include "pool/mesh/mesh_orders.h"
 #include "pool/pool_jobs.h"
+#include "pool/workers/worker_table.h"
 
 namespace goldcrest {
 namespace {
@@ -28,13 +30,6 @@
           row.alone()};
 }
 
-// Returns whether the daemon may get tasks that ran here.
-bool ReceivesCrashes(const PoolBoard& board, const MeshMember& member) {
-  return member.last_heartbeat.control() ||
-         (member.incarnation != 0 && member.last_heartbeat.failure_domain() ==
-                                         board.mesh.options.failure_domain);
-}
-
 void AddAway(const PoolBoard& board,
              const std::string& address,
              Micros now,
@@ -51,19 +46,23 @@
       static_cast<uint32_t>((now - found->second.lost_at) / kMillisecond));
 }
 
-// Sends the message to all daemons that may get tasks that ran here, until they
-// have answered.
-void SendToPool(PoolBoard& board,
-                const wire::PoolMessage& message,
-                Micros now,
-                PoolActions& actions) {
-  for (const auto& [address, member] : board.mesh.members) {
-    if (ReceivesCrashes(board, member) &&
-        IsPeerReachable(board.mesh, address, now)) {
-      SendUntilAnswered(board, address, message, now + kMeshOrderLifetime, now,
-                        actions);
+// Returns whether a later process than the crashed one is known at the address.
+// News is repeated until it is answered, so the worker may be back by then.
+bool IsBack(PoolBoard& board,
+            const wire::CrashNews& news,
+            const std::string& address) {
+  int64_t crashed_born_ms = 0;
+  for (const wire::TaskCrash& crash : news.crashes()) {
+    if (crash.address() == address) {
+      crashed_born_ms = std::max(crashed_born_ms, crash.born_ms());
     }
   }
+  const std::vector<PoolWorker*> workers = WorkersAt(board, address);
+  return crashed_born_ms != 0 &&
+         std::any_of(workers.begin(), workers.end(),
+                     [&](const PoolWorker* worker) {
+                       return worker->status.born_ms() > crashed_born_ms;
+                     });
 }
 
 }  // namespace
@@ -97,7 +96,10 @@
     *message.mutable_crash_news()->add_crashes() = ToWire(crash);
   }
   AddAway(board, address, now, *message.mutable_crash_news());
-  SendToPool(board, message, now, actions);
+  const wire::CrashNews& news = message.crash_news();
+  if (news.crashes_size() + news.away_size() > 0) {
+    SendToPool(board, message, now + kMeshOrderLifetime, now, actions);
+  }
 }
 
 void SendWithdrawal(PoolBoard& board,
@@ -109,7 +111,7 @@
   TaskCrash crash;
   crash.process = process;
   *message.mutable_crash_news()->add_crashes() = ToWire(crash);
-  SendToPool(board, message, now, actions);
+  SendToPool(board, message, now + kMeshOrderLifetime, now, actions);
 }
 
 void SendCrashLedger(const PoolBoard& board,
@@ -118,7 +120,7 @@
                      PoolActions& actions) {
   const auto member = board.mesh.members.find(to);
   if (member == board.mesh.members.end() ||
-      !ReceivesCrashes(board, member->second)) {
+      !MayGetTasks(board, member->second)) {
     return;
   }
   wire::PoolMessage message;
@@ -152,6 +154,9 @@
     }
   }
   for (const wire::AwayWorker& row : news.away()) {
+    if (IsBack(board, news, row.address())) {
+      continue;
+    }
     const Micros lost_at = now - row.lost_ms_ago() * kMillisecond;
     RecordAway(board.crashes, row.address(),
                {row.failure_domain(), row.queue(), lost_at});
--- a/pool/crash_news.h
+++ b/pool/workers/crash_news.h
@@ -1,5 +1,5 @@
-#ifndef POOL_CRASH_NEWS_H_
-#define POOL_CRASH_NEWS_H_
+#ifndef POOL_WORKERS_CRASH_NEWS_H_
+#define POOL_WORKERS_CRASH_NEWS_H_
 
 // How a crash of a worker reaches the tasks that ran on it, at this daemon and
 // at the others.
@@ -52,4 +52,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_CRASH_NEWS_H_
+#endif  // POOL_WORKERS_CRASH_NEWS_H_
--- a/pool/handover.cc
+++ b/pool/workers/handover.cc
@@ -1,9 +1,10 @@
-#include "pool/handover.h"
+#include "pool/workers/handover.h"
 
 #include <algorithm>
 
-#include "pool/standby.h"
-#include "pool/worker_session.h"
+#include "pool/entry/standby.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -100,7 +101,8 @@
   for (PoolWorker* worker : requested) {
     const bool last_one =
         !board.waiting.empty() && CountReadyWorkers(board) == 1;
-    if (worker->session == SessionState::kReady && allowed > 0 && !last_one) {
+    if (worker->session == SessionState::kReady && allowed > 0 && !last_one &&
+        !HasBoundWaitingTask(board, worker->status.id())) {
       --allowed;
       ++released;
       worker->session = SessionState::kReleasing;
--- a/pool/handover.h
+++ b/pool/workers/handover.h
@@ -1,5 +1,5 @@
-#ifndef POOL_HANDOVER_H_
-#define POOL_HANDOVER_H_
+#ifndef POOL_WORKERS_HANDOVER_H_
+#define POOL_WORKERS_HANDOVER_H_
 
 // How workers change their owner while both owners are running, with
 // PoolFeatures::standby_after: when a control daemon starts or resumes while
@@ -64,4 +64,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_HANDOVER_H_
+#endif  // POOL_WORKERS_HANDOVER_H_
--- a/pool/process_claims.cc
+++ b/pool/workers/process_claims.cc
@@ -1,12 +1,13 @@
-#include "pool/process_claims.h"
+#include "pool/workers/process_claims.h"
 
 #include <utility>
 
-#include "pool/run_ends.h"
-#include "pool/worker_loss.h"
-#include "pool/worker_report.h"
-#include "pool/worker_roster.h"
-#include "pool/worker_session.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/worker_lease.h"
+#include "pool/workers/worker_loss.h"
+#include "pool/workers/worker_report.h"
+#include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -63,6 +64,9 @@
   worker.status.set_born_ms(answer.worker_started_ms);
   worker.status.set_sequence(0);
   worker.unreported = true;
+  // It may have carried out orders for its predecessor.
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at, LongestLeaseEnd(board.options, now));
   worker.clock_ms = answer.clock_ms;
   worker.clock_at = now;
   LogPoolEvent(actions, LogLevel::kInfo, "worker_process_changed",
@@ -79,6 +83,10 @@
                      Micros now,
                      PoolActions& actions) {
   if (worker.session == SessionState::kNone) {
+    const bool new_process = claim.reason == ProcessEnd::kRestarted ||
+                             claim.reason == ProcessEnd::kReplaced;
+    // Other daemons count its crash, too, until it has a successor.
+    OnWorkerProcessLost(board, worker, new_process, now, actions);
     Record(board, worker, claim, now, actions);
     // Reports reach all daemons; if each passed on what it concludes, one
     // worker that replaces another would cost the square of their number in
@@ -128,7 +136,7 @@
                            PoolWorker& worker,
                            Micros now,
                            PoolActions& actions) {
-  if (!worker.claim || !worker.attempts.empty() ||
+  if (!worker.claim || HasConfirmedRun(worker) ||
       worker.ask_failed_at < worker.claim->made_at) {
     return false;
   }
--- a/pool/process_claims.h
+++ b/pool/workers/process_claims.h
@@ -1,5 +1,5 @@
-#ifndef POOL_PROCESS_CLAIMS_H_
-#define POOL_PROCESS_CLAIMS_H_
+#ifndef POOL_WORKERS_PROCESS_CLAIMS_H_
+#define POOL_WORKERS_PROCESS_CLAIMS_H_
 
 // Claims that a worker's process has ended.
 //
@@ -13,8 +13,9 @@
 //    over; others are as the answer lists them.
 //  - The same process answers: the claim is refuted, and the other daemons are
 //    told the worker's true state.
-//  - Nobody answers: the claim is accepted when no run is left, which is at the
-//    latest when the lease has expired.
+//  - Nobody answers: the claim is accepted when no run is left that a process
+//    has confirmed, which is at the latest when the lease has expired. Starts
+//    that none has confirmed become orphans (run_ends.h).
 //
 // An answer takes one round trip. A worker that has ended costs what any silent
 // one does.
@@ -49,4 +50,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_PROCESS_CLAIMS_H_
+#endif  // POOL_WORKERS_PROCESS_CLAIMS_H_
--- a/pool/run_ends.cc
+++ b/pool/workers/run_ends.cc
@@ -1,10 +1,14 @@
-#include "pool/run_ends.h"
+#include "pool/workers/run_ends.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
 #include "pool/pool_jobs.h"
+#include "pool/task_ends.h"
+#include "pool/workers/open_run_news.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_lease.h"
 
 namespace goldcrest {
 namespace {
@@ -51,6 +55,16 @@
          (proof.cause() == RunEndCause::kNotListed && run.answered_at == 0);
 }
 
+// Announces a binding whose job has ended before it.
+void AnnounceIfBoundWithoutJob(PoolBoard& board,
+                               const TaskName& name,
+                               const WorkerAttempt& run) {
+  const StartBinding* binding = FindBinding(board, name);
+  if (binding != nullptr && FindPoolJob(board, run.job_key) == nullptr) {
+    AnnounceOpenRun(board, name, binding->until);
+  }
+}
+
 void CloseRun(PoolBoard& board, const TaskName& name) {
   const auto found = board.open_runs.find(name);
   if (found != board.open_runs.end() && --found->second == 0) {
@@ -95,13 +109,36 @@
 }
 
 std::optional<RunEndProof> ProveLeaseExpired(const PoolWorker& worker,
+                                             const WorkerAttempt& run,
                                              Micros now) {
-  if (now <= worker.lease_expires_at) {
+  if (!run.lease_known || now <= worker.lease_expires_at) {
     return std::nullopt;
   }
   return RunEndProof(RunEndCause::kLeaseExpired, AttemptEnd::kLeaseExpired);
 }
 
+std::optional<RunEndProof> ProveOrderExpired(const PoolOptions& options,
+                                             const PoolWorker& worker,
+                                             const WorkerAttempt& run,
+                                             Micros now) {
+  if (run.lease_known || now <= RunOverAt(options, worker, run)) {
+    return std::nullopt;
+  }
+  return RunEndProof(RunEndCause::kOrderExpired, AttemptEnd::kLeaseExpired);
+}
+
+Micros RunOverAt(const PoolOptions& options,
+                 const PoolWorker& worker,
+                 const WorkerAttempt& run) {
+  if (run.lease_known) {
+    return worker.lease_expires_at;
+  }
+  // Orders of an earlier session with the worker may extend the lease of a run
+  // that its next process has begun.
+  const Micros last_order = std::max(run.sent_at, run.answered_at);
+  return std::max(worker.lease_expires_at, LateOrderEnd(options, last_order));
+}
+
 std::optional<RunEndProof> ProveNotStarted(const WorkerAttempt& run,
                                            const WorkerAnswer& answer) {
   const bool refused = answer.outcome == OrderOutcome::kTooLate ||
@@ -117,7 +154,19 @@
 }
 
 bool IsRunOpen(const PoolBoard& board, const TaskName& name) {
-  return board.open_runs.contains(name);
+  return board.open_runs.contains(name) || IsOpenElsewhere(board, name);
+}
+
+bool MayStillRun(const PoolBoard& board, const wire::JobOrder& order) {
+  for (int step = 0; step < order.steps_size(); ++step) {
+    for (uint32_t i = 0; i < order.steps(step).tasks(); ++i) {
+      const TaskName name{order.job_id(), 0, static_cast<uint32_t>(step), i};
+      if (IsRunOpen(board, name) || FindBinding(board, name) != nullptr) {
+        return true;
+      }
+    }
+  }
+  return false;
 }
 
 bool CheckNoRunIsOpen(PoolBoard& board,
@@ -161,9 +210,14 @@
   worker.attempts.erase(found);
   ForgetOrder(board.unanswered, run.stop_number);
   CloseRun(board, name);
+  if (proof.cause() == RunEndCause::kNotListed && run.answered_at == 0) {
+    BindTask(board, name, worker.status.id(),
+             RunOverAt(board.options, worker, run), actions);
+    AnnounceIfBoundWithoutJob(board, name, run);
+  }
   board.placement_due = true;
-  OnAttemptEnded(board, worker, name, run, proof.end(), NeverRan(run, proof),
-                 now, actions);
+  OnAttemptEnded(board, worker, name, run, proof, NeverRan(run, proof), now,
+                 actions);
   QueueHeldTask(board, name);
 }
 
@@ -194,11 +248,20 @@
                     Micros now,
                     PoolActions& actions) {
   EndProvenRuns(board, worker, now, actions,
-                [&](const TaskName& /*name*/, const WorkerAttempt& /*run*/) {
-                  return ProveLeaseExpired(worker, now);
+                [&](const TaskName& /*name*/, const WorkerAttempt& run) {
+                  const auto lease = ProveLeaseExpired(worker, run, now);
+                  return lease ? lease
+                               : ProveOrderExpired(board.options, worker, run,
+                                                   now);
                 });
 }
 
+bool HasConfirmedRun(const PoolWorker& worker) {
+  return std::any_of(
+      worker.attempts.begin(), worker.attempts.end(),
+      [](const auto& entry) { return entry.second.answered_at != 0; });
+}
+
 void OrphanRuns(PoolBoard& board,
                 PoolWorker& worker,
                 const std::string& reason,
@@ -209,17 +272,19 @@
   worker.used_resources = {};
   for (const auto& [name, run] : runs) {
     ForgetOrder(board.unanswered, run.stop_number);
-    board.orphans.push_back({name, worker.lease_expires_at});
+    const Micros over_at = RunOverAt(board.options, worker, run);
+    board.orphans.push_back({name, over_at});
+    if (!run.lease_known) {
+      AnnounceOpenRun(board, name, over_at);
+    }
     EndJob(board, run.job_key, wire::JOB_UNKNOWN, reason, now, actions);
   }
 }
 
 void OrphansTick(PoolBoard& board, Micros now) {
-  const auto expired =
-      std::stable_partition(board.orphans.begin(), board.orphans.end(),
-                            [&](const OrphanedRun& orphan) {
-                              return now <= orphan.lease_expires_at;
-                            });
+  const auto expired = std::stable_partition(
+      board.orphans.begin(), board.orphans.end(),
+      [&](const OrphanedRun& orphan) { return now <= orphan.over_at; });
   const std::vector<OrphanedRun> over(expired, board.orphans.end());
   board.orphans.erase(expired, board.orphans.end());
   for (const OrphanedRun& orphan : over) {
--- a/pool/run_ends.h
+++ b/pool/workers/run_ends.h
@@ -1,5 +1,5 @@
-#ifndef POOL_RUN_ENDS_H_
-#define POOL_RUN_ENDS_H_
+#ifndef POOL_WORKERS_RUN_ENDS_H_
+#define POOL_WORKERS_RUN_ENDS_H_
 
 // When a run is over, and what proves it.
 //
@@ -17,16 +17,23 @@
 //    (ProveProcessEnded). That proves nothing about a start which the earlier
 //    process has not confirmed: the later one may have carried it out;
 //  - the lease has expired on the slowest clock that the worker may have
-//    (ProveLeaseExpired);
+//    (ProveLeaseExpired). The lease is a time on the clock of the process that
+//    the orders were meant for. It proves nothing about a start that this
+//    process has not confirmed: a later one, whose clock starts anew, may carry
+//    it out;
+//  - such a start is so old that no process carries it out any more, and the
+//    longest lease that one may have granted has expired (ProveOrderExpired);
 //  - the start was refused or not sent (ProveNotStarted).
 //
 // Everything else, such as reports, notices and silence, is a reason to ask the
 // worker (process_claims.h), not to end a run.
 //
 // When a session ends before its runs (the worker obeys another daemon now),
-// they become orphans: open until the lease that this daemon gave has expired.
-// The next owner stops runs that it does not know, and extends no lease while
-// one is there (worker_lease.h).
+// they become orphans: open until RunOverAt(). The next owner stops runs that
+// it does not know, and extends no lease while one is there (worker_lease.h).
+//
+// A job that is sent again may reach another daemon: runs whose lease does not
+// bound them are announced to the others (open_run_news.h).
 //
 // A task of which a run is open is not started. A job that was sent again may
 // have such tasks; they wait as TaskPhase::kHeld.
@@ -44,13 +51,14 @@
   kNotListed,
   kProcessEnded,
   kLeaseExpired,
+  kOrderExpired,
   kNotStarted,
 };
 
 // Names in logs.
-inline constexpr std::array<std::string_view, 5> kRunEndCauseNames = {
-    "listed_end", "not_listed", "process_ended", "lease_expired",
-    "not_started"};
+inline constexpr std::array<std::string_view, 6> kRunEndCauseNames = {
+    "listed_end",    "not_listed",    "process_ended",
+    "lease_expired", "order_expired", "not_started"};
 
 inline std::string_view ToString(RunEndCause cause) {
   return kRunEndCauseNames[static_cast<size_t>(cause)];
@@ -75,7 +83,13 @@
       const WorkerAttempt& run,
       const WorkerAnswer& answer);
   friend std::optional<RunEndProof> ProveLeaseExpired(const PoolWorker& worker,
+                                                      const WorkerAttempt& run,
                                                       Micros now);
+  friend std::optional<RunEndProof> ProveOrderExpired(
+      const PoolOptions& options,
+      const PoolWorker& worker,
+      const WorkerAttempt& run,
+      Micros now);
   friend std::optional<RunEndProof> ProveNotStarted(const WorkerAttempt& run,
                                                     const WorkerAnswer& answer);
 
@@ -96,10 +110,21 @@
 std::optional<RunEndProof> ProveProcessEnded(const WorkerAttempt& run,
                                              const WorkerAnswer& answer);
 
-// Proves the end of all runs of the worker.
 std::optional<RunEndProof> ProveLeaseExpired(const PoolWorker& worker,
+                                             const WorkerAttempt& run,
+                                             Micros now);
+
+std::optional<RunEndProof> ProveOrderExpired(const PoolOptions& options,
+                                             const PoolWorker& worker,
+                                             const WorkerAttempt& run,
                                              Micros now);
 
+// Returns when the run is certainly over if nothing more is heard of its
+// worker.
+Micros RunOverAt(const PoolOptions& options,
+                 const PoolWorker& worker,
+                 const WorkerAttempt& run);
+
 // `answer` is the answer to the start order of the run.
 std::optional<RunEndProof> ProveNotStarted(const WorkerAttempt& run,
                                            const WorkerAnswer& answer);
@@ -107,6 +132,11 @@
 // Returns whether a run of the task may not be over.
 bool IsRunOpen(const PoolBoard& board, const TaskName& name);
 
+// Returns whether a task of the job may run without having been started by the
+// present job: a run of it is open, or a start without an answer may still be
+// carried out. That its job is refused as one that never runs would be untrue.
+bool MayStillRun(const PoolBoard& board, const wire::JobOrder& order);
+
 // Checks the invariant that no task is started while a run of it is open, in
 // every build. If it does not hold, counts and logs that, and returns false:
 // the task must not be started.
@@ -143,12 +173,17 @@
                              Micros now,
                              PoolActions& actions);
 
-// Ends all runs of the worker if its lease has expired.
+// Ends the runs of the worker that are over without any news of it: their lease
+// or their order has expired.
 void EndExpiredRuns(PoolBoard& board,
                     PoolWorker& worker,
                     Micros now,
                     PoolActions& actions);
 
+// Returns whether a process of the worker may be at work on a run that it has
+// confirmed.
+bool HasConfirmedRun(const PoolWorker& worker);
+
 // Makes orphans of the worker's runs, and ends their jobs with an unknown
 // outcome: the next owner stops the runs, but they may be done before that.
 void OrphanRuns(PoolBoard& board,
@@ -157,9 +192,9 @@
                 Micros now,
                 PoolActions& actions);
 
-// Ends the orphans whose lease has expired.
+// Ends the orphans that are over.
 void OrphansTick(PoolBoard& board, Micros now);
 
 }  // namespace goldcrest
 
-#endif  // POOL_RUN_ENDS_H_
+#endif  // POOL_WORKERS_RUN_ENDS_H_
--- a/pool/run_times.cc
+++ b/pool/workers/run_times.cc
@@ -1,8 +1,8 @@
-#include "pool/run_times.h"
+#include "pool/workers/run_times.h"
 
 #include <algorithm>
 
-#include "pool/worker_profile.h"
+#include "pool/workers/worker_profile.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/run_times.h
+++ b/pool/workers/run_times.h
@@ -1,5 +1,5 @@
-#ifndef POOL_RUN_TIMES_H_
-#define POOL_RUN_TIMES_H_
+#ifndef POOL_WORKERS_RUN_TIMES_H_
+#define POOL_WORKERS_RUN_TIMES_H_
 
 // Expected run times, learned from completed attempts.
 
@@ -25,4 +25,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_RUN_TIMES_H_
+#endif  // POOL_WORKERS_RUN_TIMES_H_
--- a/pool/slow_evidence.cc
+++ b/pool/workers/slow_evidence.cc
@@ -1,10 +1,10 @@
-#include "pool/slow_evidence.h"
+#include "pool/workers/slow_evidence.h"
 
 #include <algorithm>
 #include <array>
 #include <optional>
 
-#include "pool/choose_worker.h"
+#include "pool/placement/choose_worker.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/slow_evidence.h
+++ b/pool/workers/slow_evidence.h
@@ -1,5 +1,5 @@
-#ifndef POOL_SLOW_EVIDENCE_H_
-#define POOL_SLOW_EVIDENCE_H_
+#ifndef POOL_WORKERS_SLOW_EVIDENCE_H_
+#define POOL_WORKERS_SLOW_EVIDENCE_H_
 
 // Decides whether an attempt that takes too long is due to its worker.
 //
@@ -14,7 +14,7 @@
 #include <string_view>
 
 #include "pool/pool_board.h"
-#include "pool/stragglers.h"
+#include "pool/workers/stragglers.h"
 
 namespace goldcrest {
 
@@ -46,4 +46,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_SLOW_EVIDENCE_H_
+#endif  // POOL_WORKERS_SLOW_EVIDENCE_H_
--- a/pool/stragglers.cc
+++ b/pool/workers/stragglers.cc
@@ -1,13 +1,14 @@
-#include "pool/stragglers.h"
+#include "pool/workers/stragglers.h"
 
 #include <algorithm>
 
-#include "pool/choose_worker.h"
+#include "pool/placement/choose_worker.h"
+#include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
-#include "pool/slow_evidence.h"
-#include "pool/task_requirements.h"
-#include "pool/worker_health.h"
-#include "pool/worker_session.h"
+#include "pool/workers/slow_evidence.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -66,15 +67,18 @@
   LogPoolEvent(actions, LogLevel::kInfo, "worker_slow", std::move(fields));
 }
 
-// Returns whether a straggling task may be stopped and started elsewhere. With
-// run times by worker, a task that makes progress is moved once at most: one
-// that is slow on two workers takes long by itself, and each further move would
-// repeat its work until its caller's timeout.
+// Returns whether a straggling task may be stopped and started elsewhere: not
+// while it is bound to its worker. With run times by worker, a task that makes
+// progress is moved once at most: one that is slow on two workers takes long by
+// itself, and each further move would repeat its work until its caller's
+// timeout.
 bool MayMoveAgain(const PoolBoard& board,
+                  const TaskName& name,
                   const PoolTask& task,
                   const AttemptProgress& progress) {
-  return !board.options.features.run_times_by_worker ||
-         task.attempt_count <= 1 || progress.percent <= 0;
+  const bool bound = FindBinding(board, name) != nullptr;
+  return !bound && (!board.options.features.run_times_by_worker ||
+                    task.attempt_count <= 1 || progress.percent <= 0);
 }
 
 void StopStraggler(PoolBoard& board,
@@ -192,7 +196,7 @@
       }
       const Micros new_run_time = job->steps[name.step].expected_run_time;
       const PoolTask& task = job->steps[name.step].tasks[name.index];
-      if (MayMoveAgain(board, task, progress) &&
+      if (MayMoveAgain(board, name, task, progress) &&
           IsWorthMoving(progress, new_run_time, job->deadline - now) &&
           HasCapacityElsewhere(ready, worker, attempt)) {
         StopStraggler(board, *worker, name, progress, now, actions);
--- a/pool/stragglers.h
+++ b/pool/workers/stragglers.h
@@ -1,5 +1,5 @@
-#ifndef POOL_STRAGGLERS_H_
-#define POOL_STRAGGLERS_H_
+#ifndef POOL_WORKERS_STRAGGLERS_H_
+#define POOL_WORKERS_STRAGGLERS_H_
 
 // Detection and relocation of attempts that take far longer than expected.
 //
@@ -59,4 +59,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_STRAGGLERS_H_
+#endif  // POOL_WORKERS_STRAGGLERS_H_
--- a/pool/unanswered_orders.cc
+++ b/pool/workers/unanswered_orders.cc
@@ -1,4 +1,4 @@
-#include "pool/unanswered_orders.h"
+#include "pool/workers/unanswered_orders.h"
 
 #include <algorithm>
 #include <utility>
--- a/pool/unanswered_orders.h
+++ b/pool/workers/unanswered_orders.h
@@ -1,5 +1,5 @@
-#ifndef POOL_UNANSWERED_ORDERS_H_
-#define POOL_UNANSWERED_ORDERS_H_
+#ifndef POOL_WORKERS_UNANSWERED_ORDERS_H_
+#define POOL_WORKERS_UNANSWERED_ORDERS_H_
 
 // Orders that must arrive: each is numbered and repeated, with a delay that
 // doubles, until its receiver has answered it.
@@ -86,4 +86,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_UNANSWERED_ORDERS_H_
+#endif  // POOL_WORKERS_UNANSWERED_ORDERS_H_
--- a/pool/worker_answers.cc
+++ b/pool/workers/worker_answers.cc
@@ -4,13 +4,15 @@
 #include <utility>
 
 #include "pool/pool_jobs.h"
-#include "pool/process_claims.h"
-#include "pool/run_ends.h"
-#include "pool/worker_health.h"
-#include "pool/worker_lease.h"
-#include "pool/worker_loss.h"
-#include "pool/worker_roster.h"
-#include "pool/worker_session.h"
+#include "pool/task_ends.h"
+#include "pool/workers/process_claims.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_lease.h"
+#include "pool/workers/worker_loss.h"
+#include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -53,6 +55,29 @@
   }
 }
 
+// Stops a run of a task beside the one that this daemon has ordered: an earlier
+// start that was carried out late. It has no record of its own, so it is
+// stopped with each list that has it; the lease is not extended meanwhile.
+void StopSecondRun(PoolBoard& board,
+                   PoolWorker& worker,
+                   const RunningAttempt& row,
+                   const WorkerAnswer& answer,
+                   Micros now,
+                   PoolActions& actions) {
+  worker.second_run_at = now;
+  ++board.counters.unknown_runs;
+  LogPoolEvent(actions, LogLevel::kWarning, "second_run_stopped",
+               {{"worker", worker.status.id()},
+                {"job", row.task.job_id},
+                {"task", ToString(row.task)},
+                {"run", std::to_string(row.attempt)},
+                {"born_ms", std::to_string(answer.worker_started_ms)}});
+  WorkerOrder stop = MakeOrder(board, worker, OrderKind::kStop, now);
+  stop.task = row.task;
+  stop.attempt = row.attempt;
+  actions.emplace_back(SendOrder{std::move(stop)});
+}
+
 // Applies the list of running attempts. An attempt unknown to this daemon is
 // stopped; until it ends the worker counts as fully used, since the resources
 // of the attempt are not known.
@@ -73,15 +98,24 @@
       unknown_attempt.resources = {worker.status.cpu_millis(),
                                    worker.status.memory_mb(),
                                    worker.status.accelerators()};
+      unknown_attempt.lease_known = true;
+      worker.lease_expires_at = std::max(worker.lease_expires_at,
+                                         LongestLeaseEnd(board.options, now));
       AddRun(board, worker, row.task, unknown_attempt);
       LogPoolEvent(actions, LogLevel::kInfo, "unknown_run_stopped",
                    {{"worker", worker.status.id()},
                     {"job", row.task.job_id},
                     {"task", ToString(row.task)},
-                    {"run", std::to_string(row.attempt)}});
+                    {"run", std::to_string(row.attempt)},
+                    {"born_ms", std::to_string(answer.worker_started_ms)}});
+      ++board.counters.unknown_runs;
       StopAttempt(board, worker, row.task, true, now, actions);
       continue;
     }
+    if (found->second.attempt_number != row.attempt) {
+      StopSecondRun(board, worker, row, answer, now, actions);
+      continue;
+    }
     WorkerAttempt& attempt = found->second;
     attempt.progress_percent = row.progress_percent;
     attempt.progress_at = now;
@@ -96,6 +130,12 @@
           attempt.answered_at == 0 ? now : attempt.answered_at;
       attempt.process_ms = answer.worker_started_ms;
     }
+    if (attempt.answered_at != 0 && !attempt.lease_known) {
+      // Its order may have named a time on the clock of an earlier process.
+      attempt.lease_known = true;
+      worker.lease_expires_at = std::max(worker.lease_expires_at,
+                                         LongestLeaseEnd(board.options, now));
+    }
   }
 }
 
@@ -124,6 +164,11 @@
                 {"runs", std::to_string(worker.attempts.size())},
                 {"settled_ms", std::to_string((now - worker.reconciling_since) /
                                               kMillisecond)}});
+  if (worker.status.owner() != board.mesh.options.self) {
+    // Its former owner has ordered leases that all runs there share.
+    worker.lease_expires_at =
+        std::max(worker.lease_expires_at, LongestLeaseEnd(board.options, now));
+  }
   worker.status.set_owner(board.mesh.options.self);
   worker.status.set_token(worker.token);
   worker.fenced_at = 0;
@@ -144,17 +189,25 @@
   ApplyRunning(board, worker, answer, now, actions);
 }
 
-// Records that the worker's process has or had the run.
-void ConfirmRun(WorkerAttempt& run, const WorkerAnswer& answer, Micros now) {
+// Records that a process of the worker has or had the run. `same_process`: the
+// one that this daemon has the session with.
+void ConfirmRun(const PoolWorker& worker,
+                WorkerAttempt& run,
+                const WorkerAnswer& answer,
+                bool same_process,
+                Micros now) {
   run.state =
       run.state == AttemptState::kSent ? AttemptState::kRunning : run.state;
   run.answered_at = run.answered_at == 0 ? now : run.answered_at;
-  run.process_ms = answer.worker_started_ms;
+  run.process_ms =
+      same_process ? worker.status.born_ms() : answer.worker_started_ms;
+  run.lease_known = run.lease_known || same_process;
 }
 
 void OnStartAnswer(PoolBoard& board,
                    PoolWorker& worker,
                    const WorkerAnswer& answer,
+                   bool same_process,
                    Micros now,
                    PoolActions& actions) {
   const auto found = worker.attempts.find(answer.order.task);
@@ -167,7 +220,8 @@
   // the next list tells.
   if (answer.outcome == OrderOutcome::kDone ||
       answer.outcome == OrderOutcome::kStaleAttempt) {
-    ConfirmRun(run, answer, now);
+    run.stale = answer.outcome == OrderOutcome::kStaleAttempt;
+    ConfirmRun(worker, run, answer, same_process, now);
     return;
   }
   LogPoolEvent(actions, LogLevel::kWarning, "start_rejected",
@@ -218,11 +272,11 @@
 }
 
 // A stop that was executed, or that came after the end of the run, is answered
-// and not repeated. A start that it overtook has no effect any more.
+// and not repeated. It does not confirm a start that it has overtaken: the next
+// process may carry that out.
 void OnStopAnswer(PoolBoard& board,
                   PoolWorker& worker,
-                  const WorkerAnswer& answer,
-                  Micros now) {
+                  const WorkerAnswer& answer) {
   const auto found = worker.attempts.find(answer.order.task);
   if (found == worker.attempts.end() ||
       found->second.stop_number != answer.order.number) {
@@ -230,7 +284,6 @@
   }
   ForgetOrder(board.unanswered, answer.order.number);
   found->second.stop_number = 0;
-  ConfirmRun(found->second, answer, now);
 }
 
 void OnFenced(PoolBoard& board,
@@ -253,6 +306,7 @@
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     OnWorkerProcessLost(board, worker, true, now, actions);
     EndRunsOfEarlierProcess(board, worker, answer, now, actions);
+    UnbindWorker(board, worker.status.id());
     const std::optional<ProcessClaim> claim = worker.claim;
     EndProcessSession(board, worker, ProcessEnd::kReplaced, now, actions);
     worker.claim_after = now + kReclaimDelay;
@@ -263,7 +317,7 @@
   }
   if (answer.order.kind == OrderKind::kStart &&
       answer.outcome == OrderOutcome::kDone) {
-    OnStartAnswer(board, worker, answer, now, actions);
+    OnStartAnswer(board, worker, answer, false, now, actions);
   }
   ReconcileWorker(board, worker, "other_process", now, actions);
 }
@@ -282,6 +336,7 @@
     return;  // unknown worker, or an order of an earlier session
   }
   PoolWorker& worker = found->second;
+  const bool same_clock = IsOnSameClock(board.options, worker, answer);
   RecordClock(worker, answer, now);
   OnWorkerCallEnd(board, worker, answer, now, actions);
   if (answer.outcome == OrderOutcome::kDone) {
@@ -299,10 +354,13 @@
     }
     return;
   }
+  // Answers to starts and stops need not name the process.
+  const bool names_process =
+      answer.worker_started_ms != 0 && worker.status.born_ms() != 0;
   const bool other_process =
       answer.outcome == OrderOutcome::kOtherIncarnation ||
-      (answer.worker_started_ms != 0 && worker.status.born_ms() != 0 &&
-       answer.worker_started_ms != worker.status.born_ms());
+      (names_process ? answer.worker_started_ms != worker.status.born_ms()
+                     : !same_clock);
   if (other_process) {
     OnAnswerOfOtherProcess(board, worker, answer, now, actions);
     return;
@@ -321,9 +379,9 @@
   if (answer.order.kind == OrderKind::kRenew) {
     OnLeaseRenewed(board, worker, answer, now, actions);
   } else if (answer.order.kind == OrderKind::kStart) {
-    OnStartAnswer(board, worker, answer, now, actions);
+    OnStartAnswer(board, worker, answer, true, now, actions);
   } else if (answer.order.kind == OrderKind::kStop) {
-    OnStopAnswer(board, worker, answer, now);
+    OnStopAnswer(board, worker, answer);
   }
   SessionTick(board, worker, now, actions);
 }
--- a/pool/worker_health.cc
+++ b/pool/workers/worker_health.cc
@@ -1,4 +1,4 @@
-#include "pool/worker_health.h"
+#include "pool/workers/worker_health.h"
 
 #include <algorithm>
 
--- a/pool/worker_health.h
+++ b/pool/workers/worker_health.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_HEALTH_H_
-#define POOL_WORKER_HEALTH_H_
+#ifndef POOL_WORKERS_WORKER_HEALTH_H_
+#define POOL_WORKERS_WORKER_HEALTH_H_
 
 // Ejection of workers that fail tasks.
 //
@@ -41,4 +41,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_HEALTH_H_
+#endif  // POOL_WORKERS_WORKER_HEALTH_H_
--- a/pool/worker_lease.cc
+++ b/pool/workers/worker_lease.cc
@@ -1,4 +1,4 @@
-#include "pool/worker_lease.h"
+#include "pool/workers/worker_lease.h"
 
 #include <algorithm>
 
@@ -9,6 +9,9 @@
 // again; this and the longest lease are less than that time.
 constexpr Micros kStopConfirmTime = 400 * kMillisecond;
 
+// Workers name whole milliseconds.
+constexpr Micros kClockResolution = kMillisecond;
+
 // Returns half of the longest expected run time on the worker, within bounds.
 Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
   Micros longest = 0;
@@ -45,15 +48,46 @@
       std::max(worker.lease_expires_at, now + longest + options.lease_slack);
 }
 
+Micros LongestLeaseEnd(const PoolOptions& options, Micros now) {
+  return now + options.lease_slack +
+         options.late_orders.longest_granted_lease * 100 /
+             (100 - options.clock_drift_percent);
+}
+
+Micros LateOrderEnd(const PoolOptions& options, Micros sent_at) {
+  return LongestLeaseEnd(options,
+                         sent_at + options.late_orders.longest_order_delay);
+}
+
+bool IsOnSameClock(const PoolOptions& options,
+                   const PoolWorker& worker,
+                   const WorkerAnswer& answer) {
+  if (answer.clock_ms == 0 || worker.clock_ms == 0) {
+    return true;
+  }
+  // This clock was read after the order was sent, however late its answer is
+  // handled here. The last reading was made by the time when it was handled.
+  const Micros between = answer.order.sent_at - worker.clock_at;
+  const Micros least =
+      between < 0 ? between
+                  : between * (100 - options.clock_drift_percent) / 100;
+  return answer.clock_ms * kMillisecond + kClockResolution >=
+         worker.clock_ms * kMillisecond + least;
+}
+
 bool MayExtendLease(const PoolWorker& worker, Micros now) {
-  return std::none_of(
-      worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
-        const WorkerAttempt& run = entry.second;
-        const bool overdue = run.state == AttemptState::kStopping &&
-                             run.job_key.empty() &&
-                             now - run.stopping_since > kStopConfirmTime;
-        return run.unknown || overdue;
-      });
+  const bool second_run = worker.second_run_at != 0 &&
+                          now - worker.second_run_at < kStopConfirmTime;
+  return !second_run &&
+         std::none_of(worker.attempts.begin(), worker.attempts.end(),
+                      [&](const auto& entry) {
+                        const WorkerAttempt& run = entry.second;
+                        const bool overdue =
+                            run.state == AttemptState::kStopping &&
+                            run.job_key.empty() &&
+                            now - run.stopping_since > kStopConfirmTime;
+                        return run.unknown || overdue;
+                      });
 }
 
 WorkerOrder MakeOrder(const PoolBoard& board,
--- a/pool/worker_lease.h
+++ b/pool/workers/worker_lease.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_LEASE_H_
-#define POOL_WORKER_LEASE_H_
+#ifndef POOL_WORKERS_WORKER_LEASE_H_
+#define POOL_WORKERS_WORKER_LEASE_H_
 
 // The fencing tokens and leases of the orders to a worker.
 //
@@ -33,6 +33,21 @@
               WorkerOrder& order,
               Micros now);
 
+// Returns when the longest lease that a worker may have granted by `now` has
+// expired on the slowest clock that the worker may have.
+Micros LongestLeaseEnd(const PoolOptions& options, Micros now);
+
+// Returns when no process carries an order sent at `sent_at` out any more, and
+// the longest lease that it may have granted has expired.
+Micros LateOrderEnd(const PoolOptions& options, Micros sent_at);
+
+// Returns whether the answer may be from the process whose clock was read last:
+// the clock of a later process starts anew, so it is behind. How late the
+// answer is handled makes no difference.
+bool IsOnSameClock(const PoolOptions& options,
+                   const PoolWorker& worker,
+                   const WorkerAnswer& answer);
+
 // Returns whether the lease of the worker may be extended. All attempts there
 // share it, so while one runs that must end, they all end with it: an attempt
 // of another daemon, whose owner waits for the end of the lease that it gave,
@@ -55,4 +70,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_LEASE_H_
+#endif  // POOL_WORKERS_WORKER_LEASE_H_
--- a/pool/worker_loss.cc
+++ b/pool/workers/worker_loss.cc
@@ -1,12 +1,12 @@
-#include "pool/worker_loss.h"
+#include "pool/workers/worker_loss.h"
 
 #include <algorithm>
 #include <set>
 #include <utility>
 
-#include "pool/crash_limit.h"
-#include "pool/crash_news.h"
 #include "pool/pool_jobs.h"
+#include "pool/workers/crash_limit.h"
+#include "pool/workers/crash_news.h"
 
 namespace goldcrest {
 namespace {
@@ -126,8 +126,8 @@
   const bool alone = !shared && worker.attempts.size() == 1;
   for (const auto& [name, attempt] : worker.attempts) {
     const auto job = board.jobs.find(attempt.job_key);
-    const bool began_there =
-        attempt.answered_at != 0 && attempt.process_ms <= process.born_ms;
+    const bool began_there = attempt.answered_at != 0 && !attempt.stale &&
+                             attempt.process_ms == process.born_ms;
     if (began_there && job != board.jobs.end()) {
       crashes.push_back({name, job->second->order.queue(), process, alone});
     }
--- a/pool/worker_loss.h
+++ b/pool/workers/worker_loss.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_LOSS_H_
-#define POOL_WORKER_LOSS_H_
+#ifndef POOL_WORKERS_WORKER_LOSS_H_
+#define POOL_WORKERS_WORKER_LOSS_H_
 
 // Why a worker no longer answers, and what that means for its tasks.
 //
@@ -85,4 +85,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_LOSS_H_
+#endif  // POOL_WORKERS_WORKER_LOSS_H_
--- a/pool/worker_ownership.cc
+++ b/pool/workers/worker_ownership.cc
@@ -1,16 +1,17 @@
-#include "pool/worker_ownership.h"
+#include "pool/workers/worker_ownership.h"
 
 #include <algorithm>
 #include <limits>
 
 #include "goldcrest/digest.h"
-#include "pool/handover.h"
-#include "pool/process_claims.h"
-#include "pool/run_ends.h"
-#include "pool/standby.h"
-#include "pool/worker_record.h"
-#include "pool/worker_roster.h"
-#include "pool/worker_session.h"
+#include "pool/entry/standby.h"
+#include "pool/workers/handover.h"
+#include "pool/workers/process_claims.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/start_bindings.h"
+#include "pool/workers/worker_record.h"
+#include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -162,7 +163,7 @@
     return;
   }
   EndExpiredRuns(board, worker, now, actions);
-  if (!worker.attempts.empty()) {
+  if (HasConfirmedRun(worker)) {
     return;  // its lease is about to expire
   }
   EndProcessSession(board, worker, ProcessEnd::kSilent, now, actions);
@@ -181,6 +182,7 @@
     HandOverInTurns(board, from, request, now, actions);
     return;
   }
+  wire::PoolMessage answer;
   for (const std::string& id : request.ids()) {
     const auto found = board.workers.find(id);
     if (found == board.workers.end()) {
@@ -188,16 +190,23 @@
     }
     PoolWorker& worker = found->second;
     if (worker.session == SessionState::kReady) {
-      if (!board.waiting.empty() && CountReadyWorkers(board) == 1) {
+      if ((!board.waiting.empty() && CountReadyWorkers(board) == 1) ||
+          HasBoundWaitingTask(board, id)) {
         continue;  // waiting tasks need it; the request will be repeated
       }
       worker.session = SessionState::kReleasing;
       SessionTick(board, worker, now, actions);
     } else if (worker.session == SessionState::kNone) {
-      // The requester has outdated data.
-      AnnounceWorker(board, worker, now, actions);
+      // The requester has outdated data. Others ask, too, if they have; all
+      // control daemons may have been asked, so to tell all would cost the
+      // square of their number.
+      *answer.mutable_worker_news()->add_workers() =
+          ProfileOf(board, worker, now);
     }
   }
+  if (answer.worker_news().workers_size() > 0) {
+    SendTo(actions, from, std::move(answer));
+  }
 }
 
 void ReleaseWorker(PoolBoard& board,
--- a/pool/worker_ownership.h
+++ b/pool/workers/worker_ownership.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_OWNERSHIP_H_
-#define POOL_WORKER_OWNERSHIP_H_
+#ifndef POOL_WORKERS_WORKER_OWNERSHIP_H_
+#define POOL_WORKERS_WORKER_OWNERSHIP_H_
 
 // The daemon that owns (orders) each worker.
 //
@@ -45,4 +45,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_OWNERSHIP_H_
+#endif  // POOL_WORKERS_WORKER_OWNERSHIP_H_
--- a/pool/worker_profile.cc
+++ b/pool/workers/worker_profile.cc
@@ -1,10 +1,10 @@
-#include "pool/worker_profile.h"
+#include "pool/workers/worker_profile.h"
 
 #include <algorithm>
 #include <cmath>
 
-#include "pool/run_times.h"
-#include "pool/task_requirements.h"
+#include "pool/placement/task_requirements.h"
+#include "pool/workers/run_times.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/worker_profile.h
+++ b/pool/workers/worker_profile.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_PROFILE_H_
-#define POOL_WORKER_PROFILE_H_
+#ifndef POOL_WORKERS_WORKER_PROFILE_H_
+#define POOL_WORKERS_WORKER_PROFILE_H_
 
 // The speed of each worker, learned from its completed attempts.
 //
@@ -88,4 +88,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_PROFILE_H_
+#endif  // POOL_WORKERS_WORKER_PROFILE_H_
--- a/pool/worker_record.cc
+++ b/pool/workers/worker_record.cc
@@ -1,13 +1,13 @@
-#include "pool/worker_record.h"
+#include "pool/workers/worker_record.h"
 
 #include <algorithm>
 #include <cmath>
 #include <vector>
 
-#include "pool/mesh.h"
-#include "pool/worker_health.h"
-#include "pool/worker_profile.h"
-#include "pool/worker_roster.h"
+#include "pool/mesh/mesh.h"
+#include "pool/workers/worker_health.h"
+#include "pool/workers/worker_profile.h"
+#include "pool/workers/worker_roster.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/worker_record.h
+++ b/pool/workers/worker_record.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_RECORD_H_
-#define POOL_WORKER_RECORD_H_
+#ifndef POOL_WORKERS_WORKER_RECORD_H_
+#define POOL_WORKERS_WORKER_RECORD_H_
 
 // Transfer of a worker's record between daemons: its profile, its ejections and
 // whether it is slow.
@@ -40,4 +40,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_RECORD_H_
+#endif  // POOL_WORKERS_WORKER_RECORD_H_
--- a/pool/worker_report.cc
+++ b/pool/workers/worker_report.cc
@@ -1,10 +1,11 @@
-#include "pool/worker_report.h"
+#include "pool/workers/worker_report.h"
 
 #include <algorithm>
 
-#include "pool/process_claims.h"
-#include "pool/worker_loss.h"
-#include "pool/worker_session.h"
+#include "pool/workers/process_claims.h"
+#include "pool/workers/worker_loss.h"
+#include "pool/workers/worker_session.h"
+#include "pool/workers/worker_table.h"
 
 namespace goldcrest {
 namespace {
@@ -89,11 +90,10 @@
                         const wire::WorkerNews& report,
                         Micros now,
                         PoolActions& actions) {
-  for (auto& [id, other] : board.workers) {
-    if (id != report.id() && IsInPool(other) &&
-        other.status.address() == report.address() &&
-        other.status.born_ms() < report.born_ms()) {
-      ClaimProcessEnd(board, other, {ProcessEnd::kReplaced, std::nullopt, 0},
+  for (PoolWorker* other : WorkersAt(board, report.address())) {
+    if (other->status.id() != report.id() && IsInPool(*other) &&
+        other->status.born_ms() < report.born_ms()) {
+      ClaimProcessEnd(board, *other, {ProcessEnd::kReplaced, std::nullopt, 0},
                       now, actions);
     }
   }
@@ -114,6 +114,8 @@
   if (report.failure_domain() != worker.status.failure_domain()) {
     worker.preferred_owner_generation = 0;
   }
+  RecordWorkerAddress(board, report.id(), worker.status.address(),
+                      report.address());
   CopyReport(report, worker.status);
   RecordCapacity(worker, new_process || worker.unreported);
   worker.unreported = false;
--- a/pool/worker_report.h
+++ b/pool/workers/worker_report.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_REPORT_H_
-#define POOL_WORKER_REPORT_H_
+#ifndef POOL_WORKERS_WORKER_REPORT_H_
+#define POOL_WORKERS_WORKER_REPORT_H_
 
 // What a worker's report, or another daemon's update about it, changes.
 //
@@ -28,4 +28,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_REPORT_H_
+#endif  // POOL_WORKERS_WORKER_REPORT_H_
--- a/pool/worker_roster.cc
+++ b/pool/workers/worker_roster.cc
@@ -1,17 +1,17 @@
-#include "pool/worker_roster.h"
+#include "pool/workers/worker_roster.h"
 
 #include <algorithm>
 #include <limits>
 
 #include "goldcrest/digest.h"
-#include "pool/handover.h"
-#include "pool/process_claims.h"
-#include "pool/run_ends.h"
-#include "pool/standby.h"
-#include "pool/worker_ownership.h"
-#include "pool/worker_record.h"
-#include "pool/worker_report.h"
-#include "pool/worker_session.h"
+#include "pool/entry/standby.h"
+#include "pool/workers/handover.h"
+#include "pool/workers/process_claims.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/worker_ownership.h"
+#include "pool/workers/worker_record.h"
+#include "pool/workers/worker_report.h"
+#include "pool/workers/worker_session.h"
 
 namespace goldcrest {
 namespace {
@@ -72,19 +72,6 @@
   AnnounceWorker(board, worker, now, actions);
 }
 
-// Handles another daemon's report that the worker has left.
-void HandleGoneRow(PoolBoard& board,
-                   PoolWorker& worker,
-                   Micros now,
-                   PoolActions& actions) {
-  if (worker.session == SessionState::kNone) {
-    worker.status.set_gone(true);
-  } else {
-    ClaimProcessEnd(board, worker, {ProcessEnd::kGone, std::nullopt, 0}, now,
-                    actions);
-  }
-}
-
 // Adopts the owner's report of the state of its worker, which it has asked,
 // over a report that was not confirmed.
 void AdoptOwnersReport(PoolBoard& board,
@@ -162,7 +149,8 @@
       worker.last_received_at = now;
       if (row.gone() && IsInPool(worker) &&
           row.sequence() >= worker.status.sequence()) {
-        HandleGoneRow(board, worker, now, actions);
+        ClaimProcessEnd(board, worker, {ProcessEnd::kGone, std::nullopt, 0},
+                        now, actions);
       }
     }
     AdoptOwnersReport(board, from, row, worker, now, actions);
--- a/pool/worker_roster.h
+++ b/pool/workers/worker_roster.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_ROSTER_H_
-#define POOL_WORKER_ROSTER_H_
+#ifndef POOL_WORKERS_WORKER_ROSTER_H_
+#define POOL_WORKERS_WORKER_ROSTER_H_
 
 // The known workers. They report to any control daemon; changes are passed on
 // to all others.
@@ -57,4 +57,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_ROSTER_H_
+#endif  // POOL_WORKERS_WORKER_ROSTER_H_
--- a/pool/worker_session.cc
+++ b/pool/workers/worker_session.cc
@@ -1,14 +1,15 @@
-#include "pool/worker_session.h"
+#include "pool/workers/worker_session.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "pool/process_claims.h"
-#include "pool/run_ends.h"
-#include "pool/worker_lease.h"
-#include "pool/worker_loss.h"
-#include "pool/worker_ownership.h"
-#include "pool/worker_roster.h"
+#include "pool/workers/open_run_news.h"
+#include "pool/workers/process_claims.h"
+#include "pool/workers/run_ends.h"
+#include "pool/workers/worker_lease.h"
+#include "pool/workers/worker_loss.h"
+#include "pool/workers/worker_ownership.h"
+#include "pool/workers/worker_roster.h"
 
 namespace goldcrest {
 namespace {
@@ -78,6 +79,7 @@
                    PoolActions& actions) {
   if (now - worker.reconciling_since > board.options.reconcile_timeout) {
     EndExpiredRuns(board, worker, now, actions);
+    AnnounceOpenRuns(board, worker, now);
   }
   if (AcceptUnansweredClaim(board, worker, now, actions)) {
     return;
--- a/pool/worker_session.h
+++ b/pool/workers/worker_session.h
@@ -1,5 +1,5 @@
-#ifndef POOL_WORKER_SESSION_H_
-#define POOL_WORKER_SESSION_H_
+#ifndef POOL_WORKERS_WORKER_SESSION_H_
+#define POOL_WORKERS_WORKER_SESSION_H_
 
 // The orders of a daemon to its own workers, and the handling of the answers
 // (worker_answers.cc).
@@ -95,4 +95,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_WORKER_SESSION_H_
+#endif  // POOL_WORKERS_WORKER_SESSION_H_
--- a/soak/processes.cc
+++ b/soak/processes.cc
@@ -34,6 +34,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // POCO's sockets stay open in started programs. A connection that the relays
+  // close would then stay open for both sides until the program ends.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t process = 0;
   const int error = ::posix_spawn(&process, pointers[0], &actions, nullptr,
                                   pointers.data(), environ);
--- a/soak/processes.h
+++ b/soak/processes.h
@@ -28,7 +28,8 @@
 
   // Starts the program arguments[0] and returns its process id. The standard
   // output and standard error of the program are appended to the file
-  // `log_path`. Throws std::system_error on failure.
+  // `log_path`; it inherits no other descriptor than the standard input. Throws
+  // std::system_error on failure.
   pid_t Start(const std::vector<std::string>& arguments,
               const std::string& log_path);
 
