--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -122,23 +122,8 @@
   }
 }
 
-// Returns the number of completed jobs that were sent at `since` or later.
-int CountCompleted(const SoakCallers& callers, Micros since) {
-  return static_cast<int>(std::count_if(
-      callers.jobs().begin(), callers.jobs().end(), [&](const auto& entry) {
-        return entry.second.sent_at >= since &&
-               entry.second.outcome == SoakOutcome::kCompleted;
-      }));
-}
-
-// Returns the number of jobs that were sent at `since` or later.
-int CountSent(const SoakCallers& callers, Micros since) {
-  return static_cast<int>(std::count_if(
-      callers.jobs().begin(), callers.jobs().end(),
-      [&](const auto& entry) { return entry.second.sent_at >= since; }));
-}
-
-// Starts sending jobs and waits until all jobs of one second have completed.
+// Starts sending jobs and waits until all jobs of one second have completed but
+// those that their callers cancel.
 // Returns false if that does not happen within `timeout`.
 bool WaitUntilServing(SoakEnvironment& environment, Micros timeout) {
   const Micros timeout_at = MonotonicMicros() + timeout;
@@ -150,11 +135,7 @@
     environment.RunUntil(sent_until + (environment.options.plan.stop_series
                                            ? kLongSettleTime
                                            : kSettleTime));
-    const int sent = CountSent(environment.callers, since) -
-                     CountSent(environment.callers, sent_until);
-    const int completed = CountCompleted(environment.callers, since) -
-                          CountCompleted(environment.callers, sent_until);
-    if (sent > 0 && completed == sent) {
+    if (AllJobsCompleted(environment.callers.jobs(), since, sent_until)) {
       return true;
     }
   }
@@ -198,9 +179,7 @@
     environment.RunIteration();
   }
   for (const auto& [id, record] : environment.callers.jobs()) {
-    const bool as_expected =
-        record.outcome == SoakOutcome::kCompleted || record.cancel_at != 0;
-    if (record.sent_at >= since && !as_expected) {
+    if (record.sent_at >= since && !CompletedOrCancelled(record)) {
       result.violations.push_back(
           "after the recovery time, job " + id + " has the outcome " +
           std::string(kSoakOutcomeNames[static_cast<size_t>(record.outcome)]));
@@ -365,6 +344,7 @@
   Append(CheckJobs(environment.callers.jobs(), environment.workers.model(),
                    {options.start_slack}),
          result.violations);
+  environment.deployment.WriteRelayLog();
   UnansweredRequests unanswered = FindUnansweredRequests(
       environment.callers.jobs(), EntryHistories(environment.deployment),
       environment.callers.answer_timeout());
--- a/soak/soak_checks.cc
+++ b/soak/soak_checks.cc
@@ -112,10 +112,10 @@
 std::string DescribeUnanswered(const SoakJobRecord& record,
                                const DaemonHistory& daemon,
                                const TimeSpan& process) {
-  std::string text = "job " + record.job.id + " got no answer from " +
-                     daemon.name + "; its connection ended " +
-                     FormatMs(record.ended_at - record.sent_at) +
-                     " after the request";
+  std::string text =
+      "job " + record.job.id + " got no answer from " + daemon.name +
+      "; its connection ended " + FormatMs(record.ended_at - record.sent_at) +
+      " after the request, at " + std::to_string(record.ended_at) + " us";
   if (process.end != kStillOpen) {
     text += ", which was sent " + FormatMs(process.end - record.sent_at) +
             " before the process ended";
@@ -125,6 +125,26 @@
 
 }  // namespace
 
+bool CompletedOrCancelled(const SoakJobRecord& record) {
+  return record.outcome == SoakOutcome::kCompleted || record.cancel_at != 0;
+}
+
+bool AllJobsCompleted(const std::map<std::string, SoakJobRecord>& jobs,
+                      Micros begin,
+                      Micros end) {
+  size_t required = 0;
+  for (const auto& [id, record] : jobs) {
+    if (record.sent_at < begin || record.sent_at >= end) {
+      continue;
+    }
+    if (!CompletedOrCancelled(record)) {
+      return false;
+    }
+    required += record.cancel_at == 0 ? 1 : 0;
+  }
+  return required > 0;
+}
+
 UnansweredRequests FindUnansweredRequests(
     const std::map<std::string, SoakJobRecord>& jobs,
     const std::vector<DaemonHistory>& entries,
--- a/soak/soak_checks.h
+++ b/soak/soak_checks.h
@@ -24,6 +24,15 @@
   int max_crashes = 3;
 };
 
+// Returns whether a job has completed, or need not since its caller cancels it.
+bool CompletedOrCancelled(const SoakJobRecord& record);
+
+// Returns whether callers sent jobs from `begin` until before `end` that they
+// do not cancel, and all of those have completed.
+bool AllJobsCompleted(const std::map<std::string, SoakJobRecord>& jobs,
+                      Micros begin,
+                      Micros end);
+
 // Returns one sentence for each violation of these guarantees: no task of a
 // refused job starts; all tasks of a completed job are done; not all tasks of a
 // failed job are done; no task starts after its job's cancellation was
--- a/soak/soak_deployment.cc
+++ b/soak/soak_deployment.cc
@@ -3,8 +3,11 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <utility>
 
+#include "soak/daemon_log.h"
+
 namespace goldcrest {
 namespace {
 
@@ -30,8 +33,10 @@
 
 // The IP address from which callers connect.
 constexpr char kCallersIp[] = "127.0.0.1";
-// A program that was started runs its first line within this time.
-constexpr Micros kProgramStartTime = 200 * kMillisecond;
+// Events of a daemon's log: it handles SIGTERM from now on; it has read its
+// disk and listens.
+constexpr char kStartedEvent[] = "daemon_started";
+constexpr char kListeningEvent[] = "daemon_listening";
 
 // Returns whether `ip` is in `set`; an empty set contains all addresses.
 bool Contains(const std::set<std::string>& set, const std::string& ip) {
@@ -61,15 +66,6 @@
   return state;
 }
 
-// Returns whether a process was stopped before its first line, where SIGTERM
-// still has its default action. It has taken nothing.
-bool EndedBeforeItsStart(const SoakDaemon& daemon, const ProcessEnd& end) {
-  const Micros lived = daemon.history.processes.back().end -
-                       daemon.history.processes.back().begin;
-  return daemon.drain_requested_at != 0 && end.signal == SIGTERM &&
-         lived < kProgramStartTime;
-}
-
 }  // namespace
 
 SoakDeployment::SoakDeployment(SoakDeploymentOptions options)
@@ -208,6 +204,7 @@
   daemon.drain_requested_at = 0;
   daemon.paused_time = 0;
   daemon.paused_since = 0;
+  daemon.log_begin = LogSize(LogPath(daemon));
   daemon.process =
       processes_.Start(MakeArguments(daemon, first_start), LogPath(daemon));
   CloseSpans(daemon, MonotonicMicros());
@@ -261,18 +258,37 @@
 }
 
 void SoakDeployment::RefuseWrites(SoakDaemon& daemon, bool refuse) {
-  const std::string disk = DiskPath(daemon);
-  const std::string away = disk + kAwaySuffix;
-  daemon.disk_moved_away = refuse;
+  daemon.disk_move_pending = refuse && daemon.process != 0 &&
+                             !ProcessHasLogged(daemon, kListeningEvent);
+  if (!daemon.disk_move_pending) {
+    MoveDisk(daemon, refuse);
+  }
+}
+
+void SoakDeployment::MoveDisk(SoakDaemon& daemon, bool away) {
+  const std::string here = DiskPath(daemon);
+  const std::string there = here + kAwaySuffix;
+  daemon.disk_moved_away = away;
   // Ignored: the folder may have been renamed already.
   std::error_code error;
-  if (refuse) {
-    std::filesystem::rename(disk, away, error);
+  if (away) {
+    std::filesystem::rename(here, there, error);
   } else {
-    std::filesystem::rename(away, disk, error);
+    std::filesystem::rename(there, here, error);
   }
 }
 
+bool SoakDeployment::ProcessHasLogged(const SoakDaemon& daemon,
+                                      std::string_view event) const {
+  return HasLogged(LogPath(daemon), daemon.log_begin, event);
+}
+
+bool SoakDeployment::EndedBeforeItsStart(const SoakDaemon& daemon,
+                                         const ProcessEnd& end) const {
+  return daemon.drain_requested_at != 0 && end.signal == SIGTERM &&
+         !ProcessHasLogged(daemon, kStartedEvent);
+}
+
 void SoakDeployment::OnProcessExited(const ProcessEnd& end, Micros now) {
   for (SoakDaemon& daemon : daemons_) {
     if (daemon.process != end.process) {
@@ -300,6 +316,9 @@
   }
   reaped_at_ = now;
   for (SoakDaemon& daemon : daemons_) {
+    if (daemon.disk_move_pending) {
+      RefuseWrites(daemon, true);
+    }
     if (daemon.process == 0 && daemon.restart_pending &&
         !daemon.disk_moved_away) {
       Start(daemon, false);
@@ -350,16 +369,28 @@
       });
 }
 
+void SoakDeployment::WriteRelayLog() {
+  std::ofstream file(options_.folder + "/relay.log");
+  for (const InterruptedRequest& request : relays_.TakeInterruptedRequests()) {
+    file << "event=request_interrupted from=" << request.from
+         << " to=" << request.to << " ended_by=\"" << request.ended_by
+         << "\" read_bytes=" << request.read_bytes
+         << " unsent_bytes=" << request.unsent_bytes
+         << " first_read_at=" << request.first_read_at
+         << " ended_at=" << request.ended_at << '\n';
+  }
+}
+
 void SoakDeployment::ResetConnections(const std::set<std::string>& ips) {
-  const Micros now = MonotonicMicros();
+  const Micros begin = MonotonicMicros();
+  relays_.Reset([&](const std::string& from, const std::string& to) {
+    return ips.contains(from) || ips.contains(to);
+  });
   for (SoakDaemon& daemon : daemons_) {
     if (ips.contains(daemon.ip)) {
-      daemon.history.faults.push_back({now, now});
+      daemon.history.faults.push_back({begin, MonotonicMicros()});
     }
   }
-  relays_.Reset([&](const std::string& from, const std::string& to) {
-    return ips.contains(from) || ips.contains(to);
-  });
 }
 
 }  // namespace goldcrest
--- a/soak/soak_deployment.h
+++ b/soak/soak_deployment.h
@@ -13,8 +13,10 @@
 // The deployment also checks the processes: none may exit unless it was killed
 // or drained, and a drained one must exit in time.
 
+#include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "edge/testing/relay.h"
@@ -54,6 +56,8 @@
   Micros paused_since = 0;       // 0: is not paused
   bool disk_moved_away = false;  // its disk is moved away, so it cannot start
   bool restart_pending = false;  // start it when it has exited and has its disk
+  bool disk_move_pending = false;  // move its disk away when it has read it
+  std::uintmax_t log_begin = 0;    // where its process's lines begin in its log
   DaemonHistory history;
 };
 
@@ -96,7 +100,8 @@
   // Removes all files from a control daemon's disk.
   void EmptyDisk(const SoakDaemon& daemon);
   // Makes writes to a control daemon's disk fail, or succeed again. While they
-  // fail, the folder of the disk has another name.
+  // fail, the folder of the disk has another name. They begin to fail once the
+  // daemon's process has read its disk, without which it cannot start.
   void RefuseWrites(SoakDaemon& daemon, bool refuse);
 
   // Applies a fault of connections. Returns its id for RemoveLinkFault().
@@ -122,6 +127,10 @@
   // Returns the path of a daemon's log.
   std::string LogPath(const SoakDaemon& daemon) const;
 
+  // Writes the requests that the relays saw interrupted to relay.log in the
+  // folder, one "key=value" line for each. Times are monotonic microseconds.
+  void WriteRelayLog();
+
   // Returns one sentence for each unexpected exit and each drain that took too
   // long.
   const std::vector<std::string>& violations() const { return violations_; }
@@ -137,6 +146,14 @@
   void ApplyLinkFaults();
   std::vector<std::string> MakeArguments(const SoakDaemon& daemon,
                                          bool first_start);
+  // Returns whether the daemon's process, which may have ended, has logged an
+  // event.
+  bool ProcessHasLogged(const SoakDaemon& daemon, std::string_view event) const;
+  // Returns whether a process was stopped before its first line, where SIGTERM
+  // still has its default action. It has taken nothing.
+  bool EndedBeforeItsStart(const SoakDaemon& daemon,
+                           const ProcessEnd& end) const;
+  void MoveDisk(SoakDaemon& daemon, bool away);
   void OnProcessExited(const ProcessEnd& end, Micros now);
 
   SoakDeploymentOptions options_;
--- a/soak/soak_workers.cc
+++ b/soak/soak_workers.cc
@@ -18,6 +18,16 @@
 
 }  // namespace
 
+WorkerAnswer ExecuteOrderAt(FakeWorkers& workers,
+                            FakeWorker& worker,
+                            const WorkerOrder& order,
+                            Micros now) {
+  for (FakeWorker& each : workers.all) {
+    EndFinishedAttempts(workers, each, now);
+  }
+  return ExecuteOrder(workers, worker, order, now);
+}
+
 SoakWorkers::SoakWorkers(SocketLoop& loop,
                          const SoakWire& wire,
                          SoakWorkersOptions options,
@@ -119,7 +129,7 @@
   if (order->worker != model.status.id()) {
     answer.outcome = OrderOutcome::kOtherIncarnation;
   } else {
-    answer = ExecuteOrder(model_, model, *order, now);
+    answer = ExecuteOrderAt(model_, model, *order, now);
   }
   const bool must_wait =
       order->kind == OrderKind::kRenew && order->wait_ms > 0 &&
--- a/soak/soak_workers.h
+++ b/soak/soak_workers.h
@@ -20,6 +20,14 @@
 
 namespace goldcrest {
 
+// Executes an order on a worker when the attempts of all workers that have
+// ended by `now`, by their leases for instance, have been ended. The process of
+// the soak may have been delayed since it last did so.
+WorkerAnswer ExecuteOrderAt(FakeWorkers& workers,
+                            FakeWorker& worker,
+                            const WorkerOrder& order,
+                            Micros now);
+
 // The id, failure domain and addresses of a worker.
 struct SoakWorkerConfig {
   std::string id;
