Announce a start without an answer as soon as it is known to have none

Callers would see a task run twice at once: a control daemon had found a start unanswered, by the list of its worker or by asking in vain, and was killed or paused with that knowledge. The worker restarted under its id, the job was sent again to another daemon, which started it, and the first start was carried out late.

--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -6,9 +6,7 @@
 #include "pool/admission/overload_control.h"
 #include "pool/admission/retry_after.h"
 #include "pool/job_outcome.h"
-#include "pool/workers/open_run_news.h"
 #include "pool/workers/run_ends.h"
-#include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_session.h"
 
 namespace goldcrest {
@@ -232,20 +230,6 @@
 
 namespace {
 
-// Announces the tasks that are bound to a worker here: another daemon may get
-// the job when it is sent again.
-void AnnounceBoundTasks(PoolBoard& board, const PoolJob& job) {
-  for (uint32_t step = 0; step < job.steps.size(); ++step) {
-    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
-      const TaskName name{job.order.job_id(), 0, step, i};
-      const StartBinding* binding = FindBinding(board, name);
-      if (binding != nullptr) {
-        AnnounceOpenRun(board, name, binding->until);
-      }
-    }
-  }
-}
-
 // Ends a job. A refused caller is told to return after `retry_after_ms`.
 void EndJobAs(PoolBoard& board,
               const std::string& key,
@@ -289,7 +273,6 @@
   SendOutcome(board, job->order,
               {fate, reason, retry_after_ms, try_elsewhere, job->deadline}, now,
               actions);
-  AnnounceBoundTasks(board, *job);
   for (uint32_t step = 0; step < job->steps.size(); ++step) {
     for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
       const PoolTask& task = job->steps[step].tasks[i];
--- a/pool/testing/late_orders_test.cc
+++ b/pool/testing/late_orders_test.cc
@@ -196,6 +196,19 @@
   PlayLateStartAndResend(OwnerTrouble::kNone, crash_after, margin, seed);
 }
 
+// Guards against a daemon that has found a start unanswered, but told nobody
+// while its job goes on, being killed or paused with that knowledge.
+TEST_CASE(
+    "RunEnds: a late start that its failed daemon found unanswered does not "
+    "run beside that of the job's next sending") {
+  const OwnerTrouble trouble =
+      GENERATE(OwnerTrouble::kKilled, OwnerTrouble::kPaused);
+  const Micros crash_after = GENERATE(200, 600) * kMillisecond;
+  const Micros margin = GENERATE(1, 20) * kMillisecond;
+  const uint64_t seed = GENERATE(1, 2, 3);
+  PlayLateStartAndResend(trouble, crash_after, margin, seed);
+}
+
 // Guards against the same where the daemon that sent the start is killed or
 // paused before it could announce the run.
 TEST_CASE(
--- a/pool/testing/open_run_news_test.cc
+++ b/pool/testing/open_run_news_test.cc
@@ -20,6 +20,18 @@
   return news;
 }
 
+// Adds the job of kTask.
+PoolJob& AddJob(PoolBoard& board) {
+  PoolJob& job = *(board.jobs["key"] = std::make_unique<PoolJob>());
+  job.key = "key";
+  job.order.set_job_id(kTask.job_id);
+  job.order.add_steps()->set_tasks(1);
+  job.steps.resize(1);
+  job.steps[0].tasks.resize(1);
+  board.job_keys[kTask.job_id] = "key";
+  return job;
+}
+
 // Guards against announcements that overtake each other, the end of one run
 // being taken for that of another daemon's, and a task that is held for good.
 TEST_CASE("OpenRunNews: the newest announcement of each daemon holds") {
@@ -48,14 +60,7 @@
   OnOpenRunNews(board, {"a", 1}, News(1, 1000), kSecond, actions);
   OnOpenRunNews(board, {"b", 1}, News(1, 1000), kSecond, actions);
   OnOpenRunNews(board, {"b", 1}, News(2, 0), kSecond, actions);
-  PoolJob& job = *(board.jobs["key"] = std::make_unique<PoolJob>());
-  job.key = "key";
-  job.order.set_job_id(kTask.job_id);
-  job.order.add_steps()->set_tasks(1);
-  job.steps.resize(1);
-  job.steps[0].tasks.resize(1);
-  board.job_keys[kTask.job_id] = "key";
-  QueueTask(board, job, 0, 0);
+  QueueTask(board, AddJob(board), 0, 0);
   CHECK(board.waiting.empty());
   OpenRunsTick(board, 3 * kSecond, actions);
   CHECK(board.waiting.size() == 1);
@@ -74,9 +79,11 @@
   return std::nullopt;
 }
 
-// Guards against a binding that no other daemon knows of: the list that lacked
-// the start came after the end of the job.
-TEST_CASE("OpenRunNews: a task that is bound after its job is announced") {
+// Guards against a binding that no other daemon knows of, should this one fail:
+// the list that lacked the start came while the job goes on, or after its end.
+TEST_CASE("OpenRunNews: a task is announced as soon as it is bound") {
+  const bool job_goes_on = GENERATE(false, true);
+  CAPTURE(job_goes_on);
   PoolBoard board;
   board.mesh.members["other"].last_heartbeat.set_control(true);
   PoolWorker& worker = board.workers["w"];
@@ -85,6 +92,9 @@
   run.attempt_number = 1;
   run.token = 1;
   run.sent_at = kSecond;
+  if (job_goes_on) {
+    run.job_key = AddJob(board).key;
+  }
   AddRun(board, worker, kTask, run);
   WorkerAnswer list;
   list.order.kind = OrderKind::kRenew;
@@ -96,6 +106,26 @@
   CHECK(AnnouncedRow(board, 2 * kSecond));
 }
 
+// Guards against a start without an answer that no other daemon knows of until
+// its worker's lease has expired, should this one fail before.
+TEST_CASE("OpenRunNews: a start without an answer is announced at once") {
+  PoolBoard board;
+  board.mesh.members["other"].last_heartbeat.set_control(true);
+  PoolWorker& worker = board.workers["w"];
+  worker.status.set_id("w");
+  worker.session = SessionState::kReady;
+  worker.lease_expires_at = 3 * kSecond;
+  WorkerAttempt run;
+  run.attempt_number = 1;
+  run.sent_at = kSecond;
+  run.job_key = AddJob(board).key;
+  AddRun(board, worker, kTask, run);
+  CHECK_FALSE(AnnouncedRow(board, kSecond));
+  PoolActions actions;
+  ReconcileWorker(board, worker, "call_unanswered", kSecond, actions);
+  CHECK(AnnouncedRow(board, kSecond));
+}
+
 // Guards against a task that other daemons start while it is bound to a worker
 // here, and one that they hold although it is done.
 TEST_CASE("OpenRunNews: a bound task is open elsewhere until it is done") {
--- a/pool/workers/open_run_news.cc
+++ b/pool/workers/open_run_news.cc
@@ -63,13 +63,15 @@
   return sequence;
 }
 
-// Whether the lease that was ordered does not end the run in time for the next
-// sending of its job.
+// Whether other daemons must know of a run on a worker that is asked for its
+// list. A start without an answer is bounded by no lease, and only this daemon
+// knows of it.
 bool IsAnnouncementDue(const PoolWorker& worker,
                        const WorkerAttempt& run,
                        Micros now) {
+  const bool unanswered = run.answered_at == 0;
   return !run.lease_known &&
-         (run.job_key.empty() || now > worker.lease_expires_at);
+         (unanswered || run.job_key.empty() || now > worker.lease_expires_at);
 }
 
 bool IsOver(const PoolBoard& board, const TaskName& task) {
--- a/pool/workers/open_run_news.h
+++ b/pool/workers/open_run_news.h
@@ -10,11 +10,11 @@
 // send a job again. The exceptions are a run whose lease does not bound it, a
 // start without an answer above all, and a task that is bound to a worker of
 // this daemon (start_bindings.h). They are announced to every control daemon,
-// and to the entry daemons of the own failure domain: a run when its worker's
+// and to the entry daemons of the own failure domain: a start when its worker
+// is asked for want of an answer; a run that was answered when its worker's
 // lease has expired, its job has ended or its session has ended, whichever is
-// first; a bound task when its job has ended, or when it is bound after that;
-// both again when they are over.
-// The receivers hold the task meanwhile.
+// first; a bound task when it is bound; all again when they are over. The
+// receivers hold the task meanwhile.
 //
 // Announcements are gathered for kNewsPeriod and repeated until they are
 // answered. They may overtake each other: for each task, what the sender's
@@ -27,8 +27,7 @@
 //
 // What is lost with a daemon is the run that it alone knows of when it fails
 // before it has announced it. Memory and messages: one row for each start that
-// had no answer and whose worker is silent for longer than its lease, or whose
-// job was not completed.
+// had no answer, and one when it is over.
 
 #include <cstddef>
 #include <string>
--- a/pool/workers/run_ends.cc
+++ b/pool/workers/run_ends.cc
@@ -55,14 +55,17 @@
          (proof.cause() == RunEndCause::kNotListed && run.answered_at == 0);
 }
 
-// Announces a binding whose job has ended before it.
-void AnnounceIfBoundWithoutJob(PoolBoard& board,
-                               const TaskName& name,
-                               const WorkerAttempt& run) {
-  const StartBinding* binding = FindBinding(board, name);
-  if (binding != nullptr && FindPoolJob(board, run.job_key) == nullptr) {
-    AnnounceOpenRun(board, name, binding->until);
-  }
+// Binds the task of a start that may still be carried out by another process of
+// the worker, and announces it at once: this daemon may fail before its job
+// ends.
+void BindUnansweredStart(PoolBoard& board,
+                         const PoolWorker& worker,
+                         const TaskName& name,
+                         const WorkerAttempt& run,
+                         PoolActions& actions) {
+  const Micros until = RunOverAt(board.options, worker, run);
+  BindTask(board, name, worker.status.id(), until, actions);
+  AnnounceOpenRun(board, name, until);
 }
 
 void CloseRun(PoolBoard& board, const TaskName& name) {
@@ -211,9 +214,7 @@
   ForgetOrder(board.unanswered, run.stop_number);
   CloseRun(board, name);
   if (proof.cause() == RunEndCause::kNotListed && run.answered_at == 0) {
-    BindTask(board, name, worker.status.id(),
-             RunOverAt(board.options, worker, run), actions);
-    AnnounceIfBoundWithoutJob(board, name, run);
+    BindUnansweredStart(board, worker, name, run, actions);
   }
   board.placement_due = true;
   OnAttemptEnded(board, worker, name, run, proof, NeverRan(run, proof), now,
--- a/pool/workers/start_bindings.h
+++ b/pool/workers/start_bindings.h
@@ -11,7 +11,7 @@
 // capacity there was held for the task, so it is free at once as a rule.
 //
 // The binding belongs to the task, not to a job: it outlives the job's end, for
-// the job's next sending, and is announced to the other daemons then
+// the job's next sending, and is announced at once to the other daemons
 // (open_run_news.h), which cannot order that worker.
 
 #include <cstddef>
--- a/pool/workers/worker_session.cc
+++ b/pool/workers/worker_session.cc
@@ -79,8 +79,8 @@
                    PoolActions& actions) {
   if (now - worker.reconciling_since > board.options.reconcile_timeout) {
     EndExpiredRuns(board, worker, now, actions);
-    AnnounceOpenRuns(board, worker, now);
   }
+  AnnounceOpenRuns(board, worker, now);
   if (AcceptUnansweredClaim(board, worker, now, actions)) {
     return;
   }
