Soak: take refusals from the relays' records, not from durations

Cause: an entry daemon closes its listener 50 ms before it closes all connections. The relay accepts a connection in that time, is refused, and closes it. The soak took that from the end within 10 ms of the sending, which a busy machine exceeds, and which also passed a connection that the daemon had accepted and closed fast. The relay recorded a connection only if it had read bytes of it, so nothing told these cases apart.

Fix: the relays record each connection that ended before any byte of its client was passed on, with the client's port. ECONNREFUSED is reported only by a socket that was never established; a connection that was in the backlog of a closed listener is reset instead, and an accepted one is closed. Relays no longer drop a connection silently whose target cannot be connected to. HttpClient::Call() returns the local port. A request is explained only if exactly its connection (port, and times within the request's) was refused in the last 250 ms of a process or while none listened; all else stays a violation. Stricter than before: a fast end without such a record fails.

--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -42,6 +42,7 @@
     try {
       socket_.connectNB(Poco::Net::SocketAddress(address_));
       socket_.setBlocking(false);
+      local_port_ = socket_.address().port();
       client_.loop_.Add(socket_, this, true);
       watching_writable_ = true;
       return true;
@@ -92,6 +93,7 @@
   }
 
   const std::string& address() const { return address_; }
+  uint16_t local_port() const { return local_port_; }
   bool busy() const { return busy_; }
 
  private:
@@ -111,6 +113,7 @@
   uint64_t id_;
   std::string address_;
   Poco::Net::StreamSocket socket_;
+  uint16_t local_port_ = 0;
   std::string output_;
   std::string input_;
   CallHandler handler_;
@@ -254,16 +257,17 @@
   return opened;
 }
 
-void HttpClient::Call(const HttpCall& call, CallHandler handler) {
+uint16_t HttpClient::Call(const HttpCall& call, CallHandler handler) {
   Connection* connection = IdleConnection(call.address);
   if (connection == nullptr) {
     connection = OpenConnection(call.address);
   }
   if (connection == nullptr) {
     handler(CallEnd::kNotSent, HttpResponse());
-    return;
+    return 0;
   }
   connection->StartCall(call, std::move(handler));
+  return connection->local_port();
 }
 
 void HttpClient::Close(uint64_t id) {
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -68,8 +68,9 @@
 
   // Sends a request. `handler` is called exactly once: from within Call() when
   // the request fails immediately, for instance because the address is invalid,
-  // and from the loop or CloseStale() otherwise.
-  void Call(const HttpCall& call, CallHandler handler);
+  // and from the loop or CloseStale() otherwise. Returns the local port of the
+  // connection that carries the request; 0 if none could be opened.
+  uint16_t Call(const HttpCall& call, CallHandler handler);
 
   // Ends calls that were past their timeouts at `now`, and closes connections
   // that have been idle for `idle_timeout`. `now` must not be later than the
--- a/edge/testing/relay.cc
+++ b/edge/testing/relay.cc
@@ -86,12 +86,28 @@
   return std::exchange(interrupted_requests_, {});
 }
 
+std::vector<UnusedConnection> Relays::TakeUnusedConnections() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::exchange(unused_connections_, {});
+}
+
 void Relays::MarkClosing(Connection& connection, const std::string& ended_by) {
   if (!std::exchange(connection.must_close, true)) {
     connection.ended_by = ended_by;
   }
 }
 
+// A socket reports a refusal only if its connection was never established: the
+// reset of an established connection is another error.
+void Relays::MarkFailed(Connection& connection, const Poco::Exception& error) {
+  if (!connection.must_close) {
+    connection.refused =
+        dynamic_cast<const Poco::Net::ConnectionRefusedException*>(&error) !=
+        nullptr;
+  }
+  MarkClosing(connection, error.displayText());
+}
+
 void Relays::CountRead(Connection& connection, const Flow& flow, size_t bytes) {
   if (&flow == &connection.to_client) {
     connection.request_bytes = bytes > 0 ? 0 : connection.request_bytes;
@@ -108,11 +124,21 @@
     return;
   }
   interrupted_requests_.push_back(
-      {connection.from, connection.to, connection.ended_by,
+      {connection.from, connection.to, connection.client, connection.ended_by,
        connection.request_bytes, connection.from_client.queued_bytes,
        connection.request_read_at, MonotonicMicros()});
 }
 
+void Relays::RecordUnusedConnection(const Connection& connection) {
+  if (connection.used) {
+    return;
+  }
+  unused_connections_.push_back(
+      {connection.from, connection.to, connection.client, connection.target,
+       connection.refused, connection.ended_by, connection.request_bytes,
+       connection.connect_at, MonotonicMicros()});
+}
+
 void Relays::ApplyState(Connection& connection) {
   if (state_of_) {
     connection.state = state_of_(connection.from, connection.to);
@@ -143,24 +169,38 @@
   Connection& connection = connections_.emplace_back();
   try {
     Poco::Net::StreamSocket client = relay.listener.acceptConnection();
-    Poco::Net::StreamSocket server;
-    connection.from = relay.from.empty()
-                          ? client.peerAddress().host().toString()
-                          : relay.from;
+    const Poco::Net::SocketAddress address = client.peerAddress();
+    connection.from =
+        relay.from.empty() ? address.host().toString() : relay.from;
     connection.to = relay.to;
-    server.connectNB(Poco::Net::SocketAddress(relay.target));
-    for (Poco::Net::StreamSocket* socket : {&client, &server}) {
+    connection.client = address.toString();
+    connection.target = relay.target;
+    connection.from_client.from = client;
+    connection.to_client.to = client;
+  } catch (const Poco::Exception&) {
+    connections_.pop_back();  // the client has disconnected
+    return;
+  }
+  Connect(connection);
+}
+
+void Relays::Connect(Connection& connection) {
+  Poco::Net::StreamSocket server;
+  connection.from_client.to = server;
+  connection.to_client.from = server;
+  connection.connect_at = MonotonicMicros();
+  try {
+    server.connectNB(Poco::Net::SocketAddress(connection.target));
+    for (Poco::Net::StreamSocket* socket :
+         {&connection.from_client.from, &connection.to_client.from}) {
       socket->setBlocking(false);
       socket->setNoDelay(true);
     }
-    connection.from_client.from = client;
-    connection.from_client.to = server;
-    connection.to_client.from = server;
-    connection.to_client.to = client;
     ApplyState(connection);
-  } catch (const Poco::Exception&) {
-    connections_.pop_back();  // the client has disconnected or the target
-                              // address is unusable
+  } catch (const Poco::Exception& error) {
+    connection.from_client.blocked = true;
+    connection.to_client.blocked = true;
+    MarkFailed(connection, error);
   }
 }
 
@@ -190,6 +230,7 @@
       return;
     }
     const size_t sent = SendSome(flow.to, bytes.data(), bytes.size());
+    connection.used |= sent > 0 && &flow == &connection.from_client;
     flow.queued_bytes -= sent;
     bytes.erase(0, sent);
     if (!bytes.empty()) {
@@ -201,6 +242,7 @@
 
 void Relays::Close(Connection& connection) {
   RecordInterruptedRequest(connection);
+  RecordUnusedConnection(connection);
   for (Flow* flow : {&connection.from_client, &connection.to_client}) {
     flow->blocked = true;
     UpdateWatch(*flow);
@@ -253,7 +295,7 @@
             has_queued_data_ || (!flow->blocked && !flow->pieces.empty());
       }
     } catch (const Poco::Exception& error) {
-      MarkClosing(connection, error.displayText());
+      MarkFailed(connection, error);
     }
   }
   for (auto it = connections_.begin(); it != connections_.end();) {
--- a/edge/testing/relay.h
+++ b/edge/testing/relay.h
@@ -24,6 +24,7 @@
 #include <thread>
 #include <vector>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -46,6 +47,7 @@
 struct InterruptedRequest {
   std::string from;
   std::string to;
+  std::string client;        // "ip:port" of the client's side
   std::string ended_by;      // "client", "server", "reset" or an error's text
   size_t read_bytes = 0;     // read from the client since the last reply bytes
   size_t unsent_bytes = 0;   // of these, not passed on to the server
@@ -53,6 +55,23 @@
   Micros ended_at = 0;
 };
 
+// A connection that ended before any byte of its client was passed on to its
+// target. Times are monotonic.
+struct UnusedConnection {
+  std::string from;
+  std::string to;
+  std::string client;  // as in InterruptedRequest
+  std::string target;  // "ip:port" that the relay connected to
+  // Whether the target's host refused the connection, since nothing listened at
+  // the target. It has not been established then. The host resets one that it
+  // has established but whose listener is closed, which is no refusal.
+  bool refused = false;
+  std::string ended_by;   // as in InterruptedRequest
+  size_t read_bytes = 0;  // as in InterruptedRequest
+  Micros connect_at = 0;  // when the relay connected to the target
+  Micros ended_at = 0;    // not later than the client can notice the end
+};
+
 class Relays {
  public:
   using StateFunction =
@@ -95,6 +114,9 @@
   // Returns the requests that have been interrupted since the last call.
   std::vector<InterruptedRequest> TakeInterruptedRequests();
 
+  // Returns the connections that have ended unused since the last call.
+  std::vector<UnusedConnection> TakeUnusedConnections();
+
  private:
   // Bytes that were read and are to be written at a given time; empty at the
   // end of the stream.
@@ -122,6 +144,11 @@
     Flow to_client;
     bool must_close = false;     // to be closed by the relays' thread
     std::string ended_by;        // why it must be closed
+    std::string client;          // address of the client's side
+    std::string target;          // address of the server's side
+    Micros connect_at = 0;       // when the server's side was connected
+    bool refused = false;        // the target refused the connection
+    bool used = false;           // bytes of the client have been passed on
     size_t request_bytes = 0;    // read from the client since the last reply
     Micros request_read_at = 0;  // when the first of them was read
   };
@@ -137,6 +164,8 @@
   void Run();
   void Listen(std::unique_ptr<Relay> relay);
   void Accept(Relay& relay);
+  // Connects a connection that was accepted to its target.
+  void Connect(Connection& connection);
   // Gives a connection the state that `state_of_` returns.
   void ApplyState(Connection& connection);
   // Starts or stops reading from the source of `flow`, according to its state.
@@ -151,7 +180,10 @@
   void CountRead(Connection& connection, const Flow& flow, size_t bytes);
   // Marks a connection to be closed, unless it is already.
   void MarkClosing(Connection& connection, const std::string& ended_by);
+  // Marks a connection to be closed because of an error of its sockets.
+  void MarkFailed(Connection& connection, const Poco::Exception& error);
   void RecordInterruptedRequest(const Connection& connection);
+  void RecordUnusedConnection(const Connection& connection);
   void Close(Connection& connection);
 
   std::mutex mutex_;
@@ -163,6 +195,7 @@
   std::vector<std::unique_ptr<Relay>> relays_;
   std::list<Connection> connections_;
   std::vector<InterruptedRequest> interrupted_requests_;
+  std::vector<UnusedConnection> unused_connections_;
   bool has_queued_data_ =
       false;  // data is queued in a direction that is not blocked
   std::atomic<bool> stopping_{false};
--- a/edge/testing/relay_test.cc
+++ b/edge/testing/relay_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
@@ -48,6 +49,12 @@
   }
 }
 
+// Waits until `socket` has been closed or reset by the other side.
+void WaitUntilEnded(StreamSocket& socket) {
+  REQUIRE(socket.poll(Poco::Timespan(kReceiveTimeoutSeconds, 0),
+                      StreamSocket::SELECT_READ));
+}
+
 void WaitUntilClosed(StreamSocket& socket) {
   char byte = 0;
   CHECK(socket.receiveBytes(&byte, 1) == 0);
@@ -92,6 +99,70 @@
   CHECK(interrupted[0].ended_by == "server");
 }
 
+// Soak seed 202: requests to a daemon that had closed its listener had no
+// answer, and nothing told which of their connections it had refused.
+TEST_CASE("Relays: a target that does not listen is recorded as a refusal") {
+  ServerSocket target;
+  target.bind(SocketAddress("127.0.0.1:0"), false);  // reserves the port
+  Relays relays;
+  const bool sends_request = GENERATE(false, true);
+  StreamSocket client(SocketAddress(
+      relays.Add("caller", "daemon", target.address().toString())));
+  if (sends_request) {
+    try {
+      client.sendBytes("request", 7);
+    } catch (const Poco::Exception&) {  // the relay was faster
+    }
+  }
+  const std::string client_address = client.address().toString();
+  WaitUntilEnded(client);
+  const std::vector<UnusedConnection> unused = relays.TakeUnusedConnections();
+  REQUIRE(unused.size() == 1);
+  CHECK(unused[0].refused);
+  CHECK(unused[0].from == "caller");
+  CHECK(unused[0].to == "daemon");
+  CHECK(unused[0].client == client_address);
+  CHECK(unused[0].target == target.address().toString());
+  CHECK(unused[0].read_bytes <= 7);
+  CHECK(unused[0].connect_at <= unused[0].ended_at);
+  CHECK(relays.TakeUnusedConnections().empty());
+}
+
+TEST_CASE("Relays: a reset in the backlog of a listener is no refusal") {
+  ServerSocket target;
+  target.bind(SocketAddress("127.0.0.1:0"), false);
+  target.listen();
+  Relays relays;
+  StreamSocket client(SocketAddress(
+      relays.Add("caller", "daemon", target.address().toString())));
+  REQUIRE(target.poll(Poco::Timespan(kReceiveTimeoutSeconds, 0),
+                      ServerSocket::SELECT_READ));
+  target.close();
+  WaitUntilEnded(client);
+  const std::vector<UnusedConnection> unused = relays.TakeUnusedConnections();
+  REQUIRE(unused.size() == 1);
+  CHECK_FALSE(unused[0].refused);
+}
+
+TEST_CASE("Relays: a target that closes after accepting is no refusal") {
+  RelayedPair pair;
+  pair.server.close();
+  WaitUntilEnded(pair.client);
+  const std::vector<UnusedConnection> unused =
+      pair.relays.TakeUnusedConnections();
+  REQUIRE(unused.size() == 1);
+  CHECK_FALSE(unused[0].refused);
+  CHECK(unused[0].ended_by == "server");
+}
+
+TEST_CASE("Relays: a connection that carried bytes is not recorded as unused") {
+  RelayedPair pair;
+  Deliver(pair.client, pair.server, "request");
+  pair.server.close();
+  WaitUntilEnded(pair.client);
+  CHECK(pair.relays.TakeUnusedConnections().empty());
+}
+
 TEST_CASE("A request that has its reply is not recorded") {
   RelayedPair pair;
   Deliver(pair.client, pair.server, "request");
--- a/edge/testing/socket_loop_test.cc
+++ b/edge/testing/socket_loop_test.cc
@@ -41,6 +41,16 @@
   CHECK(MonotonicMicros() - before < 30 * kSecond);
 }
 
+TEST_CASE("HttpClient: a call returns the port that its server sees") {
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  SocketLoop loop;
+  HttpClient client(loop, HttpClientOptions());
+  HttpCall call;
+  call.address = server.address().toString();
+  const uint16_t port = client.Call(call, [](CallEnd, const HttpResponse&) {});
+  CHECK(server.acceptConnection().peerAddress().port() == port);
+}
+
 // Guards against a name lookup, which would block the loop.
 TEST_CASE("HttpClient: an address with a host name is not called") {
   const Poco::Net::ServerSocket server(
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -344,7 +344,7 @@
   Append(CheckJobs(environment.callers.jobs(), environment.workers.model(),
                    {options.start_slack}),
          result.violations);
-  environment.deployment.WriteRelayLog();
+  environment.deployment.TakeRelayRecords();
   UnansweredRequests unanswered = FindUnansweredRequests(
       environment.callers.jobs(), EntryHistories(environment.deployment),
       environment.callers.answer_timeout());
--- a/soak/soak_callers.cc
+++ b/soak/soak_callers.cc
@@ -94,7 +94,7 @@
   const std::string id = record.job.id;
   jobs_[id] = std::move(record);
   ++open_jobs_;
-  client_.Call(call, [this, id](CallEnd end, const HttpResponse& response) {
+  const auto on_end = [this, id](CallEnd end, const HttpResponse& response) {
     --open_jobs_;
     SoakJobRecord& ended_job = jobs_.at(id);
     ended_job.ended_at = MonotonicMicros();
@@ -102,7 +102,8 @@
     if (end == CallEnd::kResponse) {
       ended_job.outcome = wire_.DecodeOutcome(response);
     }
-  });
+  };
+  jobs_.at(id).client_port = client_.Call(call, on_end);
 }
 
 void SoakCallers::SendCancels(Micros now) {
--- a/soak/soak_callers.h
+++ b/soak/soak_callers.h
@@ -51,8 +51,9 @@
   CallEnd end = CallEnd::kNotSent;  // how the request ended, if it has ended
   Micros cancel_at = 0;             // when the caller cancels the job; 0: never
   Micros cancel_confirmed_at =
-      0;                   // when the cancellation was confirmed; 0: never
-  size_t entry_index = 0;  // index of the entry daemon
+      0;                     // when the cancellation was confirmed; 0: never
+  size_t entry_index = 0;    // index of the entry daemon
+  uint16_t client_port = 0;  // local port of the request's connection; 0: none
 };
 
 // Sends the jobs and configuration changes of one soak. Runs on the thread of
--- a/soak/soak_checks.cc
+++ b/soak/soak_checks.cc
@@ -12,9 +12,8 @@
 // Longest time that a request takes through the relay to the daemon.
 constexpr Micros kRelayTime = 5 * kMillisecond;
 // A daemon closes its listener at most this long before its process ends. The
-// relay accepts a connection then, is refused, and closes it at once.
+// relay accepts a connection then and is refused.
 constexpr Micros kClosedListenerTime = 250 * kMillisecond;
-constexpr Micros kRefusedTime = 10 * kMillisecond;
 
 // What the workers executed of one job.
 struct JobExecution {
@@ -80,11 +79,14 @@
                      });
 }
 
-// Returns when the first request that each process answered was sent.
-std::map<const TimeSpan*, Micros> FirstAnsweredRequests(
+// When the first request that each process answered was sent.
+using FirstAnswered = std::map<const TimeSpan*, Micros>;
+
+// Returns this for the processes of `entries` that answered any of `jobs`.
+FirstAnswered FirstAnsweredRequests(
     const std::map<std::string, SoakJobRecord>& jobs,
     const std::vector<DaemonHistory>& entries) {
-  std::map<const TimeSpan*, Micros> first;
+  FirstAnswered first;
   for (const auto& [id, record] : jobs) {
     const TimeSpan* process =
         ProcessAt(entries[record.entry_index], record.sent_at);
@@ -100,12 +102,44 @@
   return std::to_string(duration / kMillisecond) + " ms";
 }
 
-// Returns whether a request without an answer met a closed socket: it was sent
-// when its connection was being closed, or its connection was refused.
-bool MetClosedSocket(const SoakJobRecord& record, const TimeSpan& process) {
-  const bool refused = record.ended_at - record.sent_at <= kRefusedTime &&
-                       process.end - kClosedListenerTime <= record.sent_at;
-  return refused || process.end - kRelayTime <= record.sent_at;
+// Returns whether a process is taken to listen at `time`: it runs and has
+// answered a request that was sent before.
+bool HasListened(const DaemonHistory& daemon,
+                 const FirstAnswered& first_answered,
+                 Micros time) {
+  const auto found = first_answered.find(ProcessAt(daemon, time));
+  return found != first_answered.end() && found->second <= time;
+}
+
+// Returns whether a daemon may refuse connections at `time`: it does not listen
+// yet, or its process is about to end.
+bool MayRefuse(const DaemonHistory& daemon,
+               const FirstAnswered& first_answered,
+               Micros time) {
+  return !HasListened(daemon, first_answered, time) ||
+         ProcessAt(daemon, time)->end - kClosedListenerTime <= time;
+}
+
+// Returns whether `refused` is the connection of a request. A port has one
+// connection at a time, and one that was refused carried no earlier request.
+bool IsConnectionOf(const RefusedConnection& refused,
+                    const SoakJobRecord& record) {
+  return refused.client_port == record.client_port &&
+         refused.connect_at >= record.sent_at &&
+         refused.ended_at <= record.ended_at;
+}
+
+// Returns whether the connection of a request was refused while the daemon may
+// do so.
+bool WasRefused(const DaemonHistory& daemon,
+                const FirstAnswered& first_answered,
+                const SoakJobRecord& record) {
+  return std::any_of(daemon.refused.begin(), daemon.refused.end(),
+                     [&](const RefusedConnection& refused) {
+                       return IsConnectionOf(refused, record) &&
+                              MayRefuse(daemon, first_answered,
+                                        refused.connect_at);
+                     });
 }
 
 // Returns the violation that a request without an answer is.
@@ -120,7 +154,7 @@
     text += ", which was sent " + FormatMs(process.end - record.sent_at) +
             " before the process ended";
   }
-  return text;
+  return text + "; port " + std::to_string(record.client_port);
 }
 
 }  // namespace
@@ -150,25 +184,25 @@
     const std::vector<DaemonHistory>& entries,
     Micros answer_timeout) {
   UnansweredRequests unanswered;
-  const std::map<const TimeSpan*, Micros> listening_since =
-      FirstAnsweredRequests(jobs, entries);
+  const FirstAnswered first_answered = FirstAnsweredRequests(jobs, entries);
   for (const auto& [id, record] : jobs) {
     if (record.ended_at == 0 || !IsUnanswered(record.end)) {
       continue;
     }
     const DaemonHistory& daemon = entries[record.entry_index];
-    const TimeSpan* process = ProcessAt(daemon, record.sent_at);
-    const auto listening = listening_since.find(process);
-    const bool was_listening = listening != listening_since.end() &&
-                               listening->second <= record.sent_at;
     const bool gave_up = record.ended_at - record.sent_at >= answer_timeout;
-    if (!was_listening || gave_up || MetFault(daemon, record)) {
+    if (!HasListened(daemon, first_answered, record.sent_at) || gave_up ||
+        MetFault(daemon, record)) {
       ++unanswered.explained;
-    } else if (MetClosedSocket(record, *process)) {
+      continue;
+    }
+    const TimeSpan& process = *ProcessAt(daemon, record.sent_at);
+    if (process.end - kRelayTime <= record.sent_at ||
+        WasRefused(daemon, first_answered, record)) {
       ++unanswered.sent_at_exit;
     } else {
       unanswered.violations.push_back(
-          DescribeUnanswered(record, daemon, *process));
+          DescribeUnanswered(record, daemon, process));
     }
   }
   return unanswered;
--- a/soak/soak_checks.h
+++ b/soak/soak_checks.h
@@ -48,7 +48,8 @@
   // One sentence for each request that its daemon should have answered.
   std::vector<std::string> violations;
   // Requests that may have reached the daemon's address after its process had
-  // ended.
+  // ended, and those whose connection was refused since the daemon had closed
+  // its listener.
   int sent_at_exit = 0;
   // Requests that a fault explains, that were sent while no process listened or
   // that their callers gave up.
--- a/soak/soak_deployment.cc
+++ b/soak/soak_deployment.cc
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <utility>
 
+#include <Poco/Net/SocketAddress.h>
+
 #include "soak/daemon_log.h"
 
 namespace goldcrest {
@@ -369,16 +371,39 @@
       });
 }
 
-void SoakDeployment::WriteRelayLog() {
+void SoakDeployment::AddRefused(const UnusedConnection& connection) {
+  if (!connection.refused || connection.from != kCallersIp) {
+    return;
+  }
+  for (SoakDaemon& daemon : daemons_) {
+    if (connection.target == daemon.ip + kHttpPort) {
+      const Poco::Net::SocketAddress client(connection.client);
+      daemon.history.refused.push_back(
+          {client.port(), connection.connect_at, connection.ended_at});
+    }
+  }
+}
+
+void SoakDeployment::TakeRelayRecords() {
   std::ofstream file(options_.folder + "/relay.log");
   for (const InterruptedRequest& request : relays_.TakeInterruptedRequests()) {
     file << "event=request_interrupted from=" << request.from
-         << " to=" << request.to << " ended_by=\"" << request.ended_by
+         << " to=" << request.to << " client=" << request.client
+         << " ended_by=\"" << request.ended_by
          << "\" read_bytes=" << request.read_bytes
          << " unsent_bytes=" << request.unsent_bytes
          << " first_read_at=" << request.first_read_at
          << " ended_at=" << request.ended_at << '\n';
   }
+  for (const UnusedConnection& unused : relays_.TakeUnusedConnections()) {
+    AddRefused(unused);
+    file << "event=connection_unused from=" << unused.from
+         << " to=" << unused.target << " client=" << unused.client
+         << " refused=" << unused.refused << " ended_by=\"" << unused.ended_by
+         << "\" read_bytes=" << unused.read_bytes
+         << " connect_at=" << unused.connect_at
+         << " ended_at=" << unused.ended_at << '\n';
+  }
 }
 
 void SoakDeployment::ResetConnections(const std::set<std::string>& ips) {
--- a/soak/soak_deployment.h
+++ b/soak/soak_deployment.h
@@ -127,9 +127,11 @@
   // Returns the path of a daemon's log.
   std::string LogPath(const SoakDaemon& daemon) const;
 
-  // Writes the requests that the relays saw interrupted to relay.log in the
-  // folder, one "key=value" line for each. Times are monotonic microseconds.
-  void WriteRelayLog();
+  // Writes the requests that the relays saw interrupted and the connections
+  // that ended unused to relay.log in the folder, one "key=value" line for
+  // each. Times are monotonic microseconds. Adds the refused connections of
+  // callers to the histories of the daemons.
+  void TakeRelayRecords();
 
   // Returns one sentence for each unexpected exit and each drain that took too
   // long.
@@ -154,6 +156,9 @@
   bool EndedBeforeItsStart(const SoakDaemon& daemon,
                            const ProcessEnd& end) const;
   void MoveDisk(SoakDaemon& daemon, bool away);
+  // Adds a connection to the history of the daemon that refused it, if a caller
+  // opened it.
+  void AddRefused(const UnusedConnection& connection);
   void OnProcessExited(const ProcessEnd& end, Micros now);
 
   SoakDeploymentOptions options_;
--- a/soak/testing/soak_checks_test.cc
+++ b/soak/testing/soak_checks_test.cc
@@ -14,12 +14,14 @@
 // The lifetime of the process that most cases use.
 constexpr Micros kProcessStart = 10 * kSecond;
 constexpr Micros kProcessEnd = 60 * kSecond;
+constexpr uint16_t kPort = 40001;  // of the connection of the request
 
 using Jobs = std::map<std::string, SoakJobRecord>;
 
 SoakJobRecord RequestThatEnded(Micros sent_at, Micros ended_at, CallEnd end) {
   SoakJobRecord record;
   record.job.id = "job";
+  record.client_port = kPort;
   record.sent_at = sent_at;
   record.ended_at = ended_at;
   record.end = end;
@@ -138,10 +140,82 @@
   };
   CHECK(sent_before_end(5 * kMillisecond, kSecond) == kAtExit);
   CHECK(sent_before_end(6 * kMillisecond, kSecond) == kViolation);
-  // Connections that are refused close at once.
-  CHECK(sent_before_end(250 * kMillisecond, 10 * kMillisecond) == kAtExit);
-  CHECK(sent_before_end(250 * kMillisecond, 11 * kMillisecond) == kViolation);
-  CHECK(sent_before_end(251 * kMillisecond, 10 * kMillisecond) == kViolation);
+}
+
+// A daemon that accepts a connection and closes it at once fails its caller,
+// however fast it does so.
+TEST_CASE("Soak checks: a fast end without a recorded refusal is a violation") {
+  for (const Micros before : {6 * kMillisecond, 250 * kMillisecond}) {
+    const Micros sent = kProcessEnd - before;
+    CHECK(CountsOf(OneDaemon().Classify(sent, sent)) == kViolation);
+    CHECK(CountsOf(OneDaemon().Classify(sent, sent + 10 * kMillisecond)) ==
+          kViolation);
+  }
+}
+
+// Classifies a request that was sent 400 ms before the end of the process and
+// whose connection the relay recorded as refused.
+Counts CountsWithRefusal(const RefusedConnection& refused) {
+  OneDaemon one;
+  one.daemon.refused = {refused};
+  return CountsOf(one.Classify(kProcessEnd - 400 * kMillisecond, kProcessEnd));
+}
+
+// Seed 202: a request on a busy machine learned of the refusal after 50 ms.
+TEST_CASE("Soak checks: a refusal at the end of a process is no violation") {
+  const Micros closed = kProcessEnd - 250 * kMillisecond;
+  CHECK(CountsWithRefusal({kPort, closed, kProcessEnd}) == kAtExit);
+  CHECK(CountsWithRefusal({kPort, kProcessEnd, kProcessEnd}) == kAtExit);
+}
+
+TEST_CASE("Soak checks: a refusal before the end of a process is a violation") {
+  const Micros listening = kProcessEnd - 250 * kMillisecond - 1;
+  CHECK(CountsWithRefusal({kPort, listening, kProcessEnd}) == kViolation);
+}
+
+TEST_CASE("Soak checks: a refusal of another connection explains nothing") {
+  const Micros sent = kProcessEnd - 100 * kMillisecond;
+  const Micros ended = sent + 50 * kMillisecond;
+  const auto with_refusal = [&](const RefusedConnection& refused) {
+    OneDaemon one;
+    one.daemon.refused = {refused};
+    return CountsOf(one.Classify(sent, ended));
+  };
+  CHECK(with_refusal({kPort, sent, ended}) == kAtExit);
+  CHECK(with_refusal({kPort + 1, sent, ended}) == kViolation);
+  // The port was used before and after.
+  CHECK(with_refusal({kPort, sent - 1, ended}) == kViolation);
+  CHECK(with_refusal({kPort, sent, ended + 1}) == kViolation);
+}
+
+TEST_CASE("Soak checks: a refusal by another daemon explains nothing") {
+  OneDaemon one;
+  const Micros sent = kProcessEnd - 100 * kMillisecond;
+  DaemonHistory other = one.daemon;
+  other.refused = {{kPort, sent, sent}};
+  one.jobs["job"] = RequestThatEnded(sent, kProcessEnd, CallEnd::kClosed);
+  const auto found =
+      FindUnansweredRequests(one.jobs, {one.daemon, other}, kAnswerTimeout);
+  CHECK(CountsOf(found) == kViolation);
+}
+
+TEST_CASE("Soak checks: a refusal between two processes is no violation") {
+  const Micros restarted = kProcessEnd + kSecond;
+  const Micros answered = restarted + kSecond;
+  const auto refused_at = [&](Micros time) {
+    OneDaemon one;
+    one.daemon.processes.push_back({restarted, kStillOpen});
+    one.daemon.refused = {{kPort, time, time}};
+    one.jobs["second"] =
+        RequestThatEnded(answered, answered + 1, CallEnd::kResponse);
+    return CountsOf(
+        one.Classify(kProcessEnd - 6 * kMillisecond, answered + kSecond));
+  };
+  CHECK(refused_at(kProcessEnd + 1) == kAtExit);
+  // The second process does not listen before it has answered.
+  CHECK(refused_at(restarted) == kAtExit);
+  CHECK(refused_at(answered - 1) == kAtExit);
+  CHECK(refused_at(answered) == kViolation);
 }
 
 TEST_CASE("Each request is judged by the daemon that it was sent to") {
--- a/soak/testing/soak_deployment_test.cc
+++ b/soak/testing/soak_deployment_test.cc
@@ -3,10 +3,14 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 #include <unistd.h>
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
 #include <catch2/catch.hpp>
 
 #include "edge/socket_loop.h"
@@ -17,6 +21,7 @@
 
 constexpr int kNetwork = 231;
 constexpr unsigned kWaitMicros = 1000;
+constexpr int kWaitSeconds = 10;
 constexpr char kStarted[] =
     "time=2026-01-01T00:00:00.000Z event=daemon_started";
 constexpr char kListening[] =
@@ -43,6 +48,10 @@
   SoakDeployment* operator->() { return &deployment_; }
   SoakDaemon& control() { return *deployment_.controls().front(); }
   bool HasDisk() { return std::filesystem::exists(Disk()); }
+  std::string RelayLog() {
+    std::ifstream file(folder_ / "relay.log");
+    return {std::istreambuf_iterator<char>(file), {}};
+  }
   std::string Disk() { return folder_ / (control().name + "-disk"); }
 
   void Log(const std::string& line) {
@@ -119,6 +128,23 @@
   CHECK(deployment->violations().size() == 1);
 }
 
+// The program of the deployment does not listen.
+TEST_CASE("Soak deployment: a refused caller is in the daemon's history") {
+  ScriptedDeployment deployment("");
+  Poco::Net::StreamSocket caller(Poco::Net::SocketAddress(
+      deployment->ControlAddress(deployment.control())));
+  const uint16_t port = caller.address().port();
+  REQUIRE(caller.poll(Poco::Timespan(kWaitSeconds, 0),
+                      Poco::Net::Socket::SELECT_READ));
+  deployment->TakeRelayRecords();
+  const auto& refused = deployment.control().history.refused;
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].client_port == port);
+  const std::string logged =
+      "client=127.0.0.1:" + std::to_string(port) + " refused=1 ";
+  CHECK(deployment.RelayLog().find(logged) != std::string::npos);
+}
+
 // The log of an earlier process says nothing about the present one.
 TEST_CASE("Each process must log its own start") {
   ScriptedDeployment deployment(
