Elect only after what has arrived was read

Callers saw nothing directly: a control daemon that was late itself asked the others for votes one message before the heartbeat of its leader, which waited unread. A voter that was late as well may grant that (not shown).

Cause: AgreementTick() ran with each event, so after any message, and judged by what had been read until then. The same holds for the end of forwarded requests and the review of voters.

It now runs in the tick only, which the loop runs after it has read what arrived meanwhile. With other events only a round of the leader's heartbeats that is due is sent, as after a commit.

agreement_election_test, run without the change: a follower that handles 1.3 s of other messages asks for votes with the leader's heartbeat next in line (failed; passes now). With a silent leader it still stands for election, at its next tick.

--- a/pool/agreement/agreement.cc
+++ b/pool/agreement/agreement.cc
@@ -385,6 +385,13 @@
   }
 }
 
+void SendDueHeartbeats(Agreement& agreement, Micros now, PoolActions& actions) {
+  if (agreement.role == AgreementRole::kLeader &&
+      now >= agreement.heartbeat_due) {
+    detail::SendHeartbeatRound(agreement, now, actions);
+  }
+}
+
 void AgreementTick(Agreement& agreement, Micros now, PoolActions& actions) {
   if (agreement.write_retry_at != 0 && now >= agreement.write_retry_at) {
     agreement.write_retry_at = now + agreement.options.write_retry_delay;
@@ -392,10 +399,8 @@
   }
   detail::ExpireRequests(agreement, now, actions);
   detail::ReviewQuorum(agreement, now, actions);
+  SendDueHeartbeats(agreement, now, actions);
   if (agreement.role == AgreementRole::kLeader) {
-    if (now >= agreement.heartbeat_due) {
-      detail::SendHeartbeatRound(agreement, now, actions);
-    }
     if (now >= agreement.voter_review_due) {
       detail::ReviewVoters(agreement, now, actions);
     }
--- a/pool/agreement/agreement.h
+++ b/pool/agreement/agreement.h
@@ -218,8 +218,13 @@
                       Micros now,
                       PoolActions& actions);
 
+// Sends the leader's heartbeats if a round is due, as it is after a commit.
+void SendDueHeartbeats(Agreement& agreement, Micros now, PoolActions& actions);
+
 // Runs all work that is due: write retries, timeouts of changes and forwarded
-// requests, heartbeat rounds, voter reviews and elections.
+// requests, heartbeat rounds, voter reviews and elections. Most of it judges
+// who was not heard, so that every message that has arrived must be handled
+// before.
 void AgreementTick(Agreement& agreement, Micros now, PoolActions& actions);
 
 // Proposes `routing`, and answers when it is committed. If its version is not
--- a/pool/agreement/agreement_quorum.cc
+++ b/pool/agreement/agreement_quorum.cc
@@ -9,7 +9,6 @@
 
 // Elections, and the replacement of a voter, take less.
 constexpr Micros kReportNoQuorumAfter = 3 * kSecond;
-// The agreement is run at each event of the daemon.
 constexpr Micros kQuorumReviewPeriod = 100 * kMillisecond;
 
 // Returns the addresses of the voters that were not heard recently, or that
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -320,9 +320,15 @@
         Handle(board, concrete_event, now.mono, actions);
       },
       event);
-  AgreementTick(board.agreement, now.mono, actions);
+  const bool is_tick = std::holds_alternative<PoolTimeAdvanced>(event);
+  if (is_tick) {
+    AgreementTick(board.agreement, now.mono, actions);
+  } else {
+    // Whoever seems silent may have been heard by the next message that waits.
+    SendDueHeartbeats(board.agreement, now.mono, actions);
+  }
   board.mesh.is_leader = board.agreement.role == AgreementRole::kLeader;
-  if (std::holds_alternative<PoolTimeAdvanced>(event)) {
+  if (is_tick) {
     board.mesh.routing_version = board.agreement.committed.routing().version();
     RunDuePoolWork(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
--- a/pool/pool_step.h
+++ b/pool/pool_step.h
@@ -8,11 +8,11 @@
 //   HandlePoolEvent(board, event, now, actions);  // once for each event
 //   PlaceTasks(board, now, actions);              // after the last of them
 //
-// HandlePoolEvent() detects a pause of the process, handles the event and
-// advances the configuration agreement. Periodic work runs only in steps for
-// PoolTimeAdvanced. PlaceTasks() places waiting tasks on workers: one plan for
-// all events that arrived together, since a plan costs far more than an event
-// does. PoolStep() is both, for one event.
+// HandlePoolEvent() detects a pause of the process and handles the event.
+// Periodic work, and what follows from the silence of others, runs only in
+// steps for PoolTimeAdvanced. PlaceTasks() places waiting tasks on workers: one
+// plan for all events that arrived together, since a plan costs far more than
+// an event does. PoolStep() is both, for one event.
 
 #include <cstdint>
 #include <string>
