Exclude a pause of the process from elections

Operators saw: after a pause of all control daemons at once (a host that stands still), the leader was replaced although it had not ended.

Cause: HandleProcessPause() moves the times of last contact of the mesh and of workers by the pause, but not those of the agreement. The followers that woke up before the leader found it silent for the whole pause.

Elections, the report of a missing quorum and the review of voters now exclude the pause too. A voter that refuses a candidate for longer is safe; a leader's lease, which must not grow, goes on as before.

A leader that was killed during the pause is replaced within 2 s, as before.

--- a/pool/agreement/agreement.cc
+++ b/pool/agreement/agreement.cc
@@ -385,6 +385,15 @@
   }
 }
 
+void ExcludePauseFromElections(Agreement& agreement, Micros pause) {
+  agreement.leader_contact_at += pause;
+  agreement.election_due += pause;
+  agreement.quorum_at += pause;
+  for (auto& [address, peer] : agreement.peers) {
+    peer.last_received_at += pause;
+  }
+}
+
 void SendDueHeartbeats(Agreement& agreement, Micros now, PoolActions& actions) {
   if (agreement.role == AgreementRole::kLeader &&
       now >= agreement.heartbeat_due) {
--- a/pool/agreement/agreement.h
+++ b/pool/agreement/agreement.h
@@ -218,6 +218,10 @@
                       Micros now,
                       PoolActions& actions);
 
+// Excludes a pause of this process from the time since the last contact with
+// other control daemons. A leader's lease goes on.
+void ExcludePauseFromElections(Agreement& agreement, Micros pause);
+
 // Sends the leader's heartbeats if a round is due, as it is after a commit.
 void SendDueHeartbeats(Agreement& agreement, Micros now, PoolActions& actions);
 
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -257,6 +257,7 @@
   LogPoolEvent(actions, LogLevel::kWarning, "process_was_paused",
                {{"pause_ms", std::to_string(pause / kMillisecond)}});
   ExcludePauseFromTimeouts(board.mesh, pause);
+  ExcludePauseFromElections(board.agreement, pause);
   std::vector<std::pair<std::string, wire::JobFate>> ending;
   for (const auto& [key, job] : board.jobs) {
     ending.emplace_back(key,
--- a/pool/testing/agreement_election_test.cc
+++ b/pool/testing/agreement_election_test.cc
@@ -14,6 +14,7 @@
 constexpr size_t kControls = 3;
 // Longer than a follower waits for its leader.
 constexpr Micros kDelay = 1300 * kMillisecond;
+constexpr Micros kLaterWakeUp = 50 * kMillisecond;
 
 FakePoolOptions SmallPool() {
   FakePoolOptions options;
@@ -49,6 +50,12 @@
   return message;
 }
 
+void PauseControls(FakePool& pool, bool paused) {
+  for (FakeControl& control : pool.controls()) {
+    control.paused = paused;
+  }
+}
+
 // Guards against a daemon that takes its own delay for the silence of its
 // leader. The delay is one of many events, so the process was not paused.
 TEST_CASE(
@@ -77,5 +84,42 @@
   CHECK(AsksForVotes(actions) == leader_is_silent);
 }
 
+TEST_CASE(
+    "Agreement: a pause of all control daemons costs no leader, although the "
+    "leader wakes up last") {
+  // At each moment between two heartbeats of the leader.
+  for (Micros at = 0; at < 100 * kMillisecond; at += 5 * kMillisecond) {
+    CAPTURE(at);
+    FakePool pool(SmallPool());
+    WaitUntilServing(pool);
+    pool.Run(at);
+    const int won = pool.CountLogged("leadership_won");
+    const int changes = pool.CountLogged("voters_changed");
+    const size_t leader = LeaderOf(pool);
+    PauseControls(pool, true);
+    pool.Run(kDelay);
+    PauseControls(pool, false);
+    pool.controls()[leader].paused = true;
+    pool.Run(kLaterWakeUp);
+    PauseControls(pool, false);
+    pool.Run(2 * kSecond);
+    CHECK(pool.CountLogged("leadership_won") == won);
+    CHECK(pool.CountLogged("voters_changed") == changes);
+  }
+}
+
+TEST_CASE("Agreement: a leader that ends during a pause is replaced") {
+  FakePool pool(SmallPool());
+  WaitUntilServing(pool);
+  const size_t leader = LeaderOf(pool);
+  const int won = pool.CountLogged("leadership_won");
+  PauseControls(pool, true);
+  pool.Run(kDelay);
+  pool.KillControl(leader);
+  PauseControls(pool, false);
+  pool.Run(2 * kSecond);
+  CHECK(pool.CountLogged("leadership_won") == won + 1);
+}
+
 }  // namespace
 }  // namespace goldcrest
