Place the tasks of a standby once for all events of a moment

The step of an entry daemon is now two, as that of a control daemon is: HandleEntryEvent() for each event, PlaceEntryTasks() once for all that were handled together, and after each tick. The simulated pool does the same.

--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -149,11 +149,21 @@
 
 void EntryDaemon::RunStep(const EntryEvent& event) {
   PoolActions actions;
-  EntryStep(board_, event, ReadBootClock(), actions);
+  HandleEntryEvent(board_, event, ReadBootClock(), actions);
   if (board_.draining) {
     // The next requests of the callers go to other daemons.
     server_->CloseAfterReplies();
   }
+  Perform(actions);
+}
+
+void EntryDaemon::RunPlacement() {
+  PoolActions actions;
+  PlaceEntryTasks(board_, ReadBootClock(), actions);
+  Perform(actions);
+}
+
+void EntryDaemon::Perform(PoolActions& actions) {
   for (PoolAction& action : actions) {
     std::visit([this](auto& one) { PerformOne(one); }, action);
   }
@@ -203,6 +213,7 @@
     RunStep(EntryTimeAdvanced());
     ReleaseHeldRequests();
   };
+  handlers.on_events_handled = [this] { RunPlacement(); };
   handlers.servers = {server_.get(), readiness_server_.get()};
   if (metrics_server_) {
     handlers.servers.push_back(metrics_server_.get());
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -75,8 +75,12 @@
   void AnswerWaitingCallers();
   void OnReadinessRequest(RequestToken token, const HttpRequest& request);
   // Calls the decision code with one event, performs the resulting actions and
-  // records metrics.
+  // records metrics. Places no tasks.
   void RunStep(const EntryEvent& event);
+  // Places the waiting tasks of a standby, for all events handled together.
+  void RunPlacement();
+  // Performs the actions of a step and records its metrics.
+  void Perform(PoolActions& actions);
   void PerformOne(SendMessage& action);
   void PerformOne(SendOrder& action);
   void PerformOne(ReplyJob& action);
--- a/pool/entry/entry.cc
+++ b/pool/entry/entry.cc
@@ -280,6 +280,18 @@
 
 void Handle(EntryBoard&, const EntryTimeAdvanced&, Micros, PoolActions&) {}
 
+// Advances the clocks of the board, and refuses new jobs for a while after a
+// pause of the process.
+void BeginStep(EntryBoard& board, StepTime now, PoolActions& actions) {
+  board.pool.wall_ms = now.wall_ms;
+  // MakeEntryBoard() has no clock, so last_step_at is 0 in the first step.
+  if (board.pool.last_step_at != 0 &&
+      HandleProcessPause(board.pool, now.mono, actions)) {
+    board.refuse_until = now.mono + board.options.refuse_after_pause;
+  }
+  board.pool.last_step_at = now.mono;
+}
+
 // Returns the first order number of an entry daemon that started at this time,
 // in milliseconds. No daemon takes a million jobs a second, so a restarted one
 // uses no number of its earlier process: messages about the orders of that are
@@ -303,17 +315,11 @@
   return board;
 }
 
-void EntryStep(EntryBoard& board,
-               const EntryEvent& event,
-               StepTime now,
-               PoolActions& actions) {
-  board.pool.wall_ms = now.wall_ms;
-  // MakeEntryBoard() has no clock, so last_step_at is 0 in the first step.
-  if (board.pool.last_step_at != 0 &&
-      HandleProcessPause(board.pool, now.mono, actions)) {
-    board.refuse_until = now.mono + board.options.refuse_after_pause;
-  }
-  board.pool.last_step_at = now.mono;
+void HandleEntryEvent(EntryBoard& board,
+                      const EntryEvent& event,
+                      StepTime now,
+                      PoolActions& actions) {
+  BeginStep(board, now, actions);
   std::visit(
       [&](const auto& concrete_event) {
         Handle(board, concrete_event, now.mono, actions);
@@ -330,9 +336,21 @@
     RunDuePoolWork(board.pool, now.mono, actions);
     MeshTick(board.pool.mesh, now.mono, actions);
   }
+}
+
+void PlaceEntryTasks(EntryBoard& board, StepTime now, PoolActions& actions) {
+  BeginStep(board, now, actions);
   PlaceWaitingTasks(board.pool, now.mono, actions);
 }
 
+void EntryStep(EntryBoard& board,
+               const EntryEvent& event,
+               StepTime now,
+               PoolActions& actions) {
+  HandleEntryEvent(board, event, now, actions);
+  PlaceEntryTasks(board, now, actions);
+}
+
 bool IsReady(const EntryBoard& board, Micros now) {
   return !board.draining && board.routing.version() > 0 &&
          (ChooseControl(board.pool.mesh, now).has_value() ||
--- a/pool/entry/entry.h
+++ b/pool/entry/entry.h
@@ -196,8 +196,18 @@
 // Returns the board of an entry daemon that starts now.
 EntryBoard MakeEntryBoard(const EntryOptions& options, const MeshOptions& mesh);
 
-// Handles `event` and appends the resulting actions to `actions`. The only
-// entry point to the decision code of an entry daemon.
+// Handles `event`, without placing tasks, and appends the resulting actions to
+// `actions`.
+void HandleEntryEvent(EntryBoard& board,
+                      const EntryEvent& event,
+                      StepTime now,
+                      PoolActions& actions);
+
+// Places the waiting tasks of a standby on workers: one plan for all events
+// that arrived together.
+void PlaceEntryTasks(EntryBoard& board, StepTime now, PoolActions& actions);
+
+// Handles `event` and places waiting tasks.
 void EntryStep(EntryBoard& board,
                const EntryEvent& event,
                StepTime now,
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -188,9 +188,27 @@
     return;
   }
   PoolActions actions;
-  EntryStep(entry.board, event, Clock(), actions);
+  HandleEntryEvent(entry.board, event, Clock(), actions);
   entry.board.observations.clear();
   Perform(index, false, std::move(actions));
+  PlaceAfterEntryEvents(index);
+}
+
+void FakePool::PlaceAfterEntryEvents(size_t index) {
+  if (std::exchange(entries_[index].placement_scheduled, true)) {
+    return;
+  }
+  Schedule(now_, [this, index] {
+    FakeEntry& entry = entries_[index];
+    entry.placement_scheduled = false;
+    if (!entry.running || entry.paused) {
+      return;
+    }
+    PoolActions actions;
+    PlaceEntryTasks(entry.board, Clock(), actions);
+    entry.board.observations.clear();
+    Perform(index, false, std::move(actions));
+  });
 }
 
 void FakePool::Perform(size_t index, bool is_control, PoolActions actions) {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -90,6 +90,7 @@
   EntryBoard board;
   bool running = true;
   bool paused = false;
+  bool placement_scheduled = false;
   int incarnation = 0;
 };
 
@@ -224,6 +225,7 @@
   // Places tasks once for all events of this moment, as the daemon's loop does.
   void PlaceAfterEvents(size_t index);
   void StepEntry(size_t index, const EntryEvent& event);
+  void PlaceAfterEntryEvents(size_t index);
   void Perform(size_t index, bool is_control, PoolActions actions);
   void Deliver(const std::string& from, SendMessage send, uint64_t incarnation);
   // The daemon that sent an order, and its incarnation.
--- a/pool/testing/standby_test.cc
+++ b/pool/testing/standby_test.cc
@@ -282,6 +282,33 @@
   }
 }
 
+uint64_t CountPlansOfEntries(FakePool& pool) {
+  uint64_t plans = 0;
+  for (const FakeEntry& entry : pool.entries()) {
+    plans += entry.board.pool.counters.plans;
+  }
+  return plans;
+}
+
+// Guards against a standby that is busy with plans while the answers to its
+// orders wait.
+TEST_CASE("Standby: jobs that arrive together are planned once") {
+  constexpr int kJobs = 100;
+  FakePool pool(MakeOptions(kStandbyAfter));
+  WaitUntilAllKnown(pool);
+  KillAllControls(pool);
+  pool.Run(2 * kSecond);
+  const uint64_t plans_before = CountPlansOfEntries(pool);
+  for (int i = 0; i < kJobs; ++i) {
+    pool.Submit(0, 1, kRunMs, 2000);
+  }
+  // The other standbys of the domain help.
+  pool.Run(2 * kSecond);
+  CHECK(CountPlansOfEntries(pool) - plans_before < kJobs);
+  CHECK(pool.CountAnswers(wire::JOB_COMPLETED) == kJobs);
+  RequireNoViolation(pool);
+}
+
 // Guards against workers that a former standby keeps for good, since the
 // requests of their control daemon do not reach it (soak seed 11).
 TEST_CASE("Standby: workers that nobody requests return") {
