Begin the time for an answer when its request is sent

Cause: the time of a call began with the call, also where its connection had still to be opened. While the loop is busy, a connection that is open after 0.1 ms is found open only in the next iteration. The order was sent then, and ended by its time-out at the end of the same iteration.

The connection has the same time to open as before; the time for the answer now begins when the connection is found open. A call on a new connection may so take up to twice its time-out; on a loop that is not late, the difference is the time that the connection took to open.

pool_loop_test, run without the change: an order of 400 ms on a new connection, and a loop that is busy for 600 ms after it, had no answer (failed), although its worker answers at once.

--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -55,7 +55,8 @@
     busy_ = true;
     sent_bytes_ = 0;
     handler_ = std::move(handler);
-    deadline_ = MonotonicMicros() + call.timeout;
+    timeout_ = call.timeout;
+    deadline_ = MonotonicMicros() + timeout_;
     output_ = FormatRequest(call.method, call.path, call.address, call.body,
                             call.headers);
     if (connected_) {
@@ -123,6 +124,7 @@
   size_t sent_bytes_ = 0;
   Micros opened_at_;
   Micros idle_since_;
+  Micros timeout_ = 0;  // of the call in progress
   Micros deadline_ = 0;
 };
 
@@ -135,6 +137,9 @@
       return;
     }
     connected_ = true;
+    // The connection may have been open for long while the loop was busy; the
+    // server gets its whole time to answer.
+    deadline_ = MonotonicMicros() + timeout_;
     socket_.setNoDelay(true);
   }
   Flush();
--- a/edge/http_client.h
+++ b/edge/http_client.h
@@ -55,6 +55,7 @@
   std::string method;
   std::string path;
   std::string body;
+  // For the connection to open, and then once more for the response.
   Micros timeout = 10 * kSecond;
   std::vector<HttpHeader> headers;
 };
--- a/edge/testing/pool_loop_test.cc
+++ b/edge/testing/pool_loop_test.cc
@@ -233,5 +233,41 @@
   CHECK(outcome == OrderOutcome::kDone);
 }
 
+// Guards against a daemon that counts an order as unanswered which it has just
+// sent: its connection was open long before the loop found out.
+TEST_CASE(
+    "PoolLoop: the time for an answer begins when the order has been sent") {
+  Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const OneWorker workers(listener.address().toString());
+  PoolLoop<PoolEvent, PoolMessageReceived> loop(workers);
+  std::optional<OrderOutcome> outcome;
+  PoolLoopHandlers<PoolEvent> handlers;
+  handlers.on_event = [&](const PoolEvent& event) {
+    if (const auto* answer = std::get_if<WorkerAnswer>(&event)) {
+      outcome = answer->outcome;
+      return;
+    }
+    SendOrder order;
+    loop.Send(order);
+    std::this_thread::sleep_for(kLongStall);
+  };
+  handlers.on_tick = [] {};
+  handlers.close_stale = [](Micros) {};
+  handlers.is_drained = [&] { return outcome.has_value(); };
+  std::thread worker([&] {
+    Poco::Net::StreamSocket connection = listener.acceptConnection();
+    char bytes[1024];
+    if (connection.receiveBytes(bytes, sizeof bytes) > 0) {
+      constexpr char kResponse[] =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      connection.sendBytes(kResponse, sizeof kResponse - 1);
+    }
+  });
+  loop.PostEvent(PoolTimeAdvanced());
+  loop.Run({kMillisecond, 0}, handlers);
+  worker.join();
+  CHECK(outcome == OrderOutcome::kDone);
+}
+
 }  // namespace
 }  // namespace goldcrest
