Use no connection that was idle for too long

Callers saw nothing directly: after a delay of the process, an order went out on a connection that the worker had closed meanwhile. The order then counted as one whose connection the worker closed under it: its outcome was unknown, and so was whether the worker had crashed.

Cause: idle connections are closed by the periodic work only. A call that is made before that, and before the end of the connection was read, took any.

http_client_test, run without the change: the second call on a connection that had been idle for twice the time-out, and that the server had closed, ended as kClosed (failed); now it has a response on a new connection. Connections that a peer closes sooner are found as before.

--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -85,13 +85,18 @@
 
   bool IsStale(Micros now) const {
     if (!busy_) {
-      return now - idle_since_ > client_.options_.idle_timeout;
+      return IsExpired(now);
     }
     const bool connecting =
         !connected_ && now - opened_at_ > client_.options_.connect_timeout;
     return connecting || now > deadline_;
   }
 
+  // Returns whether the connection has been idle for too long to be used again.
+  bool IsExpired(Micros now) const {
+    return !busy_ && now - idle_since_ > client_.options_.idle_timeout;
+  }
+
   const std::string& address() const { return address_; }
   bool busy() const { return busy_; }
 
@@ -239,11 +244,18 @@
 HttpClient::Connection* HttpClient::IdleConnection(const std::string& address) {
   std::vector<uint64_t>& idle = idle_[address];
   while (!idle.empty()) {
-    const auto found = connections_.find(idle.back());
+    const uint64_t id = idle.back();
     idle.pop_back();
-    if (found != connections_.end() && !found->second->busy()) {
-      return found->second.get();
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || found->second->busy()) {
+      continue;
+    }
+    // After a delay of this process, the server may have closed it long ago.
+    if (found->second->IsExpired(MonotonicMicros())) {
+      Close(id);
+      continue;
     }
+    return found->second.get();
   }
   return nullptr;
 }
