--- a/edge/http_client.cc
+++ b/edge/http_client.cc
@@ -56,7 +56,8 @@
     busy_ = true;
     sent_bytes_ = 0;
     handler_ = std::move(handler);
-    deadline_ = MonotonicMicros() + call.timeout;
+    timeout_ = call.timeout;
+    deadline_ = MonotonicMicros() + timeout_;
     output_ = FormatRequest(call.method, call.path, call.address, call.body,
                             call.headers);
     if (connected_) {
@@ -85,13 +86,18 @@
 
   bool IsStale(Micros now) const {
     if (!busy_) {
-      return now - idle_since_ > client_.options_.idle_timeout;
+      return IsExpired(now);
     }
     const bool connecting =
         !connected_ && now - opened_at_ > client_.options_.connect_timeout;
     return connecting || now > deadline_;
   }
 
+  // Returns whether the connection has been idle for too long to be used again.
+  bool IsExpired(Micros now) const {
+    return !busy_ && now - idle_since_ > client_.options_.idle_timeout;
+  }
+
   const std::string& address() const { return address_; }
   uint16_t local_port() const { return local_port_; }
   bool busy() const { return busy_; }
@@ -126,6 +132,7 @@
   size_t sent_bytes_ = 0;
   Micros opened_at_;
   Micros idle_since_;
+  Micros timeout_ = 0;  // of the call in progress
   Micros deadline_ = 0;
 };
 
@@ -138,6 +145,9 @@
       return;
     }
     connected_ = true;
+    // The connection may have been open for long while the loop was busy; the
+    // server gets its whole time to answer.
+    deadline_ = MonotonicMicros() + timeout_;
     socket_.setNoDelay(true);
   }
   Flush();
@@ -237,11 +247,18 @@
 HttpClient::Connection* HttpClient::IdleConnection(const std::string& address) {
   std::vector<uint64_t>& idle = idle_[address];
   while (!idle.empty()) {
-    const auto found = connections_.find(idle.back());
+    const uint64_t id = idle.back();
     idle.pop_back();
-    if (found != connections_.end() && !found->second->busy()) {
-      return found->second.get();
+    const auto found = connections_.find(id);
+    if (found == connections_.end() || found->second->busy()) {
+      continue;
+    }
+    // After a delay of this process, the server may have closed it long ago.
+    if (found->second->IsExpired(MonotonicMicros())) {
+      Close(id);
+      continue;
     }
+    return found->second.get();
   }
   return nullptr;
 }
--- a/pool/agreement/agreement.cc
+++ b/pool/agreement/agreement.cc
@@ -385,6 +385,22 @@
   }
 }
 
+void ExcludePauseFromElections(Agreement& agreement, Micros pause) {
+  agreement.leader_contact_at += pause;
+  agreement.election_due += pause;
+  agreement.quorum_at += pause;
+  for (auto& [address, peer] : agreement.peers) {
+    peer.last_received_at += pause;
+  }
+}
+
+void SendDueHeartbeats(Agreement& agreement, Micros now, PoolActions& actions) {
+  if (agreement.role == AgreementRole::kLeader &&
+      now >= agreement.heartbeat_due) {
+    detail::SendHeartbeatRound(agreement, now, actions);
+  }
+}
+
 void AgreementTick(Agreement& agreement, Micros now, PoolActions& actions) {
   if (agreement.write_retry_at != 0 && now >= agreement.write_retry_at) {
     agreement.write_retry_at = now + agreement.options.write_retry_delay;
@@ -392,10 +408,8 @@
   }
   detail::ExpireRequests(agreement, now, actions);
   detail::ReviewQuorum(agreement, now, actions);
+  SendDueHeartbeats(agreement, now, actions);
   if (agreement.role == AgreementRole::kLeader) {
-    if (now >= agreement.heartbeat_due) {
-      detail::SendHeartbeatRound(agreement, now, actions);
-    }
     if (now >= agreement.voter_review_due) {
       detail::ReviewVoters(agreement, now, actions);
     }
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -257,6 +257,7 @@
   LogPoolEvent(actions, LogLevel::kWarning, "process_was_paused",
                {{"pause_ms", std::to_string(pause / kMillisecond)}});
   ExcludePauseFromTimeouts(board.mesh, pause);
+  ExcludePauseFromElections(board.agreement, pause);
   std::vector<std::pair<std::string, wire::JobFate>> ending;
   for (const auto& [key, job] : board.jobs) {
     ending.emplace_back(key,
@@ -320,9 +321,15 @@
         Handle(board, concrete_event, now.mono, actions);
       },
       event);
-  AgreementTick(board.agreement, now.mono, actions);
+  const bool is_tick = std::holds_alternative<PoolTimeAdvanced>(event);
+  if (is_tick) {
+    AgreementTick(board.agreement, now.mono, actions);
+  } else {
+    // Whoever seems silent may have been heard by the next message that waits.
+    SendDueHeartbeats(board.agreement, now.mono, actions);
+  }
   board.mesh.is_leader = board.agreement.role == AgreementRole::kLeader;
-  if (std::holds_alternative<PoolTimeAdvanced>(event)) {
+  if (is_tick) {
     board.mesh.routing_version = board.agreement.committed.routing().version();
     RunDuePoolWork(board, now.mono, actions);
     DrainTick(board, now.mono, actions);
