Look for waiting tasks only where a worker has bindings

Each request for a worker compared all waiting tasks with the bindings, with a copy of the task's name, although there are no bindings as a rule. By a reviewer's reading; its cost was not measured.

--- a/pool/workers/start_bindings.cc
+++ b/pool/workers/start_bindings.cc
@@ -53,13 +53,18 @@
 }
 
 bool HasBoundWaitingTask(const PoolBoard& board, const std::string& worker) {
-  return std::any_of(
-      board.waiting.begin(), board.waiting.end(), [&](const auto& entry) {
-        const auto& [key, waiting] = entry;
-        return IsBoundTo(board,
-                         {waiting.job->order.job_id(), 0, key.step, key.index},
-                         worker);
-      });
+  const bool has_binding = std::any_of(
+      board.start_bindings.begin(), board.start_bindings.end(),
+      [&](const auto& entry) { return entry.second.worker == worker; });
+  return has_binding &&
+         std::any_of(
+             board.waiting.begin(), board.waiting.end(),
+             [&](const auto& entry) {
+               const auto& [key, waiting] = entry;
+               return IsBoundTo(
+                   board, {waiting.job->order.job_id(), 0, key.step, key.index},
+                   worker);
+             });
 }
 
 void BindingsTick(PoolBoard& board, Micros now) {
