--- a/pool/placement/placement_input.cc
+++ b/pool/placement/placement_input.cc
@@ -35,6 +35,8 @@
   return job.deadline - remaining;
 }
 
+}  // namespace
+
 uint32_t CountAttemptsOfStep(const PoolWorker& worker,
                              const std::string& job_id,
                              uint32_t step) {
@@ -44,8 +46,6 @@
       }));
 }
 
-}  // namespace
-
 Micros ExpectedTimeToEnd(const WorkerAttempt& attempt, Micros now) {
   const Micros overdue =
       std::max(attempt.expected_run_time / kOverdueDivisor, kMillisecond);
--- a/pool/placement/placement_input.h
+++ b/pool/placement/placement_input.h
@@ -3,6 +3,8 @@
 
 // The workers and waiting tasks of a board, as a placement plan takes them.
 
+#include <cstdint>
+#include <string>
 #include <vector>
 
 #include "pool/placement/placement_plan.h"
@@ -10,6 +12,11 @@
 
 namespace goldcrest {
 
+// Returns the number of attempts of the step on the worker.
+uint32_t CountAttemptsOfStep(const PoolWorker& worker,
+                             const std::string& job_id,
+                             uint32_t step);
+
 // Returns the expected time from now until the attempt ends, by its reported
 // progress if that is significant. Positive also for an overdue attempt.
 Micros ExpectedTimeToEnd(const WorkerAttempt& attempt, Micros now);
--- a/pool/placement/pool_placement.cc
+++ b/pool/placement/pool_placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "pool/placement/choose_worker.h"
+#include "pool/placement/placement_input.h"
 #include "pool/placement/placement_start.h"
 #include "pool/placement/task_requirements.h"
 #include "pool/pool_jobs.h"
@@ -31,17 +32,6 @@
 // the queue, so that they have arrived when capacity becomes free.
 constexpr int kMaxPermissionRequests = 16;
 
-// Returns the number of attempts of the step on the worker.
-uint32_t CountAttemptsOfStep(const PoolWorker& worker,
-                             const std::string& job_id,
-                             uint32_t step) {
-  uint32_t count = 0;
-  for (const auto& [name, attempt] : worker.attempts) {
-    count += name.job_id == job_id && name.step == step ? 1 : 0;
-  }
-  return count;
-}
-
 // The workers that could run a task now, and the properties by which
 // ChooseWorker() compares them; both vectors have the same order.
 struct EligibleWorkers {
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -17,6 +17,7 @@
 constexpr int kLateObjectiveFactor = 3;
 // A request for a start permission is repeated after this long without answer.
 constexpr Micros kPermissionRetryDelay = 100 * kMillisecond;
+
 // Returns true if messages were recently received from the job's entry daemon,
 // and it recently received messages of this daemon.
 bool IsEntryReachable(const PoolBoard& board, const PoolJob& job, Micros now) {
