Give up a task only for crashes that are proven; count starts without answer

What callers saw.

(1) Connections that a link refuses count as a crash of the process behind it, and with the second crash the job was failed at once. (2) Only runs that the worker had confirmed, of jobs that were still there, were charged. A task that crashes its worker before the answer to its start was charged with nothing, and neither was one whose daemon stood still for long enough to end its jobs: the closed calls were of earlier sessions.

A crash counts for giving up a task once a later process, or another worker, has answered at the address. Until then a task that would be given up is undecided: neither started nor failed. An answer of the same process, to any daemon, withdraws the crash. Closed calls count whatever their session; runs count whether or not their job is still there. Both faults need the same record, so they are mended together.

Callers of tasks that crash workers before the answer never hear `failed`.

--- a/pool/placement/pool_placement.cc
+++ b/pool/placement/pool_placement.cc
@@ -111,6 +111,11 @@
       position = board.waiting.lower_bound(key);
       continue;
     }
+    if (IsUndecided(board.crashes, board.options.crashes,
+                    {job.order.job_id(), 0, key.step, key.index})) {
+      ++position;
+      continue;
+    }
     const SuspectPlacement placement =
         PlaceSuspect(board, ReadyWorkers(board, now), job, key, now);
     if (placement.start_on != nullptr) {
--- a/pool/pool_worker.h
+++ b/pool/pool_worker.h
@@ -56,6 +56,9 @@
   // The worker has refused its start, since this run or a later one of the task
   // has ended there: it is over, or never was, and the next list shows that.
   bool stale = false;
+  // The worker's side closed the connection while the start was in progress, so
+  // that the start has most likely reached the process.
+  bool start_closed = false;
   // Whether the worker's `lease_expires_at` bounds it: a process has confirmed
   // it, on whose clock that lease is counted.
   bool lease_known = false;
--- a/pool/testing/fake_pool_workers.cc
+++ b/pool/testing/fake_pool_workers.cc
@@ -55,7 +55,7 @@
   FakeWorker* worker = FindWorker(workers_, order.address);
   const bool cut = cuts_.contains({from, worker->status.failure_domain()});
   const bool late = Happens(worker->late_order_share);
-  if (!cut && worker->reachable && worker->crashed) {
+  if (!cut && worker->reachable && (worker->crashed || worker->link_refuses)) {
     AnswerAt(now_ + options_.message_delay, sender,
              Unanswered(order, OrderOutcome::kNotSent, CallFailure::kRefused));
     return;
@@ -118,6 +118,11 @@
     query.lease_until_ms = 0;
     WorkerAnswer listed = Execute(query);
     listed.order = order;
+    if (FindWorker(workers_, order.address)->link_refuses) {
+      AnswerTo(sender, Unanswered(order, OrderOutcome::kNoAnswer,
+                                  CallFailure::kClosed));
+      return;
+    }
     if (listed.ended.empty() && now_ < until &&
         listed.outcome == OrderOutcome::kDone) {
       Schedule(now_ + kPollPeriod, *poll);
@@ -138,7 +143,7 @@
 
 void FakePool::Report(FakeWorker& worker) {
   worker.status.set_sequence(worker.status.sequence() + 1);
-  if (!worker.reachable) {
+  if (!worker.reachable || worker.link_refuses) {
     return;
   }
   if (Happens(worker.lost_report_share)) {
--- a/pool/testing/fake_worker.cc
+++ b/pool/testing/fake_worker.cc
@@ -110,7 +110,7 @@
   worker.attempts[order.task] = run;
   if (CrashesWorker(order)) {
     ++workers.tasks[order.task].crashes;
-    worker.crashes_at = now + kTimeToCrash;
+    worker.crashes_at = now + worker.time_to_crash;
   }
   return OrderOutcome::kDone;
 }
@@ -182,6 +182,11 @@
   switch (order.kind) {
     case OrderKind::kStart:
       answer.outcome = Start(workers, worker, order, now);
+      if (worker.crashes_at != 0 && worker.time_to_crash == 0) {
+        EndProcess(workers, worker, now + kOutageOfCrash);
+        answer.outcome = OrderOutcome::kNoAnswer;
+        answer.failure = CallFailure::kClosed;
+      }
       break;
     case OrderKind::kStop:
       Stop(worker, order, now);
@@ -219,6 +224,10 @@
     worker.status.set_born_ms(worker.status.born_ms() +
                               (now - worker.born_at) / kMillisecond);
     worker.born_at = now;
+    if (worker.renamed_at_start) {
+      worker.status.set_id(worker.status.id() + "+");
+      worker.report_to.clear();
+    }
     worker.status.set_sequence(0);
     worker.status.set_leaving(false);
     worker.draining_confirmed_at = 0;
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -22,6 +22,11 @@
 
 namespace goldcrest {
 
+// Time from the start of a task that crashes its worker to the crash, and from
+// the crash until the worker is back.
+inline constexpr Micros kTimeToCrash = 10 * kMillisecond;
+inline constexpr Micros kOutageOfCrash = 3 * kSecond;
+
 struct FakeWorker {
   // One running attempt of a task.
   struct Attempt {
@@ -46,6 +51,8 @@
   // after it has shrunk, the worker's owner cannot know that yet.
   int64_t judged_cpu_millis = 0;
   bool reachable = true;
+  // The link to it closes and refuses connections, while its process lives.
+  bool link_refuses = false;
   bool fails_all = false;
   bool hangs = false;
   int slow_factor = 1;  // multiplies the run times
@@ -62,6 +69,11 @@
   double lost_report_share = 0;  // of its reports that arrive late, or never
   Micros clock_offset = 0;       // of its own clock at the process's start
   double clock_rate = 1;         // of its own clock: below 1 it runs slow
+  // Time from the start of a task that crashes it to the crash; 0: it crashes
+  // before it answers the start.
+  Micros time_to_crash = kTimeToCrash;
+  // Each of its processes has an id of its own.
+  bool renamed_at_start = false;
   Micros born_at = 0;  // when its process started, on the model's clock
   // When a control daemon first confirmed its report that it drains; 0: never.
   Micros draining_confirmed_at = 0;
@@ -98,11 +110,6 @@
   std::vector<std::string> violations;
 };
 
-// Time from the start of a task that crashes its worker to the crash, and from
-// the crash until the worker is back.
-inline constexpr Micros kTimeToCrash = 10 * kMillisecond;
-inline constexpr Micros kOutageOfCrash = 3 * kSecond;
-
 // Executes an order on a worker and returns the answer. The order's spec is the
 // run time of the task in milliseconds, a slash, the thousandths of a core that
 // it uses, and, for a job with a task that crashes the workers that start it, a
--- a/pool/workers/crash_ledger.cc
+++ b/pool/workers/crash_ledger.cc
@@ -32,6 +32,27 @@
   return task == job->second.tasks.end() ? nullptr : &task->second;
 }
 
+// Returns whether those crashes of the task for which `counts` is true are
+// enough to give it up.
+template <typename Counts>
+bool AreEnough(const CrashLedger::Task& task,
+               const CrashOptions& options,
+               Counts counts) {
+  std::set<std::string> addresses;
+  int processes = 0;
+  bool alone = false;
+  for (const auto& [process, crash] : task.crashes) {
+    if (counts(crash)) {
+      addresses.insert(process.address);
+      ++processes;
+      alone = alone || crash.alone;
+    }
+  }
+  return alone &&
+         (static_cast<int>(addresses.size()) >= options.crashes_to_give_up ||
+          processes > options.crashes_to_give_up);
+}
+
 }  // namespace
 
 bool RecordTaskCrash(CrashLedger& ledger, const TaskCrash& crash, Micros now) {
@@ -41,9 +62,33 @@
   }
   CrashLedger::Job& job = ledger.jobs[crash.task.job_id];
   job.updated_at = now;
-  return job.tasks[crash.task]
-      .crashes.emplace(crash.process, crash.alone)
-      .second;
+  const auto [entry, is_new] = job.tasks[crash.task].crashes.try_emplace(
+      crash.process,
+      CrashLedger::Crash{crash.alone, crash.proven, crash.unconfirmed});
+  CrashLedger::Crash& known = entry->second;
+  const bool adds = is_new || (crash.proven && !known.proven);
+  known.proven = known.proven || crash.proven;
+  return adds;
+}
+
+std::vector<TaskCrash> ProveCrashes(CrashLedger& ledger,
+                                    const std::string& address,
+                                    int64_t born_ms) {
+  std::vector<TaskCrash> proven;
+  for (auto& [id, job] : ledger.jobs) {
+    for (auto& [name, task] : job.tasks) {
+      for (auto& [process, crash] : task.crashes) {
+        if (crash.proven || process.address != address ||
+            process.born_ms >= born_ms) {
+          continue;
+        }
+        crash.proven = true;
+        proven.push_back(
+            {name, "", process, crash.alone, true, crash.unconfirmed});
+      }
+    }
+  }
+  return proven;
 }
 
 std::vector<TaskName> WithdrawCrashes(CrashLedger& ledger,
@@ -70,7 +115,7 @@
     return 0;
   }
   std::set<std::string> addresses;
-  for (const auto& [process, alone] : found->crashes) {
+  for (const auto& [process, record] : found->crashes) {
     addresses.insert(process.address);
   }
   return static_cast<int>(addresses.size());
@@ -80,17 +125,20 @@
                const CrashOptions& options,
                const TaskName& task) {
   const CrashLedger::Task* found = FindTask(ledger, task);
-  if (found == nullptr) {
-    return false;
-  }
-  const auto& crashes = found->crashes;
-  const int processes = static_cast<int>(crashes.size());
-  if (CountCrashes(ledger, task) < options.crashes_to_give_up &&
-      processes <= options.crashes_to_give_up) {
-    return false;
-  }
-  return std::any_of(crashes.begin(), crashes.end(),
-                     [](const auto& entry) { return entry.second; });
+  return found != nullptr &&
+         AreEnough(*found, options, [](const CrashLedger::Crash& crash) {
+           return crash.proven && !crash.unconfirmed;
+         });
+}
+
+bool IsUndecided(const CrashLedger& ledger,
+                 const CrashOptions& options,
+                 const TaskName& task) {
+  const CrashLedger::Task* found = FindTask(ledger, task);
+  return found != nullptr &&
+         AreEnough(*found, options,
+                   [](const CrashLedger::Crash& /*crash*/) { return true; }) &&
+         !IsGivenUp(ledger, options, task);
 }
 
 const TaskName* FindGivenUpTask(const CrashLedger& ledger,
--- a/pool/workers/crash_ledger.h
+++ b/pool/workers/crash_ledger.h
@@ -10,6 +10,12 @@
 // `crashes_to_give_up` crashes, on as many workers, its job fails. A queue
 // whose tasks crash several workers is limited: see crash_limit.h.
 //
+// A crash is proven when a later process has answered at the worker's address.
+// Until then it may be a link that refuses connections while the run goes on.
+// Only proven crashes under runs that the worker had confirmed give up a task.
+// One that would be given up if all its crashes were proven is undecided: it is
+// neither started nor failed until its crashes are proven or withdrawn.
+//
 // The record is plain data. The daemons of a pool exchange it (crash_news.h),
 // so that it holds when a job moves or is sent again under its id. It is kept
 // in memory for kCrashRetention, of at most kMaxCrashedJobs jobs; the oldest
@@ -57,7 +63,10 @@
   TaskName task;
   std::string queue;
   CrashedProcess process;
-  bool alone = false;  // no other task ran on the worker
+  bool alone = false;   // no other task ran on the worker
+  bool proven = false;  // a later process has answered at the address
+  // The worker had not confirmed the run: its start may not have reached it.
+  bool unconfirmed = false;
 };
 
 // A worker that crashed and has not come back yet.
@@ -68,8 +77,13 @@
 };
 
 struct CrashLedger {
+  struct Crash {
+    bool alone = false;
+    bool proven = false;
+    bool unconfirmed = false;
+  };
   struct Task {
-    std::map<CrashedProcess, bool> crashes;  // whether the task ran alone there
+    std::map<CrashedProcess, Crash> crashes;
   };
   struct Job {
     std::map<TaskName, Task> tasks;
@@ -83,9 +97,17 @@
   Micros outage = 3 * kSecond;
 };
 
-// Records a crash; returns whether it was not known yet.
+// Records a crash, or what is new about a known one; returns whether anything
+// was.
 bool RecordTaskCrash(CrashLedger& ledger, const TaskCrash& crash, Micros now);
 
+// Records that a process which was born at `born_ms` has answered at the
+// address: the crashes of earlier ones there are proven. Returns those that
+// were not before.
+std::vector<TaskCrash> ProveCrashes(CrashLedger& ledger,
+                                    const std::string& address,
+                                    int64_t born_ms);
+
 // Withdraws the crashes of a process that turned out to be alive. Returns the
 // tasks that were recorded for it.
 std::vector<TaskName> WithdrawCrashes(CrashLedger& ledger,
@@ -99,14 +121,20 @@
   return CountCrashes(ledger, task) > 0;
 }
 
-// Returns whether the task has used up its crashes: on `crashes_to_give_up`
-// machines, or one more on fewer machines, which may be at fault themselves. At
-// least one of them must have come while it ran alone: tasks that ran together
-// may have been lost together by the fault of one.
+// Returns whether the task has used up its proven crashes: on
+// `crashes_to_give_up` machines, or one more on fewer machines, which may be at
+// fault themselves. At least one of them must have come while it ran alone:
+// tasks that ran together may have been lost together by the fault of one.
 bool IsGivenUp(const CrashLedger& ledger,
                const CrashOptions& options,
                const TaskName& task);
 
+// Returns whether the task is not given up, but would be if all its crashes
+// were proven and all its runs there confirmed.
+bool IsUndecided(const CrashLedger& ledger,
+                 const CrashOptions& options,
+                 const TaskName& task);
+
 // Returns the first task of the job that has used up its crashes, or null.
 const TaskName* FindGivenUpTask(const CrashLedger& ledger,
                                 const CrashOptions& options,
--- a/pool/workers/crash_news.cc
+++ b/pool/workers/crash_news.cc
@@ -20,6 +20,8 @@
   row.set_address(crash.process.address);
   row.set_born_ms(crash.process.born_ms);
   row.set_alone(crash.alone);
+  row.set_proven(crash.proven);
+  row.set_unconfirmed(crash.unconfirmed);
   return row;
 }
 
@@ -27,7 +29,9 @@
   return {{row.job_id(), row.occurrence(), row.step(), row.index()},
           row.queue(),
           {row.address(), row.born_ms()},
-          row.alone()};
+          row.alone(),
+          row.proven(),
+          row.unconfirmed()};
 }
 
 void AddAway(const PoolBoard& board,
@@ -65,27 +69,71 @@
                      });
 }
 
+// Returns whether the crash is in the record, whatever is known about it.
+bool IsKnown(const CrashLedger& ledger, const TaskCrash& crash) {
+  const auto job = ledger.jobs.find(crash.task.job_id);
+  if (job == ledger.jobs.end()) {
+    return false;
+  }
+  const auto task = job->second.tasks.find(crash.task);
+  return task != job->second.tasks.end() &&
+         task->second.crashes.contains(crash.process);
+}
+
+// Fails the job of the task, if it is here and the task is given up.
+void FailIfGivenUp(PoolBoard& board,
+                   const TaskName& task,
+                   Micros now,
+                   PoolActions& actions) {
+  const auto key = board.job_keys.find(task.job_id);
+  if (key == board.job_keys.end() ||
+      !IsGivenUp(board.crashes, board.options.crashes, task)) {
+    return;
+  }
+  ++board.counters.tasks_given_up;
+  const std::string ending = key->second;
+  EndJob(board, ending, wire::JOB_FAILED, "task_crashed_workers", now, actions);
+}
+
 }  // namespace
 
 bool ApplyTaskCrash(PoolBoard& board,
                     const TaskCrash& crash,
                     Micros now,
                     PoolActions& actions) {
+  const bool known = IsKnown(board.crashes, crash);
   if (!RecordTaskCrash(board.crashes, crash, now)) {
     return false;
   }
-  ++board.counters.task_crashes;
-  const auto key = board.job_keys.find(crash.task.job_id);
-  if (key != board.job_keys.end() &&
-      IsGivenUp(board.crashes, board.options.crashes, crash.task)) {
-    ++board.counters.tasks_given_up;
-    const std::string ending = key->second;
-    EndJob(board, ending, wire::JOB_FAILED, "task_crashed_workers", now,
-           actions);
+  if (!known) {
+    ++board.counters.task_crashes;
   }
+  FailIfGivenUp(board, crash.task, now, actions);
   return true;
 }
 
+void OnLaterProcessAnswered(PoolBoard& board,
+                            const std::string& address,
+                            int64_t born_ms,
+                            Micros now,
+                            PoolActions& actions) {
+  const std::vector<TaskCrash> proven =
+      ProveCrashes(board.crashes, address, born_ms);
+  for (const TaskCrash& crash : proven) {
+    LogPoolEvent(actions, LogLevel::kInfo, "task_crash_proven",
+                 {{"job", crash.task.job_id},
+                  {"task", ToString(crash.task)},
+                  {"address", address},
+                  {"born_ms", std::to_string(crash.process.born_ms)},
+                  {"later_born_ms", std::to_string(born_ms)}});
+    FailIfGivenUp(board, crash.task, now, actions);
+  }
+  if (!proven.empty()) {
+    SendCrashes(board, proven, address, now, actions);
+    board.placement_due = true;
+  }
+}
+
 void SendCrashes(PoolBoard& board,
                  const std::vector<TaskCrash>& crashes,
                  const std::string& address,
@@ -127,8 +175,9 @@
   wire::CrashNews& news = *message.mutable_crash_news();
   for (const auto& [id, job] : board.crashes.jobs) {
     for (const auto& [name, task] : job.tasks) {
-      for (const auto& [process, alone] : task.crashes) {
-        *news.add_crashes() = ToWire({name, "", process, alone});
+      for (const auto& [process, crash] : task.crashes) {
+        *news.add_crashes() = ToWire(
+            {name, "", process, crash.alone, crash.proven, crash.unconfirmed});
       }
     }
   }
--- a/pool/workers/crash_news.h
+++ b/pool/workers/crash_news.h
@@ -25,6 +25,15 @@
                     Micros now,
                     PoolActions& actions);
 
+// Takes note that a process which was born at `born_ms` has answered at the
+// address: fails the jobs whose tasks have used up their crashes now, and tells
+// the other daemons.
+void OnLaterProcessAnswered(PoolBoard& board,
+                            const std::string& address,
+                            int64_t born_ms,
+                            Micros now,
+                            PoolActions& actions);
+
 // Sends the crashes of the worker at `address` to the other daemons.
 void SendCrashes(PoolBoard& board,
                  const std::vector<TaskCrash>& crashes,
--- a/pool/workers/process_claims.cc
+++ b/pool/workers/process_claims.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "pool/workers/crash_news.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/worker_lease.h"
 #include "pool/workers/worker_loss.h"
@@ -119,6 +120,11 @@
   if (other_process) {
     AdoptProcess(board, worker, list, now, actions);
   }
+  if (born_ms != 0) {
+    OnLaterProcessAnswered(board, worker.status.address(), born_ms, now,
+                           actions);
+    OnProcessAlive(board, {worker.status.address(), born_ms}, now, actions);
+  }
   if (!claim) {
     return;
   }
--- a/pool/workers/run_ends.cc
+++ b/pool/workers/run_ends.cc
@@ -161,7 +161,8 @@
   for (int step = 0; step < order.steps_size(); ++step) {
     for (uint32_t i = 0; i < order.steps(step).tasks(); ++i) {
       const TaskName name{order.job_id(), 0, static_cast<uint32_t>(step), i};
-      if (IsRunOpen(board, name) || FindBinding(board, name) != nullptr) {
+      if (IsRunOpen(board, name) || FindBinding(board, name) != nullptr ||
+          IsUndecided(board.crashes, board.options.crashes, name)) {
         return true;
       }
     }
--- a/pool/workers/run_ends.h
+++ b/pool/workers/run_ends.h
@@ -133,8 +133,9 @@
 bool IsRunOpen(const PoolBoard& board, const TaskName& name);
 
 // Returns whether a task of the job may run without having been started by the
-// present job: a run of it is open, or a start without an answer may still be
-// carried out. That its job is refused as one that never runs would be untrue.
+// present job: a run of it is open, a start without an answer may still be
+// carried out, or a crash under it is not proven. That its job is refused as
+// one that never runs would be untrue.
 bool MayStillRun(const PoolBoard& board, const wire::JobOrder& order);
 
 // Checks the invariant that no task is started while a run of it is open, in
--- a/pool/workers/worker_answers.cc
+++ b/pool/workers/worker_answers.cc
@@ -5,6 +5,7 @@
 
 #include "pool/pool_jobs.h"
 #include "pool/task_ends.h"
+#include "pool/workers/crash_news.h"
 #include "pool/workers/process_claims.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/start_bindings.h"
@@ -305,6 +306,8 @@
                             PoolActions& actions) {
   if (answer.outcome == OrderOutcome::kOtherIncarnation) {
     OnWorkerProcessLost(board, worker, true, now, actions);
+    OnLaterProcessAnswered(board, worker.status.address(),
+                           worker.status.born_ms() + 1, now, actions);
     EndRunsOfEarlierProcess(board, worker, answer, now, actions);
     UnbindWorker(board, worker.status.id());
     const std::optional<ProcessClaim> claim = worker.claim;
@@ -330,12 +333,15 @@
                     PoolActions& actions) {
   ++board.counters.order_outcomes[std::string(ToString(answer.outcome))];
   const auto found = board.workers.find(answer.order.worker);
-  if (found == board.workers.end() ||
-      found->second.session_number != answer.order.session ||
-      answer.order.session == 0) {
-    return;  // unknown worker, or an order of an earlier session
+  if (found == board.workers.end()) {
+    return;
   }
   PoolWorker& worker = found->second;
+  OnCallClosed(worker, answer, now);
+  if (worker.session_number != answer.order.session ||
+      answer.order.session == 0) {
+    return;  // an order of an earlier session
+  }
   const bool same_clock = IsOnSameClock(board.options, worker, answer);
   RecordClock(worker, answer, now);
   OnWorkerCallEnd(board, worker, answer, now, actions);
--- a/pool/workers/worker_loss.cc
+++ b/pool/workers/worker_loss.cc
@@ -114,9 +114,20 @@
                 {"answered_ms_ago", std::to_string(silent / kMillisecond)}});
 }
 
-// Appends a crash of the worker's process for each task that is known to have
-// begun there: an order that was on its way is no evidence against its task. A
-// `shared` loss makes the tasks suspects, but proves nothing about any of them.
+// Returns whether the run has begun on the worker's present process, as far as
+// this daemon can know: the process has confirmed it, or its side has closed
+// the call of the start.
+bool HasBegun(const PoolWorker& worker, const WorkerAttempt& run) {
+  if (run.answered_at == 0) {
+    return run.start_closed;
+  }
+  return !run.stale && run.process_ms == worker.status.born_ms();
+}
+
+// Appends a crash of the worker's process for each task that has begun there:
+// an order that was on its way is no evidence against its task. The job may
+// have ended and may be sent again. A `shared` loss makes the tasks suspects,
+// but proves nothing about any of them.
 void AddTaskCrashes(const PoolBoard& board,
                     const PoolWorker& worker,
                     bool shared,
@@ -125,12 +136,14 @@
                                worker.status.born_ms()};
   const bool alone = !shared && worker.attempts.size() == 1;
   for (const auto& [name, attempt] : worker.attempts) {
-    const auto job = board.jobs.find(attempt.job_key);
-    const bool began_there = attempt.answered_at != 0 && !attempt.stale &&
-                             attempt.process_ms == process.born_ms;
-    if (began_there && job != board.jobs.end()) {
-      crashes.push_back({name, job->second->order.queue(), process, alone});
+    if (!HasBegun(worker, attempt)) {
+      continue;
     }
+    const auto job = board.jobs.find(attempt.job_key);
+    const std::string queue =
+        job == board.jobs.end() ? "" : job->second->order.queue();
+    const bool unconfirmed = attempt.answered_at == 0;
+    crashes.push_back({name, queue, process, alone, false, unconfirmed});
   }
 }
 
@@ -138,8 +151,9 @@
 void LogTaskCrash(const PoolBoard& board,
                   const TaskCrash& crash,
                   PoolActions& actions) {
-  const bool given_up =
-      IsGivenUp(board.crashes, board.options.crashes, crash.task);
+  const CrashOptions& options = board.options.crashes;
+  const bool given_up = IsGivenUp(board.crashes, options, crash.task);
+  const bool undecided = IsUndecided(board.crashes, options, crash.task);
   LogPoolEvent(
       actions, LogLevel::kWarning, "task_crash",
       {{"job", crash.task.job_id},
@@ -148,9 +162,12 @@
        {"address", crash.process.address},
        {"born_ms", std::to_string(crash.process.born_ms)},
        {"alone", crash.alone ? "1" : "0"},
+       {"confirmed", crash.unconfirmed ? "0" : "1"},
        {"crashes", std::to_string(CountCrashes(board.crashes, crash.task))},
        {"limit", std::to_string(board.options.crashes.crashes_to_give_up)},
-       {"outcome", given_up ? "given_up" : "retry_alone"}});
+       {"outcome", given_up    ? "given_up"
+                   : undecided ? "undecided"
+                               : "retry_alone"}});
 }
 
 // Records the crash for all tasks on the worker. `is_back`: a later process has
@@ -200,26 +217,6 @@
   }
 }
 
-void Withdraw(PoolBoard& board,
-              PoolWorker& worker,
-              Micros now,
-              PoolActions& actions) {
-  const CrashedProcess process{worker.status.address(),
-                               worker.status.born_ms()};
-  WithdrawAway(board.crashes, process.address);
-  const std::vector<TaskName> tasks = WithdrawCrashes(board.crashes, process);
-  if (tasks.empty()) {
-    return;
-  }
-  ++board.counters.crashes_withdrawn;
-  LogPoolEvent(actions, LogLevel::kWarning, "worker_crash_withdrawn",
-               {{"worker", worker.status.id()},
-                {"address", process.address},
-                {"tasks", std::to_string(tasks.size())}});
-  SendWithdrawal(board, process, now, actions);
-  board.placement_due = true;
-}
-
 }  // namespace
 
 LossCause ConcludeLoss(const LossEvidence& evidence) {
@@ -239,6 +236,23 @@
   return shared ? LossCause::kShared : LossCause::kCrash;
 }
 
+void OnCallClosed(PoolWorker& worker, const WorkerAnswer& answer, Micros now) {
+  if (answer.failure != CallFailure::kClosed ||
+      worker.session == SessionState::kNone) {
+    return;
+  }
+  if (worker.loss.closed_at == 0) {
+    worker.loss.closed_at = now;
+  }
+  const auto found = worker.attempts.find(answer.order.task);
+  if (answer.order.kind == OrderKind::kStart &&
+      found != worker.attempts.end() &&
+      found->second.attempt_number == answer.order.attempt &&
+      found->second.token == answer.order.token) {
+    found->second.start_closed = true;
+  }
+}
+
 void OnWorkerCallEnd(PoolBoard& board,
                      PoolWorker& worker,
                      const WorkerAnswer& answer,
@@ -254,10 +268,6 @@
     }
     return;
   }
-  if (answer.failure == CallFailure::kClosed && loss.closed_at == 0) {
-    loss.closed_at = now;
-    return;
-  }
   // Only a refused connection shows that no process listens: a live worker may
   // close any number of them.
   if (answer.failure == CallFailure::kRefused && loss.closed_at != 0) {
@@ -283,9 +293,29 @@
                          Micros now,
                          PoolActions& actions) {
   if (worker.loss.concluded) {
-    Withdraw(board, worker, now, actions);
+    WithdrawAway(board.crashes, worker.status.address());
+    OnProcessAlive(board, {worker.status.address(), worker.status.born_ms()},
+                   now, actions);
   }
   worker.loss = {};
 }
 
+void OnProcessAlive(PoolBoard& board,
+                    const CrashedProcess& process,
+                    Micros now,
+                    PoolActions& actions) {
+  const std::vector<TaskName> tasks = WithdrawCrashes(board.crashes, process);
+  if (tasks.empty()) {
+    return;
+  }
+  WithdrawAway(board.crashes, process.address);
+  ++board.counters.crashes_withdrawn;
+  LogPoolEvent(actions, LogLevel::kWarning, "worker_crash_withdrawn",
+               {{"address", process.address},
+                {"born_ms", std::to_string(process.born_ms)},
+                {"tasks", std::to_string(tasks.size())}});
+  SendWithdrawal(board, process, now, actions);
+  board.placement_due = true;
+}
+
 }  // namespace goldcrest
--- a/pool/workers/worker_loss.h
+++ b/pool/workers/worker_loss.h
@@ -16,10 +16,16 @@
 // report may have been sent before the crash. A report of a later process at
 // its address proves that it ended.
 //
-// A crash is evidence against all tasks that had begun on the worker. It does
-// not shorten the wait for the worker's lease before they run again: a network
-// that refuses connections looks the same from here, and the tasks may still
-// run.
+// A crash is evidence against all tasks that had begun on the worker, whether
+// or not their jobs have ended since. A task may crash the worker before it
+// answers the start: the worker's side closes that very call then, which makes
+// it a suspect and holds it after the second time, but gives it up no more than
+// a start that did not arrive. A start that was on its way otherwise is no
+// evidence.
+//
+// A crash does not shorten the wait for the worker's lease before they run
+// again: a network that refuses connections looks the same from here, and the
+// tasks may still run.
 
 #include <array>
 #include <string_view>
@@ -58,6 +64,12 @@
 // Returns the cause that the evidence proves.
 LossCause ConcludeLoss(const LossEvidence& evidence);
 
+// Takes note that the worker's side closed a connection, if that is how the
+// order ended. Must be called for the orders of earlier sessions, too: another
+// call that was closed in the same moment, or a pause of this daemon, begins a
+// new one.
+void OnCallClosed(PoolWorker& worker, const WorkerAnswer& answer, Micros now);
+
 // Takes note of how an order to the worker ended, and if that completes the
 // evidence of a crash, records it for the tasks there: a task that has used up
 // its crashes is given up. Must be called before the answer is handled.
@@ -83,6 +95,13 @@
                          Micros now,
                          PoolActions& actions);
 
+// Takes note that a process at an address has answered: crashes of it that were
+// recorded, by any daemon, are withdrawn.
+void OnProcessAlive(PoolBoard& board,
+                    const CrashedProcess& process,
+                    Micros now,
+                    PoolActions& actions);
+
 }  // namespace goldcrest
 
 #endif  // POOL_WORKERS_WORKER_LOSS_H_
