Charge a crash to runs that end with their lease behind closed connections

When the later process reported after 1.1 s, the run had ended with its lease (484 ms after its start), so that nobody was charged; the task started on the next worker each time.

Fix: when a worker's side closed a connection with a call in progress and two others at least since, over 50 ms, and has answered nothing until the lease expired, the runs that began there are charged with an unproven crash before they end. That cannot fail a job: it makes its task a suspect, and undecided after the second; an answer of the process withdraws it, and a later process proves it.

--- a/pool/pool_worker.h
+++ b/pool/pool_worker.h
@@ -87,6 +87,9 @@
 // Evidence about a worker that does not answer (worker_loss.h).
 struct WorkerLoss {
   Micros closed_at = 0;  // when it closed a connection with a call in progress
+  // Others that it closed since then, as the proxy of an ended process does.
+  Micros last_closed_at = 0;
+  int further_closes = 0;
   // Connections that were refused since then.
   Micros first_refused_at = 0;
   Micros last_refused_at = 0;
--- a/pool/testing/crash_limit_test.cc
+++ b/pool/testing/crash_limit_test.cc
@@ -102,6 +102,26 @@
   }
 }
 
+// Guards against a task that crashes worker after worker, since connections to
+// them are closed by a proxy, not refused, and its runs have ended with the
+// lease when a later process reports (soak seed 3, task_crashes).
+TEST_CASE("WorkerLoss: a task crashes two workers behind a proxy") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    FakePool pool(Options(seed));
+    for (FakeWorker& worker : pool.workers()) {
+      worker.behind_proxy = true;
+      worker.renamed_at_start = true;
+    }
+    WaitUntilServing(pool);
+    const int job = pool.Submit(0, DeadlyJob(1));
+    RunWithResends(pool, job, 40 * kSecond);
+    CAPTURE(seed);
+    CHECK(pool.RecordOf(job, 0).crashes <= kMostCrashes);
+    CHECK(pool.answers().at(job).fate == wire::JOB_FAILED);
+    RequireNoViolation(pool);
+  }
+}
+
 // The same where the starts arrive, and their answers are lost.
 TEST_CASE("WorkerLoss: lost answers do not hide the crashes of a task",
           "[!mayfail][known_red]") {
--- a/pool/testing/fake_pool_workers.cc
+++ b/pool/testing/fake_pool_workers.cc
@@ -55,6 +55,11 @@
   FakeWorker* worker = FindWorker(workers_, order.address);
   const bool cut = cuts_.contains({from, worker->status.failure_domain()});
   const bool late = Happens(worker->late_order_share);
+  if (!cut && worker->reachable && worker->crashed && worker->behind_proxy) {
+    AnswerAt(now_ + options_.message_delay, sender,
+             Unanswered(order, OrderOutcome::kNoAnswer, CallFailure::kClosed));
+    return;
+  }
   if (!cut && worker->reachable && (worker->crashed || worker->link_refuses)) {
     AnswerAt(now_ + options_.message_delay, sender,
              Unanswered(order, OrderOutcome::kNotSent, CallFailure::kRefused));
--- a/pool/testing/fake_worker.h
+++ b/pool/testing/fake_worker.h
@@ -51,6 +51,8 @@
   // after it has shrunk, the worker's owner cannot know that yet.
   int64_t judged_cpu_millis = 0;
   bool reachable = true;
+  // Connections to it pass a proxy, which closes them while no process listens.
+  bool behind_proxy = false;
   // The link to it closes and refuses connections, while its process lives.
   bool link_refuses = false;
   bool fails_all = false;
--- a/pool/workers/run_ends.cc
+++ b/pool/workers/run_ends.cc
@@ -9,6 +9,7 @@
 #include "pool/workers/open_run_news.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_lease.h"
+#include "pool/workers/worker_loss.h"
 
 namespace goldcrest {
 namespace {
@@ -249,6 +250,13 @@
                     PoolWorker& worker,
                     Micros now,
                     PoolActions& actions) {
+  const bool lease_expired = std::any_of(
+      worker.attempts.begin(), worker.attempts.end(), [&](const auto& entry) {
+        return ProveLeaseExpired(worker, entry.second, now).has_value();
+      });
+  if (lease_expired) {
+    OnLeaseExpired(board, worker, now, actions);
+  }
   EndProvenRuns(board, worker, now, actions,
                 [&](const TaskName& /*name*/, const WorkerAttempt& run) {
                   const auto lease = ProveLeaseExpired(worker, run, now);
--- a/pool/workers/worker_loss.cc
+++ b/pool/workers/worker_loss.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // A refusal may come from a process that is just restarting its listener; two
-// of them this far apart may not.
+// of them this far apart may not. The same holds for closed connections.
 constexpr int kRefusalsOfCrash = 2;
 constexpr Micros kRefusedTimeOfCrash = 50 * kMillisecond;
 // Workers lost within this time of each other are lost together.
@@ -56,6 +56,14 @@
   evidence.common_job = !common.empty();
 }
 
+// Returns whether so many workers were lost together that they have a shared
+// cause.
+bool IsShared(const LossEvidence& evidence) {
+  return evidence.lost_workers >= kSharedLossWorkers &&
+         evidence.lost_workers * kSharedLossDivisor >= evidence.pool_workers &&
+         !evidence.common_job;
+}
+
 LossEvidence EvidenceOf(const PoolBoard& board,
                         const PoolWorker& worker,
                         bool new_process) {
@@ -170,6 +178,23 @@
                                : "retry_alone"}});
 }
 
+// Records a crash of the worker's process for the tasks that have begun there,
+// and tells the other daemons.
+void ChargeTasks(PoolBoard& board,
+                 PoolWorker& worker,
+                 bool shared,
+                 Micros now,
+                 PoolActions& actions) {
+  std::vector<TaskCrash> crashes;
+  AddTaskCrashes(board, worker, shared, crashes);
+  for (const TaskCrash& crash : crashes) {
+    if (ApplyTaskCrash(board, crash, now, actions)) {
+      LogTaskCrash(board, crash, actions);
+    }
+  }
+  SendCrashes(board, crashes, worker.status.address(), now, actions);
+}
+
 // Records the crash for all tasks on the worker. `is_back`: a later process has
 // taken its place already.
 void RecordCrash(PoolBoard& board,
@@ -184,14 +209,7 @@
         board.crashes, address,
         {worker.status.failure_domain(), ChargedQueue(board, worker), now});
   }
-  std::vector<TaskCrash> crashes;
-  AddTaskCrashes(board, worker, shared, crashes);
-  for (const TaskCrash& crash : crashes) {
-    if (ApplyTaskCrash(board, crash, now, actions)) {
-      LogTaskCrash(board, crash, actions);
-    }
-  }
-  SendCrashes(board, crashes, address, now, actions);
+  ChargeTasks(board, worker, shared, now, actions);
 }
 
 // Concludes the cause of a loss and acts on it, once for each loss.
@@ -229,11 +247,7 @@
   if (evidence.leaving) {
     return LossCause::kLeft;
   }
-  const bool shared =
-      evidence.lost_workers >= kSharedLossWorkers &&
-      evidence.lost_workers * kSharedLossDivisor >= evidence.pool_workers &&
-      !evidence.common_job;
-  return shared ? LossCause::kShared : LossCause::kCrash;
+  return IsShared(evidence) ? LossCause::kShared : LossCause::kCrash;
 }
 
 void OnCallClosed(PoolWorker& worker, const WorkerAnswer& answer, Micros now) {
@@ -241,8 +255,12 @@
       worker.session == SessionState::kNone) {
     return;
   }
-  if (worker.loss.closed_at == 0) {
-    worker.loss.closed_at = now;
+  WorkerLoss& loss = worker.loss;
+  if (loss.closed_at == 0) {
+    loss.closed_at = now;
+  } else {
+    loss.last_closed_at = now;
+    ++loss.further_closes;
   }
   const auto found = worker.attempts.find(answer.order.task);
   if (answer.order.kind == OrderKind::kStart &&
@@ -278,6 +296,23 @@
   }
 }
 
+void OnLeaseExpired(PoolBoard& board,
+                    PoolWorker& worker,
+                    Micros now,
+                    PoolActions& actions) {
+  WorkerLoss& loss = worker.loss;
+  const bool closed =
+      loss.further_closes >= kRefusalsOfCrash &&
+      loss.last_closed_at - loss.closed_at >= kRefusedTimeOfCrash;
+  if (!closed || loss.concluded || worker.status.leaving()) {
+    return;
+  }
+  // An answer of this process withdraws what is charged here.
+  loss.concluded = true;
+  ChargeTasks(board, worker, IsShared(EvidenceOf(board, worker, false)), now,
+              actions);
+}
+
 void OnWorkerProcessLost(PoolBoard& board,
                          PoolWorker& worker,
                          bool new_process,
--- a/pool/workers/worker_loss.h
+++ b/pool/workers/worker_loss.h
@@ -70,6 +70,16 @@
 // new one.
 void OnCallClosed(PoolWorker& worker, const WorkerAnswer& answer, Micros now);
 
+// Must be called before the worker's runs end with its lease. Where a proxy
+// stands before the worker, it closes the connections of a process that has
+// crashed instead of refusing them: if the worker's side closed one with a call
+// in progress and others since, the runs that have begun there are charged with
+// a crash, which is not proven yet.
+void OnLeaseExpired(PoolBoard& board,
+                    PoolWorker& worker,
+                    Micros now,
+                    PoolActions& actions);
+
 // Takes note of how an order to the worker ended, and if that completes the
 // evidence of a crash, records it for the tasks there: a task that has used up
 // its crashes is given up. Must be called before the answer is handled.
