Fail no job for runs that ended with their lease behind closed connections

Callers could hear failed for a sound job (LOST): since a run that ended with its lease behind closed connections was charged with a crash, and the end of that process, seconds later and for another cause, proved it: a proof of one fact applied to another once more.

Such a crash is now unconfirmed: it holds its task after the second one and gives up none.

--- a/pool/agreement/agreement.h
+++ b/pool/agreement/agreement.h
@@ -219,7 +219,7 @@
                       PoolActions& actions);
 
 // Excludes a pause of this process from the time since the last contact with
-// other control daemons. A leader's lease goes on.
+// other control daemons. A leader's lease is not extended.
 void ExcludePauseFromElections(Agreement& agreement, Micros pause);
 
 // Sends the leader's heartbeats if a round is due, as it is after a commit.
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -325,7 +325,7 @@
   if (is_tick) {
     AgreementTick(board.agreement, now.mono, actions);
   } else {
-    // Whoever seems silent may have been heard by the next message that waits.
+    // A member that seems silent may have sent a message that is still unread.
     SendDueHeartbeats(board.agreement, now.mono, actions);
   }
   board.mesh.is_leader = board.agreement.role == AgreementRole::kLeader;
--- a/pool/workers/crash_ledger.h
+++ b/pool/workers/crash_ledger.h
@@ -65,7 +65,8 @@
   CrashedProcess process;
   bool alone = false;   // no other task ran on the worker
   bool proven = false;  // a later process has answered at the address
-  // The worker had not confirmed the run: its start may not have reached it.
+  // It is not known that the run was at work when the process ended: its start
+  // may not have arrived, or it may have ended with its lease before.
   bool unconfirmed = false;
 };
 
--- a/pool/workers/worker_loss.cc
+++ b/pool/workers/worker_loss.cc
@@ -178,15 +178,12 @@
                                : "retry_alone"}});
 }
 
-// Records a crash of the worker's process for the tasks that have begun there,
-// and tells the other daemons.
-void ChargeTasks(PoolBoard& board,
-                 PoolWorker& worker,
-                 bool shared,
-                 Micros now,
-                 PoolActions& actions) {
-  std::vector<TaskCrash> crashes;
-  AddTaskCrashes(board, worker, shared, crashes);
+// Records the crashes of the worker's process, and tells the other daemons.
+void RecordTaskCrashes(PoolBoard& board,
+                       const PoolWorker& worker,
+                       const std::vector<TaskCrash>& crashes,
+                       Micros now,
+                       PoolActions& actions) {
   for (const TaskCrash& crash : crashes) {
     if (ApplyTaskCrash(board, crash, now, actions)) {
       LogTaskCrash(board, crash, actions);
@@ -209,7 +206,9 @@
         board.crashes, address,
         {worker.status.failure_domain(), ChargedQueue(board, worker), now});
   }
-  ChargeTasks(board, worker, shared, now, actions);
+  std::vector<TaskCrash> crashes;
+  AddTaskCrashes(board, worker, shared, crashes);
+  RecordTaskCrashes(board, worker, crashes, now, actions);
 }
 
 // Concludes the cause of a loss and acts on it, once for each loss.
@@ -307,10 +306,16 @@
   if (!closed || loss.concluded || worker.status.leaving()) {
     return;
   }
-  // An answer of this process withdraws what is charged here.
+  // An answer of this process withdraws what is recorded here.
   loss.concluded = true;
-  ChargeTasks(board, worker, IsShared(EvidenceOf(board, worker, false)), now,
-              actions);
+  std::vector<TaskCrash> crashes;
+  AddTaskCrashes(board, worker, IsShared(EvidenceOf(board, worker, false)),
+                 crashes);
+  for (TaskCrash& crash : crashes) {
+    // The process may be alive, and end long after the runs.
+    crash.unconfirmed = true;
+  }
+  RecordTaskCrashes(board, worker, crashes, now, actions);
 }
 
 void OnWorkerProcessLost(PoolBoard& board,
--- a/pool/workers/worker_loss.h
+++ b/pool/workers/worker_loss.h
@@ -74,7 +74,8 @@
 // stands before the worker, it closes the connections of a process that has
 // crashed instead of refusing them: if the worker's side closed one with a call
 // in progress and others since, the runs that have begun there are charged with
-// a crash, which is not proven yet.
+// a crash that is not confirmed: it makes their tasks suspects, but gives up
+// none.
 void OnLeaseExpired(PoolBoard& board,
                     PoolWorker& worker,
                     Micros now,
