Log jobs that an entry daemon gives up, and cancels without effect

Three hypotheses for the run that goes on after its entry daemon has answered 504: the cancel is lost; it arrives and names another order; it arrives, and the stop of the run is lost. The logs could not tell the first two apart: a cancel that matched no job left no line.

Now the entry daemon logs job_given_up, and the daemon that has the job logs cancel_without_effect.

--- a/pool/entry/pending_jobs.cc
+++ b/pool/entry/pending_jobs.cc
@@ -135,6 +135,26 @@
                                                          : "control_not_heard";
 }
 
+// Logs that this daemon no longer waits for the job's present daemon.
+void LogGivenUp(const EntryBoard& board,
+                const PendingJob& job,
+                const std::string& reason,
+                Micros now,
+                PoolActions& actions) {
+  const auto member = board.pool.mesh.members.find(job.control_address);
+  const Micros heard_at = member == board.pool.mesh.members.end()
+                              ? 0
+                              : member->second.last_received_at;
+  LogPoolEvent(actions, LogLevel::kWarning, "job_given_up",
+               {{"job", job.job_id},
+                {"order", std::to_string(job.order_number)},
+                {"control", job.control_address},
+                {"reason", reason},
+                {"start_permitted", job.start_permitted ? "1" : "0"},
+                {"heard_ms_ago",
+                 std::to_string((now - heard_at) / kMillisecond)}});
+}
+
 // Returns whether jobs may have been held before they are sent, so that the
 // control daemon has to know for how long.
 bool ReportsWaitedTime(const EntryOptions& options) {
@@ -386,6 +406,7 @@
   }
   for (const auto& [order_number, reason] : failed) {
     const PendingJob& job = board.pending.at(order_number);
+    LogGivenUp(board, job, reason, now, actions);
     // The control daemon may still receive messages and run the job.
     SendCancel(board, job, actions);
     if (job.start_permitted) {
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -192,6 +192,13 @@
   if (matches) {
     EndJob(board, found->second, wire::JOB_CANCELLED, "asked_by_entry", now,
            actions);
+  } else if (!any_order) {
+    LogPoolEvent(actions, LogLevel::kInfo, "cancel_without_effect",
+                 {{"job", cancel.job_id()},
+                  {"entry", cancel.entry()},
+                  {"order", std::to_string(cancel.order())},
+                  {"present_order",
+                   job == nullptr ? "" : std::to_string(job->order.order())}});
   }
   return matches;
 }
