End a job that its entry daemon gave up whichever messages are lost

Cause: the entry daemon judges the link by what it has not heard, the control daemon by what it has heard, and only one message that is sent once, a cancel, connects the two. A cut from the control daemon of 0.35 to 0.7 s looks uninterrupted to that one, so that it goes on until the job's deadline if the cancel is lost with a channel that is being opened again.

Change: contacts are numbered. The entry daemon raises the number when it gives up a daemon's jobs; heartbeats, orders and permissions carry it, so the first message of the next contact ends the jobs of the earlier ones. Until then the echoes that the control daemon has bound how long it goes on (250 ms). Related paths: jobs left at the stop of an entry daemon end their contact, too; a permission names the time that is left, since an order that was delayed gave a deadline as much too late; runs of an abandoned job extend no lease while the stop is unanswered (400 ms before), and the longest lease is 0.8 s instead of 0.85 s, so that the sum stays below the callers' 1.3 s. No message is added.

Weighed: cancels that are repeated until answered leave the interval open while the way is cut; a shorter echo timeout alone ends sound jobs.

--- a/pool/admission/job_admission.cc
+++ b/pool/admission/job_admission.cc
@@ -7,6 +7,7 @@
 #include "pool/admission/job_order_check.h"
 #include "pool/admission/overload_control.h"
 #include "pool/admission/retry_after.h"
+#include "pool/job_contact.h"
 #include "pool/job_forwarding.h"
 #include "pool/job_outcome.h"
 #include "pool/placement/choose_worker.h"
@@ -81,6 +82,7 @@
   job->sequence = board.next_sequence++;
   job->received_at = now - order.waited_ms() * kMillisecond;
   job->last_contact_at = now;
+  job->contact = order.contact();
   job->deadline = now + order.budget_ms() * kMillisecond;
   Micros sequential_run_time = 0;
   for (const wire::JobStep& step : order.steps()) {
@@ -165,6 +167,7 @@
   job->first_permission_request_at = 0;
   job->last_permission_request_at = 0;
   job->last_contact_at = now;
+  job->contact = order.contact();
   if (job->started) {
     RequestStartPermission(*job, now, actions);
   }
@@ -226,6 +229,11 @@
                   kShortestRetryAfterMs, true, now, actions);
     return;
   }
+  if (IsContactGivenUp(board, order.entry(), order.contact())) {
+    EndWithoutJob(board, order, wire::JOB_REFUSED, "given_up_by_entry",
+                  kShortestRetryAfterMs, true, now, actions);
+    return;
+  }
   if (!IsKnownEntry(board, order, now)) {
     EndWithoutJob(board, order, wire::JOB_REFUSED, "entry_not_heard",
                   kShortestRetryAfterMs, true, now, actions);
--- a/pool/entry/entry_stop.cc
+++ b/pool/entry/entry_stop.cc
@@ -98,6 +98,7 @@
       OrdersWhere(board, [](const PendingJob&) { return true; });
   for (const uint64_t order_number : left) {
     const PendingJob& job = board.pending.at(order_number);
+    EndContact(board.pool.mesh, job.control_address);
     LogPoolEvent(
         actions, LogLevel::kWarning, "job_left_at_stop",
         {{"job", job.job_id},
--- a/pool/entry/pending_jobs.cc
+++ b/pool/entry/pending_jobs.cc
@@ -135,6 +135,24 @@
                                                          : "control_not_heard";
 }
 
+// Ends the contact with the daemons that are unreachable and have jobs which
+// are given up now. A standby gives up jobs of control daemons that it can
+// reach; those have no start permission, and the others go on.
+void EndContacts(EntryBoard& board,
+                 const std::vector<std::pair<uint64_t, std::string>>& failed,
+                 Micros now) {
+  std::set<std::string> unreachable;
+  for (const auto& [order_number, reason] : failed) {
+    const std::string& control = board.pending.at(order_number).control_address;
+    if (!IsPeerReachable(board.pool.mesh, control, now)) {
+      unreachable.insert(control);
+    }
+  }
+  for (const std::string& control : unreachable) {
+    EndContact(board.pool.mesh, control);
+  }
+}
+
 // Logs that this daemon no longer waits for the job's present daemon.
 void LogGivenUp(const EntryBoard& board,
                 const PendingJob& job,
@@ -145,14 +163,14 @@
   const Micros heard_at = member == board.pool.mesh.members.end()
                               ? 0
                               : member->second.last_received_at;
-  LogPoolEvent(actions, LogLevel::kWarning, "job_given_up",
-               {{"job", job.job_id},
-                {"order", std::to_string(job.order_number)},
-                {"control", job.control_address},
-                {"reason", reason},
-                {"start_permitted", job.start_permitted ? "1" : "0"},
-                {"heard_ms_ago",
-                 std::to_string((now - heard_at) / kMillisecond)}});
+  LogPoolEvent(
+      actions, LogLevel::kWarning, "job_given_up",
+      {{"job", job.job_id},
+       {"order", std::to_string(job.order_number)},
+       {"control", job.control_address},
+       {"reason", reason},
+       {"start_permitted", job.start_permitted ? "1" : "0"},
+       {"heard_ms_ago", std::to_string((now - heard_at) / kMillisecond)}});
 }
 
 // Returns whether jobs may have been held before they are sent, so that the
@@ -293,6 +311,7 @@
   pending.control_incarnation = member.incarnation;
   pending.message.set_seen_sequence(
       NewestHeartbeatSequence(board.pool.mesh, control));
+  pending.message.set_contact(ContactNumber(board.pool.mesh, control));
   pending.message.set_budget_ms(static_cast<uint32_t>(left_ms));
   if (ReportsWaitedTime(board.options)) {
     pending.message.set_waited_ms(
@@ -347,10 +366,17 @@
     RequestCancel(board, job, now, actions);
     return;
   }
+  const int64_t left_ms = (EndBy(board, job) - now) / kMillisecond;
+  if (left_ms <= 0) {
+    return;  // its time is up; the caller is answered in the next tick
+  }
   job.start_permitted = true;
   wire::PoolMessage answer;
-  answer.mutable_job_go()->set_order(job.order_number);
-  answer.mutable_job_go()->set_job_id(job.job_id);
+  wire::JobGo& permission = *answer.mutable_job_go();
+  permission.set_order(job.order_number);
+  permission.set_job_id(job.job_id);
+  permission.set_contact(ContactNumber(board.pool.mesh, job.control_address));
+  permission.set_budget_ms(static_cast<uint32_t>(left_ms));
   SendTo(actions, job.control_address, std::move(answer));
 }
 
@@ -404,6 +430,7 @@
       failed.emplace_back(order_number, std::move(reason));
     }
   }
+  EndContacts(board, failed, now);
   for (const auto& [order_number, reason] : failed) {
     const PendingJob& job = board.pending.at(order_number);
     LogGivenUp(board, job, reason, now, actions);
--- a/pool/job_forwarding.cc
+++ b/pool/job_forwarding.cc
@@ -81,6 +81,7 @@
   *message.mutable_job_order() = order;
   message.mutable_job_order()->set_forwarded(true);
   message.mutable_job_order()->set_seen_sequence(to.last_heartbeat.sequence());
+  message.mutable_job_order()->clear_contact();
   SendTo(actions, to.address, std::move(message));
   wire::PoolMessage moved;
   moved.mutable_job_moved()->set_order(order.order());
--- a/pool/mesh/heartbeat_message.cc
+++ b/pool/mesh/heartbeat_message.cc
@@ -36,6 +36,7 @@
   heartbeat.set_control_address(mesh.options.control_address);
   heartbeat.set_sequence(mesh.sequence);
   heartbeat.set_echoed_sequence(NewestHeartbeatSequence(mesh, to));
+  heartbeat.set_contact(ContactNumber(mesh, to));
   heartbeat.set_draining(mesh.draining);
   heartbeat.set_is_answer(is_answer);
   heartbeat.set_routing_version(mesh.routing_version);
--- a/pool/mesh/mesh.cc
+++ b/pool/mesh/mesh.cc
@@ -157,6 +157,18 @@
   }
 }
 
+// Returns the member at `address`, a new one if it is not known. Its number of
+// the contact is no lower than one that was used with an earlier member there.
+MeshMember& FindOrAddMember(Mesh& mesh, const std::string& address) {
+  const auto [position, is_new] = mesh.members.try_emplace(address);
+  MeshMember& member = position->second;
+  if (is_new) {
+    member.address = address;
+    member.contact = mesh.newest_contact;
+  }
+  return member;
+}
+
 // Adds a control daemon that another daemon reported. A new one counts as
 // reachable by another daemon at first, even if the report only says that it is
 // known.
@@ -164,8 +176,7 @@
   if (address == mesh.options.self || mesh.members.contains(address)) {
     return;
   }
-  MeshMember& reported = mesh.members[address];
-  reported.address = address;
+  MeshMember& reported = FindOrAddMember(mesh, address);
   reported.last_heartbeat.set_control(true);
   reported.indirect_contact_at = now;
 }
@@ -194,8 +205,7 @@
 void AddSeeds(Mesh& mesh, const std::vector<std::string>& seeds) {
   for (const std::string& seed : seeds) {
     if (seed != mesh.options.self && !mesh.members.contains(seed)) {
-      mesh.members[seed].address = seed;
-      mesh.members[seed].last_heartbeat.set_control(true);
+      FindOrAddMember(mesh, seed).last_heartbeat.set_control(true);
     }
   }
 }
@@ -206,7 +216,7 @@
                              const wire::Presence& heartbeat,
                              Micros now,
                              PoolActions& actions) {
-  MeshMember& member = mesh.members[from];
+  MeshMember& member = FindOrAddMember(mesh, from);
   MemberChange change = MemberChange::kNone;
   if (member.incarnation != incarnation) {
     // Incarnation numbers are start times on the VM's clock. A lower one means
@@ -219,10 +229,10 @@
                                      : MemberChange::kRestarted;
     member.incarnation = incarnation;
     member.last_heartbeat.Clear();
+    EndContact(mesh, from);
   } else if (heartbeat.sequence() < member.last_heartbeat.sequence()) {
     return MemberChange::kNone;  // a newer heartbeat was received before it
   }
-  member.address = from;
   member.last_received_at = now;
   member.last_heartbeat_at = now;
   member.last_heartbeat = heartbeat;
@@ -259,6 +269,18 @@
   }
 }
 
+void EndContact(Mesh& mesh, const std::string& address) {
+  const auto member = mesh.members.find(address);
+  if (member != mesh.members.end()) {
+    member->second.contact = ++mesh.newest_contact;
+  }
+}
+
+uint64_t ContactNumber(const Mesh& mesh, const std::string& address) {
+  const auto member = mesh.members.find(address);
+  return member == mesh.members.end() ? 0 : member->second.contact;
+}
+
 void SwitchToFullRate(Mesh& mesh,
                       const std::string& address,
                       Micros now,
--- a/pool/mesh/mesh.h
+++ b/pool/mesh/mesh.h
@@ -67,13 +67,16 @@
   Micros full_rate_since = 0;
   // The full rate is kept at least until then, since a job is shared.
   Micros full_rate_until = 0;
-  Micros reduced_rate_due = 0;      // the next heartbeat at the reduced rate
-  wire::Presence last_heartbeat;    // the newest heartbeat
+  Micros reduced_rate_due = 0;    // the next heartbeat at the reduced rate
+  wire::Presence last_heartbeat;  // the newest heartbeat
+  uint64_t contact = 0;  // number of the present contact (job_contact.h)
   bool logged_unreachable = false;  // the log reported it as unreachable
 };
 
 struct Mesh {
   MeshOptions options;
+  // The highest number of a contact of this process with any daemon.
+  uint64_t newest_contact = 1;
   uint64_t sequence = 0;  // of the newest heartbeat round
   std::deque<std::pair<uint64_t, Micros>>
       sent_heartbeats;                        // sequence, time sent
@@ -125,6 +128,15 @@
                    uint64_t incarnation,
                    Micros now);
 
+// Ends the contact with the daemon at `address`: this entry daemon gives up all
+// jobs that the other one has, which learns that from the number of the next
+// contact (job_contact.h). Does nothing if the daemon is not known.
+void EndContact(Mesh& mesh, const std::string& address);
+
+// Returns the number of the present contact with the daemon at `address`; 0 if
+// it is not known.
+uint64_t ContactNumber(const Mesh& mesh, const std::string& address);
+
 // Switches to the full heartbeat rate with the daemon at `address`. An entry
 // daemon calls this when it shares a job with that daemon.
 void SwitchToFullRate(Mesh& mesh,
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -57,12 +57,12 @@
   // longest expected run time there, within these bounds. Tasks of a failed
   // worker are started again only after its lease has expired, so short tasks
   // get short leases; a task that has run for seconds survives a short
-  // communication failure of its worker. A job whose entry daemon failed must
-  // have ended on all workers before its caller sends it again, so
-  // entry_timeout + longest_lease + clock drift must be less than the time
-  // after which callers do that.
+  // communication failure of its worker. A job whose entry daemon has failed or
+  // given it up must have ended on all workers before its caller sends it
+  // again: LongestRunAfterGivingUp() must be less than kShortestResendDelay
+  // (job_contact.h).
   Micros shortest_lease = 450 * kMillisecond;
-  Micros longest_lease = 850 * kMillisecond;
+  Micros longest_lease = 800 * kMillisecond;
   // Maximum by which a worker's clock may run slow, in percent.
   int64_t clock_drift_percent = 2;
   // Added to the length of a lease before it counts as expired.
@@ -225,6 +225,9 @@
   // start is permitted, the first request for that, since it is not known which
   // request was answered.
   Micros last_contact_at = 0;
+  // Number of the entry daemon's contact in which the job was sent, or its
+  // start permitted (job_contact.h); 0: not known.
+  uint64_t contact = 0;
   // Whether a start order was sent for any of its tasks.
   bool started = false;
   Micros first_start_at = 0;
--- a/pool/pool_jobs.cc
+++ b/pool/pool_jobs.cc
@@ -5,6 +5,7 @@
 
 #include "pool/admission/overload_control.h"
 #include "pool/admission/retry_after.h"
+#include "pool/job_contact.h"
 #include "pool/job_outcome.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/worker_session.h"
@@ -18,28 +19,6 @@
 // A request for a start permission is repeated after this long without answer.
 constexpr Micros kPermissionRetryDelay = 100 * kMillisecond;
 
-// Returns true if messages were recently received from the job's entry daemon,
-// and it recently received messages of this daemon.
-bool IsEntryReachable(const PoolBoard& board, const PoolJob& job, Micros now) {
-  const std::string& entry = job.order.entry();
-  if (entry == board.mesh.options.self) {
-    return true;
-  }
-  const auto found = board.mesh.members.find(entry);
-  if (found == board.mesh.members.end() ||
-      found->second.incarnation != job.order.entry_incarnation()) {
-    return false;
-  }
-  const MeshMember& member = found->second;
-  const Micros last_received_by_entry = std::max(
-      HeartbeatSentAt(board.mesh, member.last_heartbeat.echoed_sequence()),
-      job.last_contact_at);
-  const Micros last_received_from_entry =
-      std::max(member.last_received_at, job.last_contact_at);
-  return now - last_received_from_entry < board.options.entry_timeout &&
-         now - last_received_by_entry < board.options.entry_echo_timeout;
-}
-
 bool IsUnblocked(const PoolJob& job, uint32_t step) {
   const auto& after = job.order.steps(static_cast<int>(step)).after();
   return std::all_of(after.begin(), after.end(), [&](uint32_t earlier) {
@@ -174,35 +153,6 @@
   board.placement_due = true;
 }
 
-bool OnJobCancel(PoolBoard& board,
-                 const wire::JobCancel& cancel,
-                 Micros now,
-                 PoolActions& actions) {
-  const bool any_order = cancel.order() == 0;
-  const auto found = board.job_keys.find(cancel.job_id());
-  const PoolJob* job = found == board.job_keys.end()
-                           ? nullptr
-                           : FindPoolJob(board, found->second);
-  if (any_order) {
-    board.cancelled_until[cancel.job_id()] = now + kCancelMemory;
-  }
-  const bool matches =
-      job != nullptr && (any_order || (cancel.order() == job->order.order() &&
-                                       cancel.entry() == job->order.entry()));
-  if (matches) {
-    EndJob(board, found->second, wire::JOB_CANCELLED, "asked_by_entry", now,
-           actions);
-  } else if (!any_order) {
-    LogPoolEvent(actions, LogLevel::kInfo, "cancel_without_effect",
-                 {{"job", cancel.job_id()},
-                  {"entry", cancel.entry()},
-                  {"order", std::to_string(cancel.order())},
-                  {"present_order",
-                   job == nullptr ? "" : std::to_string(job->order.order())}});
-  }
-  return matches;
-}
-
 void RequestStartPermission(PoolJob& job, Micros now, PoolActions& actions) {
   if (job.last_permission_request_at != 0 &&
       now - job.last_permission_request_at < kPermissionRetryDelay) {
@@ -229,22 +179,54 @@
       job->order.entry() != entry) {
     return;  // the job has ended, or belongs to another order
   }
+  if (IsContactGivenUp(board, entry, go.contact())) {
+    return;  // the job ends in the next tick
+  }
   job->start_permitted = true;
+  job->contact = go.contact();
   // The entry daemon may have answered any of the repeated requests, so only
   // the time of the first is certain to be no later than its answer.
   job->last_contact_at = job->first_permission_request_at;
+  if (go.budget_ms() != 0) {
+    // The order may have been delayed, and with it this daemon's deadline.
+    job->deadline = std::min(job->deadline, job->first_permission_request_at +
+                                                go.budget_ms() * kMillisecond);
+  }
   board.placement_due = true;
 }
 
 namespace {
 
-// Ends a job. A refused caller is told to return after `retry_after_ms`.
+// How a job ends. A refused caller is told to return after `retry_after_ms`.
+struct JobEnding {
+  wire::JobFate fate = wire::JOB_FATE_UNSPECIFIED;
+  std::string reason;
+  int64_t retry_after_ms = 0;
+  bool try_elsewhere = false;
+  StopReason stop_reason = StopReason::kJobEnded;
+};
+
+// Stops the running attempts of a job that has ended.
+void StopAttemptsOf(PoolBoard& board,
+                    const PoolJob& job,
+                    StopReason reason,
+                    Micros now,
+                    PoolActions& actions) {
+  for (uint32_t step = 0; step < job.steps.size(); ++step) {
+    for (uint32_t i = 0; i < job.steps[step].tasks.size(); ++i) {
+      const PoolTask& task = job.steps[step].tasks[i];
+      const auto worker = board.workers.find(task.worker);
+      if (task.phase == TaskPhase::kRunning && worker != board.workers.end()) {
+        StopAttempt(board, worker->second, {job.order.job_id(), 0, step, i},
+                    reason, now, actions);
+      }
+    }
+  }
+}
+
 void EndJobAs(PoolBoard& board,
               const std::string& key,
-              wire::JobFate fate,
-              const std::string& reason,
-              int64_t retry_after_ms,
-              bool try_elsewhere,
+              JobEnding ending,
               Micros now,
               PoolActions& actions) {
   const auto found = board.jobs.find(key);
@@ -253,44 +235,57 @@
   }
   const std::unique_ptr<PoolJob> job = std::move(found->second);
   board.jobs.erase(found);
-  if (fate == wire::JOB_REFUSED && MayStillRun(board, job->order)) {
-    fate = wire::JOB_UNKNOWN;
-    retry_after_ms = 0;
-    try_elsewhere = false;
+  if (ending.fate == wire::JOB_REFUSED && MayStillRun(board, job->order)) {
+    ending.fate = wire::JOB_UNKNOWN;
+    ending.retry_after_ms = 0;
+    ending.try_elsewhere = false;
   }
   RemoveFromQueue(board, *job);
   const auto by_id = board.job_keys.find(job->order.job_id());
   if (by_id != board.job_keys.end() && by_id->second == key) {
     board.job_keys.erase(by_id);
   }
-  ++board.counters.jobs_ended[std::string(ToString(fate))];
+  ++board.counters.jobs_ended[std::string(ToString(ending.fate))];
   const Micros waited =
       job->started ? job->first_start_at - job->received_at : 0;
   LogPoolEvent(
       actions,
-      fate == wire::JOB_COMPLETED ? LogLevel::kInfo : LogLevel::kWarning,
+      ending.fate == wire::JOB_COMPLETED ? LogLevel::kInfo : LogLevel::kWarning,
       "job_ended",
       {{"job", job->order.job_id()},
        {"queue", job->order.queue()},
-       {"fate", std::string(ToString(fate))},
-       {"reason", reason},
+       {"fate", std::string(ToString(ending.fate))},
+       {"reason", ending.reason},
        {"started", job->started ? "1" : "0"},
        {"open_tasks", std::to_string(job->open_tasks)},
        {"took_ms", std::to_string((now - job->received_at) / kMillisecond)},
        {"first_start_ms", std::to_string(waited / kMillisecond)}});
   SendOutcome(board, job->order,
-              {fate, reason, retry_after_ms, try_elsewhere, job->deadline}, now,
-              actions);
-  for (uint32_t step = 0; step < job->steps.size(); ++step) {
-    for (uint32_t i = 0; i < job->steps[step].tasks.size(); ++i) {
-      const PoolTask& task = job->steps[step].tasks[i];
-      const auto worker = board.workers.find(task.worker);
-      if (task.phase == TaskPhase::kRunning && worker != board.workers.end()) {
-        StopAttempt(board, worker->second, {job->order.job_id(), 0, step, i},
-                    true, now, actions);
-      }
-    }
-  }
+              {ending.fate, ending.reason, ending.retry_after_ms,
+               ending.try_elsewhere, job->deadline},
+              now, actions);
+  StopAttemptsOf(board, *job, ending.stop_reason, now, actions);
+}
+
+// Ends a job, and tells a refused caller when to return.
+void EndJobAndStop(PoolBoard& board,
+                   const std::string& key,
+                   wire::JobFate fate,
+                   const std::string& reason,
+                   StopReason stop_reason,
+                   Micros now,
+                   PoolActions& actions) {
+  const PoolJob* job = FindPoolJob(board, key);
+  const bool refused = fate == wire::JOB_REFUSED;
+  const bool try_elsewhere =
+      refused && job != nullptr &&
+      now + RemainingSequentialRunTime(*job) < job->deadline;
+  const int64_t retry_after_ms = refused && job != nullptr && !try_elsewhere
+                                     ? RetryAfterMs(board, *job, now)
+                                     : (refused ? kShortestRetryAfterMs : 0);
+  EndJobAs(board, key,
+           {fate, reason, retry_after_ms, try_elsewhere, stop_reason}, now,
+           actions);
 }
 
 }  // namespace
@@ -304,8 +299,9 @@
                         PoolActions& actions) {
   const PoolJob* job = FindPoolJob(board, key);
   if (job != nullptr && !job->started) {
-    EndJobAs(board, key, wire::JOB_REFUSED, reason, retry_after_ms,
-             try_elsewhere, now, actions);
+    EndJobAs(board, key,
+             {wire::JOB_REFUSED, reason, retry_after_ms, try_elsewhere, {}},
+             now, actions);
   }
 }
 
@@ -315,26 +311,57 @@
             const std::string& reason,
             Micros now,
             PoolActions& actions) {
+  EndJobAndStop(board, key, fate, reason, StopReason::kJobEnded, now, actions);
+}
+
+void EndAbandonedJob(PoolBoard& board,
+                     const std::string& key,
+                     const std::string& reason,
+                     Micros now,
+                     PoolActions& actions) {
   const PoolJob* job = FindPoolJob(board, key);
-  const bool refused = fate == wire::JOB_REFUSED;
-  const bool try_elsewhere =
-      refused && job != nullptr &&
-      now + RemainingSequentialRunTime(*job) < job->deadline;
-  const int64_t retry_after_ms = refused && job != nullptr && !try_elsewhere
-                                     ? RetryAfterMs(board, *job, now)
-                                     : (refused ? kShortestRetryAfterMs : 0);
-  EndJobAs(board, key, fate, reason, retry_after_ms, try_elsewhere, now,
-           actions);
+  const bool started = job != nullptr && job->started;
+  EndJobAndStop(board, key, started ? wire::JOB_UNKNOWN : wire::JOB_REFUSED,
+                reason, StopReason::kJobAbandoned, now, actions);
+}
+
+bool OnJobCancel(PoolBoard& board,
+                 const wire::JobCancel& cancel,
+                 Micros now,
+                 PoolActions& actions) {
+  const bool any_order = cancel.order() == 0;
+  const auto found = board.job_keys.find(cancel.job_id());
+  const PoolJob* job = found == board.job_keys.end()
+                           ? nullptr
+                           : FindPoolJob(board, found->second);
+  if (any_order) {
+    board.cancelled_until[cancel.job_id()] = now + kCancelMemory;
+  }
+  const bool matches =
+      job != nullptr && (any_order || (cancel.order() == job->order.order() &&
+                                       cancel.entry() == job->order.entry()));
+  if (matches) {
+    EndJobAndStop(board, found->second, wire::JOB_CANCELLED, "asked_by_entry",
+                  StopReason::kJobAbandoned, now, actions);
+  } else if (!any_order) {
+    LogPoolEvent(actions, LogLevel::kInfo, "cancel_without_effect",
+                 {{"job", cancel.job_id()},
+                  {"entry", cancel.entry()},
+                  {"order", std::to_string(cancel.order())},
+                  {"present_order",
+                   job == nullptr ? "" : std::to_string(job->order.order())}});
+  }
+  return matches;
 }
 
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions) {
   const double margin = LatenessMargin(board.options.features);
-  // The keys of the jobs, and whether the entry daemon is unreachable.
-  std::vector<std::pair<std::string, bool>> ending;
+  // The keys of the jobs, and what ended the contact; kNone: their time is up.
+  std::vector<std::pair<std::string, ContactEnd>> ending;
   for (const auto& [key, job] : board.jobs) {
-    const bool unreachable = !IsEntryReachable(board, *job, now);
-    if (unreachable || now > job->deadline) {
-      ending.emplace_back(key, unreachable);
+    const ContactEnd contact_end = FindContactEnd(board, *job, now);
+    if (contact_end != ContactEnd::kNone || now > job->deadline) {
+      ending.emplace_back(key, contact_end);
       continue;
     }
     if (job->last_permission_request_at != 0 && !job->start_permitted) {
@@ -349,14 +376,16 @@
       MoveInQueue(board, *job, lateness, job->rank);
     }
   }
-  for (const auto& [key, unreachable] : ending) {
+  for (const auto& [key, contact_end] : ending) {
+    if (contact_end != ContactEnd::kNone) {
+      EndAbandonedJob(board, key, std::string(ToString(contact_end)), now,
+                      actions);
+      continue;
+    }
     const PoolJob* job = FindPoolJob(board, key);
     const bool started = job != nullptr && job->started;
-    const wire::JobFate fate = !started      ? wire::JOB_REFUSED
-                               : unreachable ? wire::JOB_UNKNOWN
-                                             : wire::JOB_TIMED_OUT;
-    EndJob(board, key, fate, unreachable ? "entry_not_heard" : "time_is_up",
-           now, actions);
+    EndJob(board, key, started ? wire::JOB_TIMED_OUT : wire::JOB_REFUSED,
+           "time_is_up", now, actions);
   }
   std::erase_if(board.cancelled_until,
                 [&](const auto& entry) { return now >= entry.second; });
--- a/pool/pool_jobs.h
+++ b/pool/pool_jobs.h
@@ -67,6 +67,15 @@
             Micros now,
             PoolActions& actions);
 
+// Ends a job whose entry daemon may have answered its caller already, that the
+// outcome is unknown: it is told so if a task was started, else that the job is
+// refused.
+void EndAbandonedJob(PoolBoard& board,
+                     const std::string& key,
+                     const std::string& reason,
+                     Micros now,
+                     PoolActions& actions);
+
 // Ends jobs whose deadline has passed or whose entry daemon is unreachable.
 void JobsTick(PoolBoard& board, Micros now, PoolActions& actions);
 
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -258,13 +258,12 @@
                {{"pause_ms", std::to_string(pause / kMillisecond)}});
   ExcludePauseFromTimeouts(board.mesh, pause);
   ExcludePauseFromElections(board.agreement, pause);
-  std::vector<std::pair<std::string, wire::JobFate>> ending;
+  std::vector<std::string> ending;
   for (const auto& [key, job] : board.jobs) {
-    ending.emplace_back(key,
-                        job->started ? wire::JOB_UNKNOWN : wire::JOB_REFUSED);
+    ending.push_back(key);
   }
-  for (const auto& [key, fate] : ending) {
-    EndJob(board, key, fate, "process_was_paused", now, actions);
+  for (const std::string& key : ending) {
+    EndAbandonedJob(board, key, "process_was_paused", now, actions);
   }
   for (auto& [id, worker] : board.workers) {
     worker.last_received_at += pause;
--- a/pool/pool_worker.h
+++ b/pool/pool_worker.h
@@ -44,6 +44,17 @@
 };
 
 // One attempt of a task that may occupy resources of a worker.
+// Why an attempt is stopped.
+enum class StopReason : uint8_t {
+  // Its job has ended: the attempt is detached from it, and its end is ignored.
+  kJobEnded,
+  // The same, and the caller may have been told a while ago that the outcome is
+  // unknown, so that it will send the job again sooner.
+  kJobAbandoned,
+  // Its task is to be started elsewhere: its end is reported to its job.
+  kTaskMoves,
+};
+
 struct WorkerAttempt {
   std::string job_key;          // empty: belongs to no job of this daemon
   uint32_t attempt_number = 0;  // 1 for the first attempt of the task
@@ -82,6 +93,8 @@
   // (unanswered_orders.h); 0: none is unanswered.
   uint64_t stop_number = 0;
   Micros stopping_since = 0;  // when the stop was first ordered
+  // Its job was ended as StopReason::kJobAbandoned.
+  bool abandoned = false;
 };
 
 // Evidence about a worker that does not answer (worker_loss.h).
--- a/pool/task_ends.cc
+++ b/pool/task_ends.cc
@@ -146,7 +146,7 @@
                 {"worker", worker.status.id()}});
   board.waiting.erase(WaitingKeyOf(*job, name.step, name.index));
   if (repeated) {
-    StopAttempt(board, worker, name, true, now, actions);
+    StopAttempt(board, worker, name, StopReason::kJobEnded, now, actions);
   }
   OnTaskDone(board, worker, *job, name, WorkerAttempt(), now, actions);
 }
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -290,21 +290,33 @@
                                        0, 1)(random_) < options_.message_loss) {
     return;
   }
-  Schedule(now_ + options_.message_delay, [this, from, send = std::move(send)] {
-    if (cuts_.contains({from, send.to})) {
-      return;
-    }
-    for (size_t i = 0; i < controls_.size(); ++i) {
-      if (controls_[i].address == send.to) {
-        StepControl(i, PoolMessageReceived{send.message});
-      }
+  const auto reset = open_again_at_.find({from, send.to});
+  if (reset != open_again_at_.end() && now_ < reset->second) {
+    return;
+  }
+  Schedule(now_ + options_.message_delay,
+           [this, from, send = std::move(send)] { Receive(from, send); });
+}
+
+void FakePool::Receive(const std::string& from, const SendMessage& send) {
+  if (cuts_.contains({from, send.to})) {
+    return;
+  }
+  const auto held_up = held_up_.find({from, send.to});
+  if (held_up != held_up_.end()) {
+    held_up->second.push_back(send);
+    return;
+  }
+  for (size_t i = 0; i < controls_.size(); ++i) {
+    if (controls_[i].address == send.to) {
+      StepControl(i, PoolMessageReceived{send.message});
     }
-    for (size_t i = 0; i < entries_.size(); ++i) {
-      if (entries_[i].address == send.to) {
-        StepEntry(i, EntryMessageReceived{send.message});
-      }
+  }
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    if (entries_[i].address == send.to) {
+      StepEntry(i, EntryMessageReceived{send.message});
     }
-  });
+  }
 }
 
 void FakePool::Run(Micros duration) {
@@ -444,6 +456,27 @@
   cuts_.insert({from, to});
 }
 
+void FakePool::RestoreMessages(const std::string& from, const std::string& to) {
+  cuts_.erase({from, to});
+  const auto held_up = held_up_.extract({from, to});
+  if (!held_up.empty()) {
+    for (const SendMessage& send : held_up.mapped()) {
+      Receive(from, send);
+    }
+  }
+}
+
+void FakePool::HoldUpMessages(const std::string& from, const std::string& to) {
+  held_up_[{from, to}];
+}
+
+void FakePool::ResetChannel(const std::string& from,
+                            const std::string& to,
+                            Micros reconnect_time) {
+  Micros& open_again_at = open_again_at_[{from, to}];
+  open_again_at = std::max(open_again_at, now_ + reconnect_time);
+}
+
 void FakePool::CutDomain(const std::string& domain) {
   std::vector<std::pair<std::string, std::string>> all;  // address, domain
   for (const FakeControl& control : controls_) {
@@ -468,6 +501,10 @@
 
 void FakePool::EndPartitions() {
   cuts_.clear();
+  while (!held_up_.empty()) {
+    const auto [from, to] = held_up_.begin()->first;
+    RestoreMessages(from, to);
+  }
 }
 
 int FakePool::ReadyWorkers() const {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -166,6 +166,16 @@
   // the address of a daemon, or the name of a failure domain and means all
   // workers in it.
   void DropMessages(const std::string& from, const std::string& to);
+  // Holds up the messages from the daemon at `from` to that at `to` until they
+  // are delivered again, as a cut link does to the bytes of its connections.
+  void HoldUpMessages(const std::string& from, const std::string& to);
+  // Delivers messages from `from` to `to` again, first those that were held up.
+  void RestoreMessages(const std::string& from, const std::string& to);
+  // Resets the channel on which `from` sends to `to`: what it sends until the
+  // channel is open again, after `reconnect_time`, is dropped.
+  void ResetChannel(const std::string& from,
+                    const std::string& to,
+                    Micros reconnect_time);
   // Partitions a failure domain from all others.
   void CutDomain(const std::string& domain);
   // Ends all partitions: no messages are dropped any longer.
@@ -228,6 +238,8 @@
   void PlaceAfterEntryEvents(size_t index);
   void Perform(size_t index, bool is_control, PoolActions actions);
   void Deliver(const std::string& from, SendMessage send, uint64_t incarnation);
+  // Hands the message to its receiver, unless it is dropped or held up.
+  void Receive(const std::string& from, const SendMessage& send);
   // The daemon that sent an order, and its incarnation.
   struct Sender {
     bool is_control = true;
@@ -264,6 +276,11 @@
   std::deque<FakeEntry> entries_;
   FakeWorkers workers_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  // By sender and receiver: the messages that are held up.
+  std::map<std::pair<std::string, std::string>, std::vector<SendMessage>>
+      held_up_;
+  // By sender and receiver: when a channel that was reset is open again.
+  std::map<std::pair<std::string, std::string>, Micros> open_again_at_;
   std::map<int, FakeAnswer> answers_;
   std::map<int, FakeJob> jobs_;
   std::map<ReplyToken, int> job_of_token_;
--- a/pool/testing/run_history.cc
+++ b/pool/testing/run_history.cc
@@ -34,6 +34,10 @@
   kWorkerCut,
   kWorkerCrash,
   kWorkerRestarts,
+  // Troubles of the links between daemons.
+  kOneWayCut,
+  kChannelResets,
+  kEntryCut,
   // Others.
   kLostAnswers,
   kDoubledOrders,
@@ -42,17 +46,26 @@
   kOtherWriter,
   kControlPaused,
   kControlKilled,
-  kEntryCut,
   kLinkCut,
   kCancel,
 };
 
-constexpr std::array<std::string_view, 15> kTroubleNames = {
-    "late_orders",     "late_reports", "worker_cut",     "worker_crash",
-    "worker_restarts", "lost_answers", "doubled_orders", "closed_calls",
-    "worker_leaves",   "other_writer", "control_paused", "control_killed",
-    "entry_cut",       "link_cut",     "cancel"};
-constexpr int64_t kProcessTroubles = 5;
+constexpr std::array<std::string_view, 17> kTroubleNames = {
+    "late_orders",     "late_reports",   "worker_cut",     "worker_crash",
+    "worker_restarts", "one_way_cut",    "channel_resets", "entry_cut",
+    "lost_answers",    "doubled_orders", "closed_calls",   "worker_leaves",
+    "other_writer",    "control_paused", "control_killed", "link_cut",
+    "cancel"};
+// The first and the last of a group of troubles.
+struct TroubleRange {
+  Trouble first;
+  Trouble last;
+};
+constexpr TroubleRange kProcessTroubles = {Trouble::kLateOrders,
+                                           Trouble::kWorkerRestarts};
+constexpr TroubleRange kDaemonLinkTroubles = {Trouble::kOneWayCut,
+                                              Trouble::kEntryCut};
+constexpr TroubleRange kAllTroubles = {Trouble::kLateOrders, Trouble::kCancel};
 
 FakePoolOptions OptionsOf(uint64_t seed, bool print_log) {
   FakePoolOptions options;
@@ -130,16 +143,22 @@
         Between(0, static_cast<int64_t>(pool_.controls().size()) - 1));
   }
 
+  TroubleRange DrawRange() {
+    constexpr std::array<TroubleRange, 4> kRanges = {
+        kProcessTroubles, kDaemonLinkTroubles, kAllTroubles, kAllTroubles};
+    return kRanges[static_cast<size_t>(Between(0, 3))];
+  }
+
   // Draws a few kinds of troubles, and the troubles of these kinds, so that
   // they meet each other.
   void DrawTroubles() {
     share_of_first_worker_ = Chance(0.5) ? 0.5 : 1;
-    const int64_t drawn_from = Chance(0.5)
-                                   ? kProcessTroubles
-                                   : static_cast<int64_t>(kTroubleNames.size());
+    const TroubleRange range = DrawRange();
     std::vector<Trouble> kinds;
     for (int64_t i = Between(1, 5); i > 0; --i) {
-      kinds.push_back(static_cast<Trouble>(Between(0, drawn_from - 1)));
+      kinds.push_back(
+          static_cast<Trouble>(Between(static_cast<int64_t>(range.first),
+                                       static_cast<int64_t>(range.last))));
     }
     for (int64_t i = Between(1, 8); i > 0; --i) {
       const auto kind = static_cast<size_t>(
@@ -220,6 +239,9 @@
 
   void Begin(Trouble trouble);
   void CutEntry(size_t entry, Micros duration);
+  void CutOneWay(const std::string& from, const std::string& to, Micros start);
+  void ResetChannels(const std::string& from, Micros duration);
+  void BeginDaemonLinkTrouble(Trouble trouble);
   void BeginLateOrders(size_t worker, Micros duration);
   void RestartSeveralTimes(size_t worker);
   void CancelAnyJob();
@@ -251,6 +273,55 @@
   EndAfter(duration, [this] { pool_.EndPartitions(); });
 }
 
+// Cuts what one daemon sends to another after `start`, for 0.3 to 1 s. What is
+// sent meanwhile arrives afterwards, or is lost.
+void History::CutOneWay(const std::string& from,
+                        const std::string& to,
+                        Micros start) {
+  const Micros duration = Between(300, 1000) * kMillisecond;
+  const bool is_lost = Chance(0.3);
+  EndAfter(start, [this, from, to, is_lost] {
+    if (is_lost) {
+      pool_.DropMessages(from, to);
+    } else {
+      pool_.HoldUpMessages(from, to);
+    }
+  });
+  EndAfter(start + duration,
+           [this, from, to] { pool_.RestoreMessages(from, to); });
+}
+
+// Resets the channels that a daemon has opened to the others, again and again.
+void History::ResetChannels(const std::string& from, Micros duration) {
+  for (Micros at = 0; at < duration; at += Between(100, 600) * kMillisecond) {
+    const Micros reconnect_time = Between(20, 200) * kMillisecond;
+    EndAfter(at, [this, from, reconnect_time] {
+      for (const FakeControl& control : pool_.controls()) {
+        pool_.ResetChannel(from, control.address, reconnect_time);
+      }
+      for (const FakeEntry& entry : pool_.entries()) {
+        pool_.ResetChannel(from, entry.address, reconnect_time);
+      }
+    });
+  }
+}
+
+void History::BeginDaemonLinkTrouble(Trouble trouble) {
+  const std::string entry = pool_.entries()[AnyEntry()].address;
+  const std::string control = pool_.controls()[AnyControl()].address;
+  const bool by_entry = Chance(0.5);
+  const Micros duration = Between(300, 5000) * kMillisecond;
+  if (trouble == Trouble::kChannelResets) {
+    ResetChannels(by_entry ? entry : control, duration);
+    return;
+  }
+  CutOneWay(by_entry ? entry : control, by_entry ? control : entry, 0);
+  if (Chance(0.4)) {
+    CutOneWay(by_entry ? control : entry, by_entry ? entry : control,
+              Between(0, 1500) * kMillisecond);
+  }
+}
+
 // Orders to the worker, or to all workers, are late.
 void History::BeginLateOrders(size_t worker, Micros duration) {
   const Micros longest = Between(200, 12'000) * kMillisecond;
@@ -345,6 +416,10 @@
       });
       break;
     }
+    case Trouble::kOneWayCut:
+    case Trouble::kChannelResets:
+      BeginDaemonLinkTrouble(trouble);
+      break;
     case Trouble::kEntryCut:
       CutEntry(AnyEntry(), duration);
       break;
--- a/pool/workers/stragglers.cc
+++ b/pool/workers/stragglers.cc
@@ -99,7 +99,7 @@
   if (!board.options.features.run_times_by_worker || worker.health.slow) {
     RecordFailure(worker, now);
   }
-  StopAttempt(board, worker, name, false, now, actions);
+  StopAttempt(board, worker, name, StopReason::kTaskMoves, now, actions);
 }
 
 // Considers a straggler as evidence that its worker is slow, once for each
--- a/pool/workers/worker_answers.cc
+++ b/pool/workers/worker_answers.cc
@@ -110,7 +110,7 @@
                     {"run", std::to_string(row.attempt)},
                     {"born_ms", std::to_string(answer.worker_started_ms)}});
       ++board.counters.unknown_runs;
-      StopAttempt(board, worker, row.task, true, now, actions);
+      StopAttempt(board, worker, row.task, StopReason::kJobEnded, now, actions);
       continue;
     }
     if (found->second.attempt_number != row.attempt) {
--- a/pool/workers/worker_lease.cc
+++ b/pool/workers/worker_lease.cc
@@ -12,6 +12,17 @@
 // Workers name whole milliseconds.
 constexpr Micros kClockResolution = kMillisecond;
 
+// Returns whether the worker has not confirmed for too long to stop a run that
+// must end.
+bool IsStopOverdue(const WorkerAttempt& run, Micros now) {
+  if (run.state != AttemptState::kStopping || !run.job_key.empty()) {
+    return false;
+  }
+  const bool is_unanswered = run.stop_number != 0;
+  return now - run.stopping_since > kStopConfirmTime ||
+         (run.abandoned && is_unanswered);
+}
+
 // Returns half of the longest expected run time on the worker, within bounds.
 Micros LeaseDuration(const PoolOptions& options, const PoolWorker& worker) {
   Micros longest = 0;
@@ -82,11 +93,7 @@
          std::none_of(worker.attempts.begin(), worker.attempts.end(),
                       [&](const auto& entry) {
                         const WorkerAttempt& run = entry.second;
-                        const bool overdue =
-                            run.state == AttemptState::kStopping &&
-                            run.job_key.empty() &&
-                            now - run.stopping_since > kStopConfirmTime;
-                        return run.unknown || overdue;
+                        return run.unknown || IsStopOverdue(run, now);
                       });
 }
 
--- a/pool/workers/worker_lease.h
+++ b/pool/workers/worker_lease.h
@@ -51,7 +51,8 @@
 // Returns whether the lease of the worker may be extended. All attempts there
 // share it, so while one runs that must end, they all end with it: an attempt
 // of another daemon, whose owner waits for the end of the lease that it gave,
-// and one of a job that has ended which the worker does not confirm to stop.
+// and one of a job that has ended which the worker does not confirm to stop, at
+// once if the job was abandoned.
 bool MayExtendLease(const PoolWorker& worker, Micros now);
 
 // Returns an order of the worker's present session.
--- a/pool/workers/worker_session.cc
+++ b/pool/workers/worker_session.cc
@@ -185,7 +185,7 @@
 void StopAttempt(PoolBoard& board,
                  PoolWorker& worker,
                  const TaskName& name,
-                 bool detach_from_job,
+                 StopReason reason,
                  Micros now,
                  PoolActions& actions) {
   const auto found = worker.attempts.find(name);
@@ -193,9 +193,10 @@
     return;
   }
   WorkerAttempt& run = found->second;
-  if (detach_from_job) {
+  if (reason != StopReason::kTaskMoves) {
     run.job_key.clear();
   }
+  run.abandoned = run.abandoned || reason == StopReason::kJobAbandoned;
   if (run.state == AttemptState::kStopping) {
     return;
   }
--- a/pool/workers/worker_session.h
+++ b/pool/workers/worker_session.h
@@ -66,13 +66,11 @@
                   PoolActions& actions);
 
 // Stops an attempt; its resources are free when the worker lists its end. The
-// order is repeated until the worker answers it or the run is over. If
-// `detach_from_job`, the attempt is detached from its job and its end is
-// ignored; otherwise its end is reported to its job.
+// order is repeated until the worker answers it or the run is over.
 void StopAttempt(PoolBoard& board,
                  PoolWorker& worker,
                  const TaskName& name,
-                 bool detach_from_job,
+                 StopReason reason,
                  Micros now,
                  PoolActions& actions);
 
