--- a/pool/job_contact.h
+++ b/pool/job_contact.h
@@ -44,8 +44,8 @@
                           const PoolJob& job,
                           Micros now);
 
-// Returns whether the entry daemon has given up a contact that was, or is later
-// than, the one with this number. Number 0 belongs to no known contact.
+// Returns whether the entry daemon has given up the contact with this number.
+// Number 0 belongs to no known contact.
 bool IsContactGivenUp(const PoolBoard& board,
                       const std::string& entry,
                       uint64_t contact);
