Identify a queue by host and path prefix instead of its route's name

Cause: the decoder found the route by host and prefix and kept its name; the decision code then took the first route of that name. Names need neither differ nor exist.

Evidence: the logs named neither the service nor the prefix.

Change: QueueKey(), "HOST:PREFIX", everywhere a queue is kept. It works since no two routes share host and prefix, and a request's host has no colon. What a job was told by its route when it was taken is part of its order and stays.

--- a/edge/pool_protocol.h
+++ b/edge/pool_protocol.h
@@ -22,7 +22,7 @@
 
 // A caller requests the number of jobs of a queue that have not started.
 struct QueueCountQuery {
-  std::string queue;
+  std::string queue;  // key of the queue (pool/queue_key.h)
 };
 
 // A caller requests the state of a job. Only the entry daemon to which the job
--- a/pool/entry/entry.cc
+++ b/pool/entry/entry.cc
@@ -14,6 +14,7 @@
 #include "pool/placement/pool_placement.h"
 #include "pool/pool_jobs.h"
 #include "pool/pool_step.h"
+#include "pool/queue_key.h"
 #include "pool/workers/crash_news.h"
 #include "pool/workers/open_run_news.h"
 #include "pool/workers/worker_ownership.h"
@@ -34,16 +35,6 @@
 using detail::RequestCancel;
 using detail::SendOrderTo;
 
-const wire::Queue* QueueByName(const wire::Routing& routing,
-                               const std::string& name) {
-  for (const wire::Queue& queue : routing.queues()) {
-    if (queue.name() == name) {
-      return &queue;
-    }
-  }
-  return nullptr;
-}
-
 void RefuseCaller(EntryBoard& board,
                   const CallerJob& job,
                   const std::string& reason,
@@ -65,7 +56,7 @@
   wire::JobOrder order;
   order.set_order(number);
   order.set_job_id(job.job_id);
-  order.set_queue(queue.name());
+  order.set_queue(QueueKey(queue));
   order.set_service(queue.service());
   order.set_spec(job.spec);
   for (const wire::JobStep& step : job.steps) {
@@ -102,7 +93,7 @@
     RefuseCaller(board, job, "process_was_paused", now, actions);
     return;
   }
-  const wire::Queue* queue = QueueByName(board.routing, job.queue);
+  const wire::Queue* queue = FindQueueByKey(board.routing, job.queue);
   if (queue == nullptr) {
     RefuseCaller(board, job, "no_such_queue_now", now, actions);
     return;
--- a/pool/entry/entry.h
+++ b/pool/entry/entry.h
@@ -67,7 +67,7 @@
 // A caller's job, as decoded by the edge.
 struct CallerJob {
   ReplyToken token = kNoToken;
-  std::string queue;  // name of the queue in the configuration
+  std::string queue;  // key of the queue (queue_key.h)
   std::string job_id;
   std::string spec;
   std::vector<wire::JobStep> steps;
@@ -122,7 +122,7 @@
   uint64_t order_number = 0;    // order number
   ReplyToken token = kNoToken;  // kNoToken: the caller has disconnected
   std::string job_id;
-  std::string queue;
+  std::string queue;  // key of the queue
   wire::JobOrder message;
   std::set<std::string>
       tried_controls;           // control daemons that did not accept it
@@ -167,7 +167,7 @@
 
 // Outcome and response time of a finished job, for histograms.
 struct JobObservation {
-  std::string queue;
+  std::string queue;  // key of the queue
   wire::JobFate fate = wire::JOB_FATE_UNSPECIFIED;
   Micros duration = 0;
 };
@@ -230,7 +230,7 @@
 // Returns true if the load balancer should send callers to this daemon.
 bool IsReady(const EntryBoard& board, Micros now);
 
-// Returns the number of pending jobs of the queue.
+// Returns the number of pending jobs of the queue with the key `queue`.
 size_t CountPendingJobs(const EntryBoard& board, const std::string& queue);
 
 }  // namespace goldcrest
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -243,7 +243,7 @@
 
 // Measured run times of tasks relative to the callers' estimates.
 struct RunTimes {
-  // By configured queue: measured run time divided by the estimate, on a worker
+  // By the queue's key: measured run time divided by the estimate, on a worker
   // with kind factor 1.
   std::map<std::string, double> queue_ratio;
   // By kind of worker (its first label): run time there divided by that on an
--- /dev/null
+++ b/pool/queue_key.h
@@ -0,0 +1,29 @@
+#ifndef POOL_QUEUE_KEY_H_
+#define POOL_QUEUE_KEY_H_
+
+// What identifies a queue.
+//
+// A queue is a route of the configuration: the jobs that reach one host under
+// one path prefix, which no two queues of a configuration share. Its name is
+// the operator's alone: it may be missing, be that of other queues as well, and
+// change from one version of the configuration to the next. Whatever is kept
+// for a queue is therefore kept by its key: run times, crashes, its share of
+// the pool, pending jobs, and the `queue` of logs and metrics.
+
+#include <string>
+
+#include "proto/pool.pb.h"
+
+namespace goldcrest {
+
+// Returns the key of the queue, "HOST:PREFIX". The host of a request has no
+// port, hence no colon, so the keys of two queues that requests reach differ.
+std::string QueueKey(const wire::Queue& queue);
+
+// Returns the queue with this key, or null if the configuration has none.
+const wire::Queue* FindQueueByKey(const wire::Routing& routing,
+                                  const std::string& key);
+
+}  // namespace goldcrest
+
+#endif  // POOL_QUEUE_KEY_H_
--- a/pool/testing/entry_stop_test.cc
+++ b/pool/testing/entry_stop_test.cc
@@ -24,7 +24,8 @@
       : board_(MakeEntryBoard(EntryOptions(), MeshOptions())) {
     board_.options.stop_grace = grace;
     wire::Queue& queue = *board_.routing.add_queues();
-    queue.set_name("knells");
+    queue.set_host("bells.example");
+    queue.set_path_prefix("/knells/");
     queue.set_timeout_ms(1500);
     board_.routing.set_version(1);
     MeshMember& control = board_.pool.mesh.members[kControl];
@@ -58,7 +59,7 @@
   void Submit(ReplyToken token, int64_t run_ms, bool starts) {
     CallerJob job;
     job.token = token;
-    job.queue = "knells";
+    job.queue = "bells.example:/knells/";
     job.job_id = std::to_string(token);
     job.caller_timeout_ms = 7000;
     job.steps.emplace_back().set_tasks(1);
--- a/pool/testing/entry_test.cc
+++ b/pool/testing/entry_test.cc
@@ -12,7 +12,7 @@
 CallerJob MakeCallerJob() {
   CallerJob job;
   job.token = 7;
-  job.queue = "bells";
+  job.queue = "bells.example:/bells/";
   job.job_id = "job";
   return job;
 }
@@ -32,7 +32,8 @@
     "EntryStep: a draining daemon answers every request that it receives") {
   EntryBoard board = MakeEntryBoard(EntryOptions(), MeshOptions());
   wire::Queue& queue = *board.routing.add_queues();
-  queue.set_name("bells");
+  queue.set_host("bells.example");
+  queue.set_path_prefix("/bells/");
   board.routing.set_version(1);
   PoolActions actions;
   EntryStep(board, EntryDrainRequested(), {kSecond, 0}, actions);
@@ -56,7 +57,8 @@
   mesh.incarnation = incarnation;
   EntryBoard board = MakeEntryBoard(EntryOptions(), mesh);
   wire::Queue& queue = *board.routing.add_queues();
-  queue.set_name("bells");
+  queue.set_host("bells.example");
+  queue.set_path_prefix("/bells/");
   queue.set_timeout_ms(1500);
   board.routing.set_version(1);
   MeshMember& control = board.pool.mesh.members[kControl];
@@ -150,7 +152,8 @@
   options.features.standby_after = 250 * kMillisecond;
   EntryBoard board = MakeEntryBoard(options, MeshOptions());
   wire::Queue& queue = *board.routing.add_queues();
-  queue.set_name("bells");
+  queue.set_host("bells.example");
+  queue.set_path_prefix("/bells/");
   queue.set_timeout_ms(1500);
   board.routing.set_version(1);
   MeshMember& standby = board.pool.mesh.members[kStandby];
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -12,6 +12,7 @@
 
 constexpr Micros kTickPeriod = 20 * kMillisecond;
 constexpr uint64_t kFirstVersion = 1;
+constexpr char kFakeHost[] = "bells.example";
 
 wire::Routing MakeRouting(uint64_t version) {
   wire::Routing routing;
@@ -19,7 +20,7 @@
   for (size_t i = 0; i < kFakeQueues.size(); ++i) {
     wire::Queue& queue = *routing.add_queues();
     queue.set_name(kFakeQueues[i]);
-    queue.set_host("bells.example");
+    queue.set_host(kFakeHost);
     queue.set_path_prefix("/" + queue.name() + "/");
     queue.set_service("bells");
     queue.set_timeout_ms(1500);
@@ -342,7 +343,7 @@
   const FakeJob& sent = jobs_.at(job);
   CallerJob request;
   request.token = next_token_++;
-  request.queue = kFakeQueues[sent.queue];
+  request.queue = std::string(kFakeHost) + ":/" + kFakeQueues[sent.queue] + "/";
   request.job_id = "job" + std::to_string(job);
   // The same for each submission of the job.
   std::mt19937_64 errors(options_.seed + static_cast<uint64_t>(job));
--- a/pool/testing/request_hold_test.cc
+++ b/pool/testing/request_hold_test.cc
@@ -80,10 +80,12 @@
 TEST_CASE("EntryStep: the time for which a request was held counts") {
   EntryBoard board = BoardThatHolds();
   AddControl(board, kSecond);
-  board.routing.add_queues()->set_name("bells");
+  wire::Queue& queue = *board.routing.add_queues();
+  queue.set_host("bells.example");
+  queue.set_path_prefix("/bells/");
   CallerJob job;
   job.token = 7;
-  job.queue = "bells";
+  job.queue = "bells.example:/bells/";
   job.job_id = "job";
   job.caller_timeout_ms = 1000;
   job.held_for = 300 * kMillisecond;
