Accept only the present version of ZeroMQ's protocol between daemons

A client that sends bytes which are no messages to a mesh address made the process hold them: 280 MB at an entry daemon and 267 MB at a control daemon, with 200 connections that send 8 MB each.

Cause: ZeroMQ takes such bytes for messages of a peer that speaks version 1 of its protocol, and queues them up to the high-water mark of each connection.

Change: sockets that receive have a domain for authentication, with which version 1 and 2 are refused. No handler is installed, so that all peers of the present version are accepted as before, older daemons of ours included.

--- a/edge/zmq_sockets.cc
+++ b/edge/zmq_sockets.cc
@@ -1,8 +1,18 @@
 #include "edge/zmq_sockets.h"
 
 namespace goldcrest {
+namespace {
+
+constexpr char kMeshDomain[] = "goldcrest";
+
+}  // namespace
 
 void SetUpReceiver(const ZmqLimits& limits, zmq::socket_t& router) {
+  // ZeroMQ takes bytes that are no handshake for messages of a peer that speaks
+  // the first version of its protocol, unless the socket has a domain for
+  // authentication. Without a handler, all peers of the present version are
+  // accepted.
+  router.set(zmq::sockopt::zap_domain, kMeshDomain);
   router.set(zmq::sockopt::linger, 0);
   router.set(zmq::sockopt::rcvhwm, limits.max_queued_messages);
   router.set(zmq::sockopt::maxmsgsize, limits.max_message_bytes);
