--- a/pool/admission/overload_control.cc
+++ b/pool/admission/overload_control.cc
@@ -4,9 +4,11 @@
 #include <cmath>
 
 #include "pool/admission/retry_after.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/pool_jobs.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/placement/choose_worker.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/admission/retry_after.cc
+++ b/pool/admission/retry_after.cc
@@ -4,8 +4,9 @@
 #include <functional>
 
 #include "pool/admission/overload_control.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/pool_jobs.h"
 #include "pool/placement/choose_worker.h"
-#include "pool/pool_jobs.h"
 
 namespace goldcrest {
 namespace {
--- a/pool/entry/cancel_requests.cc
+++ b/pool/entry/cancel_requests.cc
@@ -4,8 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "pool/jobs/job_end.h"
 #include "pool/mesh/mesh_orders.h"
-#include "pool/pool_jobs.h"
 
 namespace goldcrest::detail {
 namespace {
--- a/pool/entry/daemon_choice.cc
+++ b/pool/entry/daemon_choice.cc
@@ -1,7 +1,7 @@
 #include "pool/entry/daemon_choice.h"
 
 #include "pool/entry/standby.h"
-#include "pool/job_forwarding.h"
+#include "pool/jobs/job_forwarding.h"
 #include "pool/load_report.h"
 
 namespace goldcrest::detail {
--- a/pool/entry/pending_jobs.cc
+++ b/pool/entry/pending_jobs.cc
@@ -10,7 +10,7 @@
 #include "pool/entry/daemon_choice.h"
 #include "pool/entry/entry_stop.h"
 #include "pool/entry/standby.h"
-#include "pool/job_forwarding.h"
+#include "pool/jobs/job_forwarding.h"
 
 namespace goldcrest::detail {
 namespace {
--- a/pool/job_contact.cc
+++ b/pool/jobs/job_contact.cc
@@ -1,4 +1,4 @@
-#include "pool/job_contact.h"
+#include "pool/jobs/job_contact.h"
 
 #include <algorithm>
 #include <array>
--- a/pool/job_contact.h
+++ b/pool/jobs/job_contact.h
@@ -1,5 +1,5 @@
-#ifndef POOL_JOB_CONTACT_H_
-#define POOL_JOB_CONTACT_H_
+#ifndef POOL_JOBS_JOB_CONTACT_H_
+#define POOL_JOBS_JOB_CONTACT_H_
 
 // Whether the entry daemon of a job may still wait for its outcome.
 //
@@ -58,4 +58,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_JOB_CONTACT_H_
+#endif  // POOL_JOBS_JOB_CONTACT_H_
--- a/pool/job_forwarding.cc
+++ b/pool/jobs/job_forwarding.cc
@@ -1,4 +1,4 @@
-#include "pool/job_forwarding.h"
+#include "pool/jobs/job_forwarding.h"
 
 #include <algorithm>
 
--- a/pool/job_forwarding.h
+++ b/pool/jobs/job_forwarding.h
@@ -1,5 +1,5 @@
-#ifndef POOL_JOB_FORWARDING_H_
-#define POOL_JOB_FORWARDING_H_
+#ifndef POOL_JOBS_JOB_FORWARDING_H_
+#define POOL_JOBS_JOB_FORWARDING_H_
 
 // Forwarding of whole jobs to a control daemon with more free capacity, before
 // any of their tasks is queued here. Used when a burst reaches one failure
@@ -46,4 +46,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_JOB_FORWARDING_H_
+#endif  // POOL_JOBS_JOB_FORWARDING_H_
--- a/pool/job_outcome.cc
+++ b/pool/jobs/job_outcome.cc
@@ -1,4 +1,4 @@
-#include "pool/job_outcome.h"
+#include "pool/jobs/job_outcome.h"
 
 #include <algorithm>
 #include <utility>
--- a/pool/job_outcome.h
+++ b/pool/jobs/job_outcome.h
@@ -1,5 +1,5 @@
-#ifndef POOL_JOB_OUTCOME_H_
-#define POOL_JOB_OUTCOME_H_
+#ifndef POOL_JOBS_JOB_OUTCOME_H_
+#define POOL_JOBS_JOB_OUTCOME_H_
 
 // The outcome of a job, which the daemon that had the job sends to the entry
 // daemon that waits for it, until that has answered or waits no longer.
@@ -30,4 +30,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_JOB_OUTCOME_H_
+#endif  // POOL_JOBS_JOB_OUTCOME_H_
--- a/pool/task_ends.cc
+++ b/pool/jobs/task_ends.cc
@@ -1,6 +1,8 @@
-#include "pool/task_ends.h"
+#include "pool/jobs/task_ends.h"
 
-#include "pool/pool_jobs.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/pool_jobs.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/run_times.h"
 #include "pool/workers/start_bindings.h"
--- a/pool/task_ends.h
+++ b/pool/jobs/task_ends.h
@@ -1,5 +1,5 @@
-#ifndef POOL_TASK_ENDS_H_
-#define POOL_TASK_ENDS_H_
+#ifndef POOL_JOBS_TASK_ENDS_H_
+#define POOL_JOBS_TASK_ENDS_H_
 
 // What the end of a run means for its task and its job: the task is done, is
 // started again, or its job has failed. run_ends.h decides when a run is over.
@@ -34,4 +34,4 @@
 
 }  // namespace goldcrest
 
-#endif  // POOL_TASK_ENDS_H_
+#endif  // POOL_JOBS_TASK_ENDS_H_
--- a/pool/placement/end_estimate.cc
+++ b/pool/placement/end_estimate.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "pool/jobs/task_queue.h"
 #include "pool/placement/choose_worker.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/crash_limit.h"
 #include "pool/workers/worker_profile.h"
 
--- a/pool/placement/placement_input.cc
+++ b/pool/placement/placement_input.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "pool/jobs/pool_jobs.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/run_times.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/stragglers.h"
--- a/pool/placement/placement_start.cc
+++ b/pool/placement/placement_start.cc
@@ -4,8 +4,9 @@
 #include <vector>
 
 #include "pool/admission/retry_after.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/crash_limit.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/run_times.h"
--- a/pool/placement/pool_placement.cc
+++ b/pool/placement/pool_placement.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 
+#include "pool/jobs/pool_jobs.h"
 #include "pool/placement/choose_worker.h"
 #include "pool/placement/placement_input.h"
 #include "pool/placement/placement_start.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/crash_limit.h"
 #include "pool/workers/run_times.h"
 #include "pool/workers/start_bindings.h"
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -6,8 +6,9 @@
 //
 // The board is plain data. Controllers are free functions that read and write
 // it: worker_roster (the known workers and their owners), worker_session
-// (orders to one worker and the handling of its answers), pool_jobs (the life
-// cycle of a job) and pool_placement (assignment of waiting tasks to workers).
+// (orders to one worker and the handling of its answers), the modules of
+// pool/jobs (jobs, their queue and their ends) and pool_placement (assignment
+// of waiting tasks to workers).
 // The board holds no clock, thread, socket or file.
 
 #include <cstdint>
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -4,10 +4,11 @@
 #include <string>
 
 #include "pool/admission/job_admission.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/pool_jobs.h"
 #include "pool/load_report.h"
 #include "pool/mesh/mesh_orders.h"
 #include "pool/placement/pool_placement.h"
-#include "pool/pool_jobs.h"
 #include "pool/pool_stop.h"
 #include "pool/workers/crash_limit.h"
 #include "pool/workers/crash_news.h"
--- a/pool/pool_stop.cc
+++ b/pool/pool_stop.cc
@@ -6,9 +6,10 @@
 #include <utility>
 #include <vector>
 
-#include "pool/job_forwarding.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/job_forwarding.h"
+#include "pool/jobs/pool_jobs.h"
 #include "pool/placement/end_estimate.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/worker_session.h"
 
 namespace goldcrest {
--- a/pool/testing/job_contact_test.cc
+++ b/pool/testing/job_contact_test.cc
@@ -1,10 +1,10 @@
 // Jobs whose entry daemon and control daemon lose contact with each other.
 
-#include "pool/job_contact.h"
+#include "pool/jobs/job_contact.h"
 
 #include <catch2/catch.hpp>
 
-#include "pool/pool_jobs.h"
+#include "pool/jobs/pool_jobs.h"
 #include "pool/testing/pool_load.h"
 #include "pool/workers/worker_lease.h"
 
--- a/pool/testing/open_run_news_test.cc
+++ b/pool/testing/open_run_news_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "pool/pool_jobs.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_session.h"
--- a/pool/testing/operator_troubles_test.cc
+++ b/pool/testing/operator_troubles_test.cc
@@ -7,8 +7,9 @@
 #include <catch2/catch.hpp>
 
 #include "pool/admission/job_admission.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/placement/end_estimate.h"
-#include "pool/pool_jobs.h"
 #include "pool/testing/pool_load.h"
 #include "pool/workers/worker_roster.h"
 
--- a/pool/testing/overload_control_test.cc
+++ b/pool/testing/overload_control_test.cc
@@ -8,7 +8,8 @@
 
 #include "pool/admission/overload_control.h"
 #include "pool/admission/retry_after.h"
-#include "pool/pool_jobs.h"
+#include "pool/jobs/pool_jobs.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/testing/pool_load.h"
 
 namespace goldcrest {
--- a/pool/testing/placement_measure.cc
+++ b/pool/testing/placement_measure.cc
@@ -29,9 +29,9 @@
 #include <vector>
 
 #include "pool/admission/job_admission.h"
+#include "pool/jobs/pool_jobs.h"
+#include "pool/jobs/task_ends.h"
 #include "pool/placement/pool_placement.h"
-#include "pool/pool_jobs.h"
-#include "pool/task_ends.h"
 #include "pool/workers/run_ends.h"
 
 namespace goldcrest {
--- a/pool/testing/placement_plan_test.cc
+++ b/pool/testing/placement_plan_test.cc
@@ -5,9 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "pool/jobs/task_queue.h"
 #include "pool/placement/placement_plan.h"
 #include "pool/placement/pool_placement.h"
-#include "pool/pool_jobs.h"
 #include "pool/pool_step.h"
 #include "pool/testing/pool_load.h"
 #include "pool/workers/start_bindings.h"
--- a/pool/workers/crash_news.cc
+++ b/pool/workers/crash_news.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pool/jobs/job_end.h"
 #include "pool/mesh/mesh_orders.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/worker_table.h"
 
 namespace goldcrest {
--- a/pool/workers/open_run_news.cc
+++ b/pool/workers/open_run_news.cc
@@ -4,8 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "pool/jobs/task_queue.h"
 #include "pool/mesh/mesh_orders.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/run_ends.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_lease.h"
--- a/pool/workers/run_ends.cc
+++ b/pool/workers/run_ends.cc
@@ -4,8 +4,9 @@
 #include <utility>
 #include <vector>
 
-#include "pool/pool_jobs.h"
-#include "pool/task_ends.h"
+#include "pool/jobs/job_end.h"
+#include "pool/jobs/task_ends.h"
+#include "pool/jobs/task_queue.h"
 #include "pool/workers/open_run_news.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_lease.h"
--- a/pool/workers/stragglers.cc
+++ b/pool/workers/stragglers.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
+#include "pool/jobs/pool_jobs.h"
 #include "pool/placement/choose_worker.h"
 #include "pool/placement/task_requirements.h"
-#include "pool/pool_jobs.h"
 #include "pool/workers/slow_evidence.h"
 #include "pool/workers/start_bindings.h"
 #include "pool/workers/worker_health.h"
--- a/pool/workers/worker_answers.cc
+++ b/pool/workers/worker_answers.cc
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "pool/pool_jobs.h"
-#include "pool/task_ends.h"
+#include "pool/jobs/task_ends.h"
 #include "pool/workers/crash_news.h"
 #include "pool/workers/process_claims.h"
 #include "pool/workers/run_ends.h"
--- a/pool/workers/worker_loss.cc
+++ b/pool/workers/worker_loss.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "pool/pool_jobs.h"
 #include "pool/workers/crash_limit.h"
 #include "pool/workers/crash_news.h"
 
