Bound the table of known workers by the machine's memory

Whoever reaches a control daemon can report workers. Each was kept for 30 s after its last report, with names and labels of any length, and passed on to the other daemons.

Cause: the table was bounded by time alone, and a report by the size of its body.

Change: a daemon knows as many workers as fit into an eighth of its memory (2,048 on 64 MB, 8,192 on 256 MB; the largest deployment has 1,100, the size in two years 2,000). A report of one more is answered 503 and logged; one that another daemon passes on is left out; reports of known workers go on. Metric workers_refused_total, log event worker_refused.

--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -7,6 +7,7 @@
 #include "edge/logging.h"
 #include "edge/pool_metrics.h"
 #include "pool/workers/worker_roster.h"
+#include "pool/workers/worker_table.h"
 
 namespace goldcrest {
 namespace {
@@ -104,9 +105,12 @@
     server_->Respond(token, *reply);
   } else if (const auto* reported = std::get_if<WorkerReported>(&decoded)) {
     const std::string id = reported->report.id();
+    const bool accepted = MayKnowWorker(board_, id);
     RunStep(*reported);
-    server_->Respond(token, control_.EncodeReportAccepted(ReportAddress(
-                                board_, id, ReadBootClock().mono)));
+    server_->Respond(token, accepted
+                                ? control_.EncodeReportAccepted(ReportAddress(
+                                      board_, id, ReadBootClock().mono))
+                                : control_.EncodeRetryLater());
   } else if (const auto* deregistered = std::get_if<WorkerLeft>(&decoded)) {
     RunStep(*deregistered);
     server_->Respond(token, control_.EncodeDeregistered());
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -24,7 +24,9 @@
       callers_(callers),
       board_(MakeEntryBoard(options_.entry, options_.mesh)),
       loop_(workers),
-      buffers_(ShareForHttp(options_.machine).buffer_bytes) {}
+      buffers_(ShareForHttp(options_.machine).buffer_bytes) {
+  board_.pool.options.max_known_workers = ShareForWorkers(options_.machine);
+}
 
 EntryDaemon::~EntryDaemon() = default;
 
--- a/edge/machine_limits.cc
+++ b/edge/machine_limits.cc
@@ -15,6 +15,8 @@
 // Descriptors for libraries, logs and the files of the program.
 constexpr size_t kReservedDescriptors = 200;
 constexpr size_t kMegabyte = 1024 * 1024;
+// Of the record of a worker, with the longest texts that a report may have.
+constexpr size_t kBytesPerWorker = 4 * 1024;
 
 // Returns the descriptors that the process may open now.
 size_t OpenableDescriptors() {
@@ -38,6 +40,10 @@
   return share;
 }
 
+size_t ShareForWorkers(const MachineLimits& machine) {
+  return machine.memory_bytes / 8 / kBytesPerWorker;
+}
+
 HttpServerOptions BoundedServerOptions(const char* name,
                                        size_t connections,
                                        size_t max_body_bytes,
--- a/edge/machine_limits.h
+++ b/edge/machine_limits.h
@@ -38,6 +38,10 @@
 
 HttpShare ShareForHttp(const MachineLimits& machine);
 
+// Returns how many workers a daemon of the machine may know: they take an
+// eighth of the memory at most.
+size_t ShareForWorkers(const MachineLimits& machine);
+
 // The most connections of a server that only the platform calls: of the load
 // balancer's probes, or of metrics.
 inline constexpr size_t kPlatformConnections = 16;
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -120,6 +120,8 @@
   AppendMetric(text, "crash_limited_queues", "gauge",
                std::to_string(limited.size()));
   AppendMetric(text, "crash_limited_tasks", "gauge", std::to_string(tasks));
+  AppendMetric(text, "workers_refused_total", "counter",
+               std::to_string(board.counters.workers_refused));
   AppendMetric(text, "known_workers", "gauge",
                std::to_string(board.workers.size()));
 }
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -495,6 +495,7 @@
   PoolStartParams& start = options.start;
   start.mesh = ReadMeshOptions(program);
   start.options.features = ReadFeatures(program);
+  start.options.max_known_workers = ShareForWorkers(options.machine);
   start.options.stop_grace = ReadStopGrace(program);
   start.options.crashes = ReadCrashOptions(program);
   start.options.late_orders = ReadLateOrderBounds(program);
--- a/pool/pool_board.h
+++ b/pool/pool_board.h
@@ -108,6 +108,8 @@
   // from them for this long. Until then, a report that arrives late is known to
   // be out of date.
   Micros forget_gone_after = 30 * kSecond;
+  // Workers beyond this number are not taken in: their reports are refused.
+  size_t max_known_workers = 8192;
   // After its start, a control daemon does not claim workers of other failure
   // domains for this long: the control daemons of those domains may be
   // starting, too.
@@ -271,6 +273,7 @@
   std::map<std::string, uint64_t> attempt_ends;
   std::map<std::string, uint64_t> overload_refusals;  // by reason
   uint64_t jobs_received = 0;
+  uint64_t workers_refused = 0;  // reports of more workers than may be known
   uint64_t jobs_forwarded = 0;
   uint64_t starts = 0;
   uint64_t reconciliations = 0;
--- a/pool/testing/worker_table_test.cc
+++ b/pool/testing/worker_table_test.cc
@@ -56,6 +56,41 @@
   CHECK(board.workers.at("w99").status.gone());
 }
 
+// Guards against reports of ever more workers that exhaust the memory: they are
+// not authenticated.
+TEST_CASE("WorkerTable: the number of known workers is bounded") {
+  PoolActions actions;
+  PoolStartParams start;
+  start.mesh.self = "self";
+  start.options.max_known_workers = 3;
+  PoolBoard board = MakePoolBoard(start, {kSecond, 2000}, actions);
+  const StepTime now = {kSecond + 1, 2001};
+  for (int i = 0; i < 10; ++i) {
+    PoolStep(board,
+             WorkerReported{
+                 Report("w" + std::to_string(i), "10.0.0.1:80", 1000 + i)},
+             now, actions);
+  }
+  CHECK(board.workers.size() == 3);
+  CHECK(board.counters.workers_refused == 7);
+  CHECK(MayKnowWorker(board, "w0"));
+  CHECK_FALSE(MayKnowWorker(board, "w9"));
+  // What is known of those that are known goes on changing.
+  wire::WorkerNews moved = Report("w2", "10.0.0.2:80", 1002);
+  moved.set_sequence(2);
+  PoolStep(board, WorkerReported{moved}, now, actions);
+  CHECK(board.workers.at("w2").status.address() == "10.0.0.2:80");
+  PoolMessageReceived update;
+  update.message.set_from("other");
+  for (const char* id : {"w1", "w8"}) {
+    *update.message.mutable_worker_news()->add_workers() =
+        Report(id, "10.0.0.3:80", 3000);
+  }
+  PoolStep(board, update, now, actions);
+  CHECK(board.workers.size() == 3);
+  CHECK(board.workers.at("w1").status.address() == "10.0.0.3:80");
+}
+
 // The slow reference: looks at all workers.
 std::vector<std::string> IdsAt(const PoolBoard& board,
                                const std::string& address) {
--- a/pool/workers/worker_roster.cc
+++ b/pool/workers/worker_roster.cc
@@ -12,6 +12,7 @@
 #include "pool/workers/worker_record.h"
 #include "pool/workers/worker_report.h"
 #include "pool/workers/worker_session.h"
+#include "pool/workers/worker_table.h"
 
 namespace goldcrest {
 namespace {
@@ -104,6 +105,13 @@
                     const wire::WorkerNews& report,
                     Micros now,
                     PoolActions& actions) {
+  if (!MayKnowWorker(board, report.id())) {
+    ++board.counters.workers_refused;
+    LogPoolEvent(actions, LogLevel::kWarning, "worker_refused",
+                 {{"worker", report.id()},
+                  {"known", std::to_string(board.workers.size())}});
+    return;
+  }
   const bool changed = ApplyReport(board, report, now, actions);
   PoolWorker& worker = board.workers[report.id()];
   worker.last_received_at = now;
@@ -143,6 +151,10 @@
                     Micros now,
                     PoolActions& actions) {
   for (const wire::WorkerNews& row : update.workers()) {
+    if (!MayKnowWorker(board, row.id())) {
+      ++board.counters.workers_refused;
+      continue;
+    }
     ApplyReport(board, row, now, actions);
     PoolWorker& worker = board.workers[row.id()];
     if (row.born_ms() == worker.status.born_ms()) {
--- a/pool/workers/worker_roster.h
+++ b/pool/workers/worker_roster.h
@@ -11,7 +11,8 @@
 
 namespace goldcrest {
 
-// Handles a worker's report about itself. The owner fields are ignored.
+// Handles a worker's report about itself. The owner fields are ignored. A
+// report of one worker too many has no effect; see MayKnowWorker().
 void OnWorkerReport(PoolBoard& board,
                     const wire::WorkerNews& report,
                     Micros now,
--- a/pool/workers/worker_table.cc
+++ b/pool/workers/worker_table.cc
@@ -35,6 +35,11 @@
   board.worker_ids_at[address].insert(id);
 }
 
+bool MayKnowWorker(const PoolBoard& board, const std::string& id) {
+  return board.workers.size() < board.options.max_known_workers ||
+         board.workers.contains(id);
+}
+
 std::vector<PoolWorker*> WorkersAt(PoolBoard& board,
                                    const std::string& address) {
   std::vector<PoolWorker*> workers;
--- a/pool/workers/worker_table.h
+++ b/pool/workers/worker_table.h
@@ -7,6 +7,7 @@
 // A worker that is replaced has a successor under another id, so the table
 // would grow without bound if it kept all that ever reported. The record of a
 // worker that has left is needed only to recognize reports that arrive late.
+// Reports are not authenticated, so the table is bounded as well.
 
 #include <string>
 #include <vector>
@@ -22,6 +23,10 @@
                          const std::string& former_address,
                          const std::string& address);
 
+// Returns whether the worker is known or may become so
+// (PoolOptions::max_known_workers).
+bool MayKnowWorker(const PoolBoard& board, const std::string& id);
+
 // Returns the known workers whose last report was from `address`, sorted by id.
 std::vector<PoolWorker*> WorkersAt(PoolBoard& board,
                                    const std::string& address);
