--- a/cmd/goldcrestd.cc
+++ b/cmd/goldcrestd.cc
@@ -40,7 +40,7 @@
               "Maximum number of concurrent connections.");
 DEFINE_uint64(memory_mb,
               1024,
-              "Memory that this process may use, in MiB (64 to 1048576). It "
+              "Memory that this process may use, in MiB (32 to 1048576). It "
               "bounds what the process holds for its clients.");
 DEFINE_uint64(max_descriptors,
               0,
--- a/edge/machine_limits.cc
+++ b/edge/machine_limits.cc
@@ -63,7 +63,7 @@
                                 uint64_t memory_mb,
                                 uint64_t max_descriptors) {
   if (memory_mb < kMinMemoryMb || memory_mb > kMaxMemoryMb) {
-    FailUsage(program, "--memory_mb: not in 64 to 1048576");
+    FailUsage(program, "--memory_mb: not in 32 to 1048576");
   }
   if (max_descriptors != 0 && (max_descriptors < kMinDescriptors ||
                                max_descriptors > kMaxDescriptors)) {
--- a/edge/machine_limits.h
+++ b/edge/machine_limits.h
@@ -25,7 +25,7 @@
 };
 
 // Bounds of the flags for them.
-inline constexpr size_t kMinMemoryMb = 64;
+inline constexpr size_t kMinMemoryMb = 32;
 inline constexpr size_t kMaxMemoryMb = 1024 * 1024;
 inline constexpr size_t kMinDescriptors = 256;
 inline constexpr size_t kMaxDescriptors = 1024 * 1024;
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -111,7 +111,7 @@
              "for as long while the worker is silent.");
 DEFINE_uint64(memory_mb,
               256,
-              "Memory that this process may use, in MiB (64 to 1048576). It "
+              "Memory that this process may use, in MiB (32 to 1048576). It "
               "bounds what the process holds for its clients.");
 DEFINE_uint64(max_descriptors,
               0,
--- a/edge/testing/http_limits_test.cc
+++ b/edge/testing/http_limits_test.cc
@@ -252,7 +252,7 @@
 
 // Guards against parts of a machine that are more than the whole.
 TEST_CASE("ShareForHttp: leaves memory and descriptors for the process") {
-  for (const size_t memory_mb : {64, 120, 160, 260, 640, 4096}) {
+  for (const size_t memory_mb : {32, 64, 120, 160, 260, 640, 4096}) {
     for (const size_t descriptors : {256, 400, 3075, 4100, 10'250, 1'000'000}) {
       CAPTURE(memory_mb, descriptors);
       const MachineLimits machine = {memory_mb * kMegabyte, descriptors};
