--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -37,7 +37,8 @@
   }
   options_.start.stored = contents->stored;
   file_ = std::make_unique<RegisterFile>(
-      options_.data_dir, *contents, [this](uint64_t sequence, bool ok) {
+      options_.data_dir, *contents, write_metrics_,
+      [this](uint64_t sequence, bool ok) {
         loop_.PostEvent(RegisterStored{sequence, ok});
       });
   const size_t connections = ShareForHttp(options_.machine).connections;
@@ -80,6 +81,7 @@
 
 std::string ControlDaemon::FormatMetrics() const {
   return ControlMetricsText(board_, loop_.mesh(), loop_.delays()) +
+         write_metrics_.Text() +
          HttpMetricsText({server_.get(), metrics_server_.get()}, buffers_);
 }
 
--- a/edge/control_daemon.h
+++ b/edge/control_daemon.h
@@ -21,6 +21,7 @@
 #include "edge/pool_loop.h"
 #include "edge/pool_protocol.h"
 #include "edge/register_file.h"
+#include "edge/write_metrics.h"
 #include "pool/pool_step.h"
 
 namespace goldcrest {
@@ -87,6 +88,7 @@
   PoolLoop<PoolEvent, PoolMessageReceived> loop_;
   BufferBudget buffers_;
   MetricsPage metrics_page_;
+  WriteMetrics write_metrics_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> metrics_server_;
   std::unique_ptr<RegisterFile> file_;
--- a/edge/daemon.cc
+++ b/edge/daemon.cc
@@ -66,7 +66,7 @@
   RecoveredState recovered;
   if (!options_.data_dir.empty()) {
     auto opened = OpenJournal(options_.data_dir, JournalOptions(),
-                              options_.deployment.incarnation,
+                              options_.deployment.incarnation, write_metrics_,
                               [this](uint64_t token, bool ok) {
                                 inbox_->Put(JournalSynced{token, ok}, false);
                               });
@@ -126,7 +126,7 @@
 void Daemon::OnHttpRequest(RequestToken token, const HttpRequest& request) {
   const auto metrics_text = [this] {
     return metrics_page_.Text(MonotonicMicros(), [this] {
-      return metrics_.Text(bb_, ReadClock()) +
+      return metrics_.Text(bb_, ReadClock()) + write_metrics_.Text() +
              HttpMetricsText({server_.get()}, buffers_);
     });
   };
--- a/edge/daemon.h
+++ b/edge/daemon.h
@@ -96,6 +96,7 @@
   SocketLoop loop_;
   BufferBudget buffers_;
   MetricsPage metrics_page_;
+  WriteMetrics write_metrics_;
   std::unique_ptr<Inbox<Event>> inbox_;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpClient> client_;
--- a/edge/journal.cc
+++ b/edge/journal.cc
@@ -17,6 +17,8 @@
 #include <Poco/FileStream.h>
 #include <Poco/StreamCopier.h>
 
+#include "edge/socket_loop.h"
+
 namespace goldcrest {
 namespace {
 
@@ -145,6 +147,7 @@
               int file,
               size_t size,
               LiveRecords live,
+              WriteMetrics& metrics,
               SyncedHandler on_synced)
       : folder_(std::move(folder)),
         options_(options),
@@ -152,6 +155,7 @@
         size_(size),
         snapshot_size_(size),
         live_(std::move(live)),
+        metrics_(metrics),
         on_synced_(std::move(on_synced)),
         thread_([this] { Run(); }) {}
 
@@ -210,8 +214,10 @@
       bytes += FrameRecord(append.record);
       live_.Add(append.record);
     }
+    const Micros began_at = MonotonicMicros();
     const bool ok =
         TruncateTail() && WriteAll(file_, bytes) && ::fdatasync(file_) == 0;
+    metrics_.Observe(MonotonicMicros() - began_at, ok);
     if (ok) {
       size_ += bytes.size();
     } else {
@@ -278,6 +284,7 @@
   size_t snapshot_size_;
   bool has_failed_tail_ = false;
   LiveRecords live_;
+  WriteMetrics& metrics_;
   SyncedHandler on_synced_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -384,6 +391,7 @@
     const std::string& folder,
     const JournalOptions& options,
     uint64_t incarnation,
+    WriteMetrics& metrics,
     SyncedHandler on_synced) {
   OpenedJournal opened;
   const std::string path = folder + kFileName;
@@ -420,9 +428,9 @@
   opened.recovered = Replay(contents.records);
   opened.recovered.had_earlier_incarnation =
       opened.recovered.had_earlier_incarnation || opened.damaged;
-  opened.journal =
-      std::make_unique<FileJournal>(folder, options, file, contents.valid_bytes,
-                                    std::move(live), std::move(on_synced));
+  opened.journal = std::make_unique<FileJournal>(
+      folder, options, file, contents.valid_bytes, std::move(live), metrics,
+      std::move(on_synced));
   wire::JournalRecord start;
   start.mutable_start()->set_incarnation(incarnation);
   opened.journal->Append(start, 0);
--- a/edge/journal.h
+++ b/edge/journal.h
@@ -23,6 +23,7 @@
 
 #include <tl/expected.hpp>
 
+#include "edge/write_metrics.h"
 #include "goldcrest/step.h"
 #include "proto/goldcrest.pb.h"
 
@@ -60,11 +61,13 @@
 };
 
 // Opens the journal in `folder`, creates both if they are missing, and records
-// the start of this incarnation. The error is one sentence.
+// the start of this incarnation. `metrics` outlives the journal. The error is
+// one sentence.
 tl::expected<OpenedJournal, std::string> OpenJournal(
     const std::string& folder,
     const JournalOptions& options,
     uint64_t incarnation,
+    WriteMetrics& metrics,
     SyncedHandler on_synced);
 
 // The result of parsing a journal file.
--- a/edge/metrics.cc
+++ b/edge/metrics.cc
@@ -4,8 +4,8 @@
 #include <vector>
 
 #include <Poco/NumberFormatter.h>
-#include <boost/histogram/indexed.hpp>
 
+#include "edge/metrics_text.h"
 #include "goldcrest/json_reader.h"
 
 namespace goldcrest {
@@ -14,40 +14,31 @@
 constexpr size_t kMaxRefusedMinutes = 1440;  // one day
 // Bounds the memory: observations of further series are not recorded.
 constexpr size_t kMaxSeries = 20'000;
+constexpr double kFirstBucketMs = 1;
 constexpr double kLongestResponseMs = 700'000;
-constexpr double kBucketGrowth = 1.5;
 
-std::vector<double> BucketEdges() {
-  std::vector<double> edges = {0, 1};
-  while (edges.back() < kLongestResponseMs) {
-    edges.push_back(edges.back() * kBucketGrowth);
-  }
-  return edges;
-}
-
-std::string Labels(const SeriesKey& key, const std::string& extra_labels = "") {
-  return "{kind=" + JsonQuote(key.kind) +
-         ",failure_domain=" + JsonQuote(key.failure_domain) + extra_labels +
-         "}";
+// The labels of a series, without braces.
+std::string SeriesLabels(const SeriesKey& key) {
+  return "kind=" + JsonQuote(key.kind) +
+         ",failure_domain=" + JsonQuote(key.failure_domain);
 }
 
-void AppendLine(std::string& text,
-                const std::string& name,
-                const std::string& labels,
-                const std::string& value) {
-  text += "goldcrest_" + name + labels + " " + value + "\n";
+std::string Labels(const SeriesKey& key, const std::string& extra_labels) {
+  std::string labels = "{";
+  labels += SeriesLabels(key);
+  labels += extra_labels;
+  labels += "}";
+  return labels;
 }
 
 void AppendCount(std::string& text, const std::string& name, uint64_t value) {
-  text += "# TYPE goldcrest_" + name + " counter\n";
-  AppendLine(text, name, "", std::to_string(value));
+  AppendMetric(text, name, "counter", std::to_string(value));
 }
 
 void AppendGauge(std::string& text,
                  const std::string& name,
                  const std::string& value) {
-  text += "# TYPE goldcrest_" + name + " gauge\n";
-  AppendLine(text, name, "", value);
+  AppendMetric(text, name, "gauge", value);
 }
 
 // A counter and the name under which it is exported.
@@ -114,29 +105,28 @@
 // so that the burn report can be computed from a saved copy of the text.
 void AppendIdentity(std::string& text, const Blackboard& bb, StepTime now) {
   const Deployment& deployment = bb.deployment;
-  text += "# TYPE goldcrest_vm_info gauge\n";
-  AppendLine(text, "vm_info",
-             "{vm=" + JsonQuote(deployment.self) + ",failure_domain=" +
-                 JsonQuote(deployment.failure_domain) + "}",
-             "1");
+  AppendType(text, "vm_info", "gauge");
+  AppendValue(text, "vm_info",
+              "{vm=" + JsonQuote(deployment.self) + ",failure_domain=" +
+                  JsonQuote(deployment.failure_domain) + "}",
+              "1");
   AppendGauge(text, "wall_ms", std::to_string(now.wall_ms));
   AppendGauge(text, "started_wall_ms",
               std::to_string(bb.membership.started_wall_ms));
-  text += "# TYPE goldcrest_objective gauge\n";
-  text += "# TYPE goldcrest_objective_target_ms gauge\n";
+  AppendType(text, "objective", "gauge");
+  AppendType(text, "objective_target_ms", "gauge");
   for (const KindPolicy& kind : bb.configuration.active.kinds) {
     const std::string labels = "{kind=" + JsonQuote(kind.name) + "}";
-    AppendLine(text, "objective", labels,
-               Poco::NumberFormatter::format(kind.slo.objective, 9));
-    AppendLine(text, "objective_target_ms", labels,
-               std::to_string(kind.slo.target_ms));
+    AppendValue(text, "objective", labels,
+                Poco::NumberFormatter::format(kind.slo.objective, 9));
+    AppendValue(text, "objective_target_ms", labels,
+                std::to_string(kind.slo.target_ms));
   }
 }
 
 }  // namespace
 
-Metrics::Series::Series()
-    : response_ms(boost::histogram::make_histogram(Axis(BucketEdges()))) {}
+Metrics::Series::Series() : response_ms(kFirstBucketMs, kLongestResponseMs) {}
 
 void Metrics::Observe(const Observation& observation) {
   const auto result = ResultOf(observation);
@@ -149,9 +139,7 @@
   }
   Series& series = series_[key];
   ++series.answers[*result];
-  const auto response_ms = static_cast<double>(observation.response_ms);
-  series.response_ms(response_ms);
-  series.sum_ms += response_ms;
+  series.response_ms.Observe(static_cast<double>(observation.response_ms));
   const bool refused = observation.outcome == Outcome::kRefused ||
                        observation.outcome == Outcome::kUnknown;
   const int64_t minute = observation.wall_ms / kMinuteMs;
@@ -180,40 +168,25 @@
   AppendGauge(text, "configuration_version",
               std::to_string(bb.configuration.in_force.version()));
   AppendGauge(text, "serving_lease", bb.membership.lease_valid ? "1" : "0");
-  text += "# TYPE goldcrest_answers_total counter\n";
+  AppendType(text, "answers_total", "counter");
   for (const auto& entry : series_) {
     const SeriesKey& key = entry.first;
     const Series& series = entry.second;
     for (size_t i = 0; i < kAnswerResultNames.size(); ++i) {
       const std::string result(kAnswerResultNames[i]);
-      AppendLine(text, "answers_total",
-                 Labels(key, ",result=" + JsonQuote(result)),
-                 std::to_string(series.answers.by_result[i]));
+      AppendValue(text, "answers_total",
+                  Labels(key, ",result=" + JsonQuote(result)),
+                  std::to_string(series.answers.by_result[i]));
     }
     for (const int64_t minute : series.refused_minutes) {
-      AppendLine(text, "refused_minute",
-                 Labels(key, ",minute=\"" + std::to_string(minute) + "\""),
-                 "1");
+      AppendValue(text, "refused_minute",
+                  Labels(key, ",minute=\"" + std::to_string(minute) + "\""),
+                  "1");
     }
   }
-  text += "# TYPE goldcrest_response_ms histogram\n";
+  AppendType(text, "response_ms", "histogram");
   for (const auto& [key, series] : series_) {
-    uint64_t cumulative = 0;
-    for (auto&& bin : boost::histogram::indexed(series.response_ms)) {
-      cumulative += static_cast<uint64_t>(*bin);
-      if (*bin > 0) {
-        AppendLine(
-            text, "response_ms_bucket",
-            Labels(key, ",le=\"" + std::to_string(bin.bin().upper()) + "\""),
-            std::to_string(cumulative));
-      }
-    }
-    AppendLine(text, "response_ms_bucket", Labels(key, ",le=\"+Inf\""),
-               std::to_string(cumulative));
-    AppendLine(text, "response_ms_sum", Labels(key),
-               std::to_string(series.sum_ms));
-    AppendLine(text, "response_ms_count", Labels(key),
-               std::to_string(cumulative));
+    series.response_ms.AppendTo(text, "response_ms", SeriesLabels(key));
   }
   return text;
 }
--- a/edge/metrics.h
+++ b/edge/metrics.h
@@ -14,10 +14,7 @@
 #include <map>
 #include <string>
 
-#include <boost/histogram/axis/variable.hpp>
-#include <boost/histogram/histogram.hpp>
-#include <boost/histogram/make_histogram.hpp>
-
+#include "edge/metrics_text.h"
 #include "goldcrest/blackboard.h"
 #include "goldcrest/service_level.h"
 
@@ -33,16 +30,11 @@
   std::string Text(const Blackboard& bb, StepTime now) const;
 
  private:
-  using Axis = boost::histogram::axis::variable<double>;
-  using Histogram =
-      decltype(boost::histogram::make_histogram(std::declval<Axis>()));
-
   // The measurements of one kind in one failure domain.
   struct Series {
     Series();
-    Histogram response_ms;
+    MetricHistogram response_ms;
     AnswerCounts answers;
-    double sum_ms = 0;
     // Minutes since the epoch with a refusal or an unknown outcome.
     std::deque<int64_t> refused_minutes;
   };
--- a/edge/pool_metrics.cc
+++ b/edge/pool_metrics.cc
@@ -4,9 +4,8 @@
 #include <set>
 #include <vector>
 
-#include <boost/histogram/indexed.hpp>
-
 #include "edge/logging.h"
+#include "edge/metrics_text.h"
 #include "edge/socket_loop.h"
 #include "goldcrest/json_reader.h"
 #include "pool/mesh/message_kind.h"
@@ -21,50 +20,6 @@
 constexpr size_t kMaxSeries = 2000;
 constexpr double kShortestSeconds = 0.005;
 constexpr double kLongestSeconds = 30;
-constexpr double kBucketGrowth = 1.5;
-
-std::vector<double> BucketEdges() {
-  std::vector<double> edges = {0, kShortestSeconds};
-  while (edges.back() < kLongestSeconds) {
-    edges.push_back(edges.back() * kBucketGrowth);
-  }
-  return edges;
-}
-
-void AppendType(std::string& text, const std::string& name, const char* type) {
-  text += "# TYPE goldcrest_" + name + " " + type + "\n";
-}
-
-void AppendValue(std::string& text,
-                 const std::string& name,
-                 const std::string& labels,
-                 const std::string& value) {
-  text += "goldcrest_" + name + labels + " " + value + "\n";
-}
-
-void AppendMetric(std::string& text,
-                  const std::string& name,
-                  const char* type,
-                  const std::string& value) {
-  AppendType(text, name, type);
-  AppendValue(text, name, "", value);
-}
-
-void AppendByLabel(std::string& text,
-                   const std::string& name,
-                   const std::string& label,
-                   const std::map<std::string, uint64_t>& counts) {
-  AppendType(text, name, "counter");
-  for (const auto& [key, count] : counts) {
-    AppendValue(text, name, "{" + label + "=" + JsonQuote(key) + "}",
-                std::to_string(count));
-  }
-}
-
-std::string Seconds(Micros duration) {
-  return std::to_string(static_cast<double>(duration) /
-                        static_cast<double>(kSecond));
-}
 
 // Iterations of the event loop, and how long it read nothing.
 void AppendLoopDelays(std::string& text, const LoopDelays& delays) {
@@ -233,6 +188,25 @@
                std::to_string(board.counters.profiles_adopted));
 }
 
+// The elections in which this daemon was a candidate, the changes of the
+// configuration that it answered, and how long its disk presumably takes.
+void AppendElections(std::string& text,
+                     const Agreement& agreement,
+                     Micros now) {
+  std::map<std::string, uint64_t> elections;
+  for (const auto& [result, count] : agreement.election.results) {
+    elections[std::string(ToString(result))] = count;
+  }
+  AppendByLabel(text, "elections_total", "result", elections);
+  std::map<std::string, uint64_t> changes;
+  for (const auto& [end, count] : agreement.change_ends) {
+    changes[std::string(ToString(end))] = count;
+  }
+  AppendByLabel(text, "configuration_changes_total", "end", changes);
+  AppendMetric(text, "disk_expected_write_seconds", "gauge",
+               Seconds(WriteTimeOf(agreement, now)));
+}
+
 // Returns the outcome's name without its enum prefix, for use as a label.
 std::string OutcomeName(wire::JobFate fate) {
   std::string name = wire::JobFate_Name(fate);
@@ -241,19 +215,15 @@
 
 }  // namespace
 
-EntryMetrics::Series::Series()
-    : seconds(boost::histogram::make_histogram(Axis(BucketEdges()))) {}
-
 void EntryMetrics::Observe(const JobObservation& observation) {
   const std::pair key(observation.queue, OutcomeName(observation.fate));
   if (series_.size() >= kMaxSeries && !series_.contains(key)) {
     return;
   }
-  Series& series = series_[key];
-  const double seconds =
-      static_cast<double>(observation.duration) / static_cast<double>(kSecond);
-  series.seconds(seconds);
-  series.sum += seconds;
+  const auto series =
+      series_.try_emplace(key, kShortestSeconds, kLongestSeconds).first;
+  series->second.Observe(static_cast<double>(observation.duration) /
+                         static_cast<double>(kSecond));
 }
 
 std::string EntryMetrics::Text(const EntryBoard& board,
@@ -283,24 +253,9 @@
   AppendMesh(text, board.pool.mesh, link);
   AppendType(text, "job_response_seconds", "histogram");
   for (const auto& [key, series] : series_) {
-    const std::string labels =
-        "{queue=" + JsonQuote(key.first) + ",outcome=" + JsonQuote(key.second);
-    uint64_t cumulative = 0;
-    for (auto&& bin : boost::histogram::indexed(series.seconds)) {
-      cumulative += static_cast<uint64_t>(*bin);
-      if (*bin > 0) {
-        AppendValue(
-            text, "job_response_seconds_bucket",
-            labels + ",le=\"" + std::to_string(bin.bin().upper()) + "\"}",
-            std::to_string(cumulative));
-      }
-    }
-    AppendValue(text, "job_response_seconds_bucket", labels + ",le=\"+Inf\"}",
-                std::to_string(cumulative));
-    AppendValue(text, "job_response_seconds_sum", labels + "}",
-                std::to_string(series.sum));
-    AppendValue(text, "job_response_seconds_count", labels + "}",
-                std::to_string(cumulative));
+    series.AppendTo(
+        text, "job_response_seconds",
+        "queue=" + JsonQuote(key.first) + ",outcome=" + JsonQuote(key.second));
   }
   return text;
 }
@@ -354,9 +309,10 @@
                board.agreement.role == AgreementRole::kLeader ? "1" : "0");
   AppendMetric(text, "agreement_has_quorum", "gauge",
                HasQuorum(board.agreement, now) ? "1" : "0");
+  AppendElections(text, board.agreement, now);
   AppendMetric(text, "agreement_unstored_writes", "gauge",
-               std::to_string(board.agreement.write_sequence -
-                              board.agreement.durable_sequence));
+               std::to_string(board.agreement.writes.newest_sequence -
+                              board.agreement.writes.durable_sequence));
   AppendType(text, "worker_heard_age_seconds", "gauge");
   for (const auto& [id, worker] : board.workers) {
     if (worker.session != SessionState::kNone) {
--- a/edge/pool_metrics.h
+++ b/edge/pool_metrics.h
@@ -10,12 +10,9 @@
 #include <string>
 #include <utility>
 
-#include <boost/histogram/axis/variable.hpp>
-#include <boost/histogram/histogram.hpp>
-#include <boost/histogram/make_histogram.hpp>
-
 #include "edge/loop_delays.h"
 #include "edge/mesh_link.h"
+#include "edge/metrics_text.h"
 #include "pool/entry/entry.h"
 #include "pool/pool_board.h"
 
@@ -33,19 +30,8 @@
                    const LoopDelays& delays) const;
 
  private:
-  using Axis = boost::histogram::axis::variable<double>;
-  using Histogram =
-      decltype(boost::histogram::make_histogram(std::declval<Axis>()));
-
-  // The response times of one queue and outcome, in seconds.
-  struct Series {
-    Series();
-    Histogram seconds;
-    double sum = 0;
-  };
-
-  // By queue and outcome.
-  std::map<std::pair<std::string, std::string>, Series> series_;
+  // Response times in seconds, by queue and outcome.
+  std::map<std::pair<std::string, std::string>, MetricHistogram> series_;
 };
 
 // Returns all metrics of a control daemon in the Prometheus text format.
--- a/edge/register_file.cc
+++ b/edge/register_file.cc
@@ -11,6 +11,8 @@
 
 #include <Poco/Checksum.h>
 
+#include "edge/socket_loop.h"
+
 namespace goldcrest {
 namespace {
 
@@ -127,10 +129,12 @@
 
 RegisterFile::RegisterFile(std::string folder,
                            const RegisterFileContents& contents,
+                           WriteMetrics& metrics,
                            StoredHandler on_stored)
     : folder_(std::move(folder)),
       generation_(contents.generation),
       newest_file_(contents.newest_file),
+      metrics_(metrics),
       on_stored_(std::move(on_stored)),
       thread_([this] { Run(); }) {}
 
@@ -156,13 +160,15 @@
   std::unique_lock<std::mutex> lock(mutex_);
   while (true) {
     changed_.wait(lock, [this] { return stopping_ || pending_.has_value(); });
-    if (!pending_.has_value()) {
-      return;  // stopping, and every state is written
+    if (stopping_) {
+      return;  // nothing waits for the queued state any longer
     }
     const Pending pending = std::move(*pending_);
     pending_.reset();
     lock.unlock();
+    const Micros began_at = MonotonicMicros();
     const bool ok = WriteOne(pending.stored);
+    metrics_.Observe(MonotonicMicros() - began_at, ok);
     on_stored_(pending.sequence, ok);
     lock.lock();
   }
--- a/edge/register_file.h
+++ b/edge/register_file.h
@@ -20,6 +20,7 @@
 
 #include <tl/expected.hpp>
 
+#include "edge/write_metrics.h"
 #include "proto/pool.pb.h"
 
 namespace goldcrest {
@@ -39,8 +40,10 @@
   // thread.
   using StoredHandler = std::function<void(uint64_t sequence, bool ok)>;
 
+  // `metrics` outlives this.
   RegisterFile(std::string folder,
                const RegisterFileContents& contents,
+               WriteMetrics& metrics,
                StoredHandler on_stored);
   ~RegisterFile();
   RegisterFile(const RegisterFile&) = delete;
@@ -62,6 +65,7 @@
   std::string folder_;
   uint64_t generation_;
   int newest_file_;
+  WriteMetrics& metrics_;
   StoredHandler on_stored_;
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/edge/testing/journal_test.cc
+++ b/edge/testing/journal_test.cc
@@ -40,12 +40,17 @@
   std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
 }
 
+WriteMetrics& UnusedMetrics() {
+  static WriteMetrics metrics;
+  return metrics;
+}
+
 // Opens a journal that is replaced by a snapshot from 20,000 bytes on.
 OpenedJournal Open(const std::string& folder, uint64_t incarnation) {
   JournalOptions options;
   options.snapshot_bytes = 20'000;
-  auto opened =
-      OpenJournal(folder, options, incarnation, [](uint64_t, bool) {});
+  auto opened = OpenJournal(folder, options, incarnation, UnusedMetrics(),
+                            [](uint64_t, bool) {});
   REQUIRE(opened);
   return std::move(*opened);
 }
@@ -104,7 +109,7 @@
       }
       std::map<uint64_t, bool> synced;
       auto opened =
-          OpenJournal(folder.path(), JournalOptions(), 1,
+          OpenJournal(folder.path(), JournalOptions(), 1, UnusedMetrics(),
                       [&](uint64_t token, bool ok) { synced[token] = ok; });
       REQUIRE(opened);
       opened->journal->Append(VersionRecord(7), 7);
@@ -187,14 +192,14 @@
     "Journal: a durable append is reported, an unusable folder is an error") {
   const Poco::TemporaryFile folder;
   std::atomic<int> synced{0};
-  auto opened = OpenJournal(folder.path(), JournalOptions(), 1,
+  auto opened = OpenJournal(folder.path(), JournalOptions(), 1, UnusedMetrics(),
                             [&](uint64_t, bool ok) { synced += ok ? 1 : 0; });
   REQUIRE(opened);
   opened->journal->Append(VersionRecord(1), 1);
   opened->journal->Flush();
   CHECK(synced == 1);
   CHECK_FALSE(OpenJournal("/proc/no-such-folder", JournalOptions(), 1,
-                          [](uint64_t, bool) {}));
+                          UnusedMetrics(), [](uint64_t, bool) {}));
 }
 
 }  // namespace goldcrest
--- a/edge/testing/register_file_test.cc
+++ b/edge/testing/register_file_test.cc
@@ -21,6 +21,8 @@
 // Collects the write reports and waits for them.
 class WriteReports {
  public:
+  WriteMetrics metrics;
+
   RegisterFile::StoredHandler Handler() {
     return [this](uint64_t sequence, bool ok) {
       const std::lock_guard<std::mutex> lock(mutex_);
@@ -63,7 +65,8 @@
 // Writes the states of the terms `first` to `last`, waiting for each.
 void WriteStates(const std::string& folder, uint64_t first, uint64_t last) {
   WriteReports reports;
-  RegisterFile file(folder, *ReadRegisterFiles(folder), reports.Handler());
+  RegisterFile file(folder, *ReadRegisterFiles(folder), reports.metrics,
+                    reports.Handler());
   for (uint64_t term = first; term <= last; ++term) {
     file.Write(State(term), term);
     REQUIRE(reports.WaitFor(term));
@@ -114,7 +117,8 @@
   Poco::File(folder + "/register.0").createDirectory();  // cannot be written
   WriteReports reports;
   {
-    RegisterFile file(folder, *ReadRegisterFiles(folder), reports.Handler());
+    RegisterFile file(folder, *ReadRegisterFiles(folder), reports.metrics,
+                      reports.Handler());
     file.Write(State(3), 3);
     CHECK_FALSE(reports.WaitFor(3));
   }
@@ -156,7 +160,7 @@
         const FileSizeLimit full(room);
         for (int restart = 0; restart < 2; ++restart) {
           WriteReports reports;
-          RegisterFile file(folder, *ReadRegisterFiles(folder),
+          RegisterFile file(folder, *ReadRegisterFiles(folder), reports.metrics,
                             reports.Handler());
           for (const uint64_t sequence : {1U, 2U, 3U}) {
             file.Write(State(10 + sequence), sequence);
@@ -175,7 +179,8 @@
     "RegisterFile: a process that runs on writes after its disk was full") {
   const std::string folder = NewFolder();
   WriteReports reports;
-  RegisterFile file(folder, *ReadRegisterFiles(folder), reports.Handler());
+  RegisterFile file(folder, *ReadRegisterFiles(folder), reports.metrics,
+                    reports.Handler());
   for (uint64_t sequence = 1; sequence <= 9; sequence += 3) {
     file.Write(State(sequence), sequence);
     CHECK(reports.WaitFor(sequence));
--- a/pool/agreement/agreement.cc
+++ b/pool/agreement/agreement.cc
@@ -34,35 +34,15 @@
 uint64_t DurableIndexOf(const Agreement& agreement, const wire::Voter& voter) {
   const uint64_t term = agreement.stored.term();
   if (voter.store_id() == detail::StoreId(agreement)) {
-    return agreement.durable_term == term ? agreement.durable_index : 0;
+    const EntryId& entry = agreement.writes.durable_entry;
+    return entry.term == term ? entry.index : 0;
   }
   const FollowerState* follower = detail::FollowerOf(agreement, voter);
-  return follower != nullptr && follower->durable_term == term
-             ? follower->durable_index
+  return follower != nullptr && follower->durable.term == term
+             ? follower->durable.index
              : 0;
 }
 
-// Commits the newest proposed state that a majority has on disk.
-void AdvanceCommit(Agreement& agreement, PoolActions& actions) {
-  auto after = agreement.uncommitted_states.end();
-  while (after != agreement.uncommitted_states.begin() &&
-         !detail::HasMajority(detail::NewestEntry(agreement),
-                              [&](const wire::Voter& voter) {
-                                return DurableIndexOf(agreement, voter) >=
-                                       std::prev(after)->first;
-                              })) {
-    --after;
-  }
-  if (after == agreement.uncommitted_states.begin()) {
-    return;
-  }
-  Commit(agreement, std::prev(after)->second, actions);
-  agreement.heartbeat_due = 0;  // informs the followers without delay
-  agreement.uncommitted_states.erase(agreement.uncommitted_states.begin(),
-                                     after);
-  detail::AnswerWaiting(agreement, actions);
-}
-
 void SendAppend(Agreement& agreement,
                 const std::string& to,
                 bool with_state,
@@ -86,18 +66,17 @@
 }
 
 // Returns whether the follower lacks the newest entry and was not sent it
-// within kResendStateAfter.
+// within kResendStateAfter and the time that its disk takes.
 bool NeedsState(const Agreement& agreement,
+                const AgreementPeer& peer,
                 const FollowerState& follower,
                 Micros now) {
-  const bool is_current =
-      follower.durable_term == detail::NewestEntry(agreement).term() &&
-      follower.durable_index == detail::NewestEntry(agreement).index();
-  if (is_current) {
+  const EntryId newest = detail::EntryIdOf(detail::NewestEntry(agreement));
+  if (follower.durable == newest) {
     return false;
   }
-  return follower.last_sent_index != detail::NewestEntry(agreement).index() ||
-         now - follower.state_sent_at > kResendStateAfter;
+  return follower.last_sent_index != newest.index ||
+         now - follower.state_sent_at > kResendStateAfter + peer.write_time;
 }
 
 }  // namespace
@@ -152,24 +131,22 @@
   });
 }
 
-uint64_t Persist(Agreement& agreement, PoolActions& actions) {
-  const uint64_t sequence = ++agreement.write_sequence;
-  agreement.pending_writes[sequence] = {NewestEntry(agreement).term(),
-                                        NewestEntry(agreement).index()};
-  actions.emplace_back(PersistRegister{agreement.stored, sequence});
-  return sequence;
-}
-
-void SendWhenDurable(Agreement& agreement,
-                     const std::string& to,
-                     wire::PoolMessage message,
-                     PoolActions& actions) {
-  if (agreement.durable_sequence >= agreement.write_sequence) {
-    SendTo(actions, to, std::move(message));
+void AdvanceCommit(Agreement& agreement, PoolActions& actions) {
+  auto after = agreement.uncommitted_states.end();
+  while (after != agreement.uncommitted_states.begin() &&
+         !HasMajority(NewestEntry(agreement), [&](const wire::Voter& voter) {
+           return DurableIndexOf(agreement, voter) >= std::prev(after)->first;
+         })) {
+    --after;
+  }
+  if (after == agreement.uncommitted_states.begin()) {
     return;
   }
-  agreement.messages_awaiting_write.push_back(
-      {agreement.write_sequence, SendMessage{to, std::move(message)}});
+  Commit(agreement, std::prev(after)->second, actions);
+  agreement.heartbeat_due = 0;  // informs the followers without delay
+  agreement.uncommitted_states.erase(agreement.uncommitted_states.begin(),
+                                     after);
+  AnswerWaiting(agreement, actions);
 }
 
 void BecomeFollower(Agreement& agreement, Micros now, PoolActions& actions) {
@@ -177,13 +154,15 @@
     LogPoolEvent(actions, LogLevel::kWarning, "leadership_lost",
                  {{"term", std::to_string(agreement.stored.term())}});
     for (const WaitingChange& change : agreement.waiting_changes) {
-      AnswerChange(change.requester, ChangeResult::kUnknown, actions);
+      AnswerChange(agreement, change.requester, ChangeEnd::kLeadershipLost,
+                   actions);
     }
     agreement.waiting_changes.clear();
     agreement.uncommitted_states.clear();
   }
+  EndCandidacy(agreement, ElectionResult::kSuperseded, now, actions);
   agreement.role = AgreementRole::kFollower;
-  agreement.votes.clear();
+  agreement.election.votes.clear();
   ScheduleElection(agreement, now);
 }
 
@@ -196,9 +175,10 @@
   }
   agreement.stored.set_term(term);
   agreement.stored.set_voted_for(0);
+  agreement.election.is_open = false;
   agreement.leader.clear();
   BecomeFollower(agreement, now, actions);
-  Persist(agreement, actions);
+  Persist(agreement, now, actions);
 }
 
 void SendHeartbeatRound(Agreement& agreement,
@@ -211,7 +191,8 @@
   }
   agreement.heartbeat_due = now + agreement.options.heartbeat_period;
   for (const auto& [address, peer] : agreement.peers) {
-    const bool needs = NeedsState(agreement, agreement.followers[address], now);
+    const bool needs =
+        NeedsState(agreement, peer, agreement.followers[address], now);
     SendAppend(agreement, address, needs, now, actions);
   }
 }
@@ -224,7 +205,7 @@
   state.set_index(NewestEntry(agreement).index() + 1);
   agreement.uncommitted_states[state.index()] = state;
   *agreement.stored.mutable_state() = std::move(state);
-  Persist(agreement, actions);
+  Persist(agreement, now, actions);
   SendHeartbeatRound(agreement, now, actions);
 }
 
@@ -258,7 +239,7 @@
   }
   // The previous process may have ended between a write and its sync, so what
   // was read may be lost with the power. It counts once it is written again.
-  detail::Persist(agreement, actions);
+  detail::Persist(agreement, now, actions);
   // A vote that this daemon cast before a restart may have elected a leader.
   agreement.leader_contact_at = now;
   agreement.quorum_at = now;
@@ -291,13 +272,14 @@
   }
   agreement.leader_contact_at = now;
   agreement.had_leader_contact = true;
+  agreement.election.is_open = false;
   detail::ScheduleElection(agreement, now);
   const bool newer = append.has_state() &&
                      detail::EntryIdOf(append.state()) >
                          detail::EntryIdOf(detail::NewestEntry(agreement));
   if (newer) {
     *agreement.stored.mutable_state() = append.state();
-    detail::Persist(agreement, actions);
+    detail::Persist(agreement, now, actions);
   }
   const bool current =
       detail::NewestEntry(agreement).term() == append.last_term() &&
@@ -308,10 +290,10 @@
     Commit(agreement, detail::NewestEntry(agreement), actions);
   }
   reply.set_term(append.term());
-  reply.set_last_term(newer ? detail::NewestEntry(agreement).term()
-                            : agreement.durable_term);
-  reply.set_last_index(newer ? detail::NewestEntry(agreement).index()
-                             : agreement.durable_index);
+  const EntryId acknowledged = newer ? detail::EntryIdOf(append.state())
+                                     : agreement.writes.durable_entry;
+  reply.set_last_term(acknowledged.term);
+  reply.set_last_index(acknowledged.index);
   if (newer) {
     detail::SendWhenDurable(agreement, from, std::move(message), actions);
   } else {
@@ -333,10 +315,9 @@
     return;
   }
   FollowerState& follower = agreement.followers[from];
-  if (follower.durable_term != reply.last_term() ||
-      follower.durable_index < reply.last_index()) {
-    follower.durable_term = reply.last_term();
-    follower.durable_index = reply.last_index();
+  if (follower.durable.term != reply.last_term() ||
+      follower.durable.index < reply.last_index()) {
+    follower.durable = {reply.last_term(), reply.last_index()};
   }
   const auto sent = agreement.round_sent_at.find(reply.round());
   if (sent != agreement.round_sent_at.end() &&
@@ -344,51 +325,15 @@
     follower.acknowledged_round = reply.round();
     follower.acknowledged_round_sent_at = sent->second;
   }
-  AdvanceCommit(agreement, actions);
-}
-
-void OnRegisterStored(Agreement& agreement,
-                      uint64_t sequence,
-                      bool ok,
-                      Micros now,
-                      PoolActions& actions) {
-  if (!ok) {
-    if (agreement.write_retry_at == 0) {
-      LogPoolEvent(actions, LogLevel::kError, "disk_write_failed",
-                   {{"write", std::to_string(sequence)}});
-    }
-    agreement.write_retry_at = now + agreement.options.write_retry_delay;
-    return;
-  }
-  if (sequence <= agreement.durable_sequence) {
-    return;
-  }
-  agreement.durable_sequence = sequence;
-  const auto written = agreement.pending_writes.find(sequence);
-  if (written != agreement.pending_writes.end()) {
-    std::tie(agreement.durable_term, agreement.durable_index) = written->second;
-    agreement.pending_writes.erase(agreement.pending_writes.begin(),
-                                   std::next(written));
-  }
-  if (agreement.write_retry_at != 0 && sequence == agreement.write_sequence) {
-    agreement.write_retry_at = 0;
-    LogPoolEvent(actions, LogLevel::kInfo, "disk_write_recovered", {});
-  }
-  while (!agreement.messages_awaiting_write.empty() &&
-         agreement.messages_awaiting_write.front().sequence <= sequence) {
-    actions.emplace_back(
-        std::move(agreement.messages_awaiting_write.front().send));
-    agreement.messages_awaiting_write.pop_front();
-  }
-  if (agreement.role == AgreementRole::kLeader) {
-    AdvanceCommit(agreement, actions);
-  }
+  detail::AdvanceCommit(agreement, actions);
 }
 
 void ExcludePauseFromElections(Agreement& agreement, Micros pause) {
   agreement.leader_contact_at += pause;
-  agreement.election_due += pause;
+  agreement.election.due += pause;
+  agreement.election.voted_at += agreement.election.voted_at == 0 ? 0 : pause;
   agreement.quorum_at += pause;
+  ExcludePauseFromWrites(agreement.writes.times, pause);
   for (auto& [address, peer] : agreement.peers) {
     peer.last_received_at += pause;
   }
@@ -402,31 +347,15 @@
 }
 
 void AgreementTick(Agreement& agreement, Micros now, PoolActions& actions) {
-  if (agreement.write_retry_at != 0 && now >= agreement.write_retry_at) {
-    agreement.write_retry_at = now + agreement.options.write_retry_delay;
-    detail::Persist(agreement, actions);
-  }
+  detail::ReviewWrites(agreement, now, actions);
   detail::ExpireRequests(agreement, now, actions);
   detail::ReviewQuorum(agreement, now, actions);
   SendDueHeartbeats(agreement, now, actions);
-  if (agreement.role == AgreementRole::kLeader) {
-    if (now >= agreement.voter_review_due) {
-      detail::ReviewVoters(agreement, now, actions);
-    }
-    return;
+  if (agreement.role != AgreementRole::kLeader) {
+    detail::StandIfDue(agreement, now, actions);
+  } else if (now >= agreement.voter_review_due) {
+    detail::ReviewVoters(agreement, now, actions);
   }
-  if (now < agreement.election_due ||
-      !detail::IsVoter(agreement, detail::StoreId(agreement))) {
-    return;
-  }
-  if (detail::MayElectQuickly(agreement)) {
-    detail::ScheduleQuickElection(agreement, now);
-  } else {
-    detail::ScheduleElection(agreement, now);
-  }
-  agreement.role = AgreementRole::kCandidate;
-  agreement.leader.clear();
-  detail::RequestVotes(agreement, true, now, actions);
 }
 
 }  // namespace goldcrest
--- a/pool/agreement/agreement.h
+++ b/pool/agreement/agreement.h
@@ -28,18 +28,30 @@
 // power loss a leader is therefore elected as soon as all voters have exchanged
 // heartbeats.
 //
+// A vote, a term and an entry count once they are on disk, so an election takes
+// as long as a write of the candidate, one of its voters and one of the new
+// entry. Disks may take seconds for that. Nobody stands for election while a
+// write of its own is in progress. Who has voted waits for the result while
+// others report in their heartbeats that they write, for as long as a majority
+// takes for that. Heartbeats of the leader and their replies wait for no disk,
+// so that a leader keeps its place when disks become slow.
+//
 // Cost: a heartbeat round per `heartbeat_period` and follower, one synced write
 // per follower and change.
 
+#include <array>
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "goldcrest/time_units.h"
+#include "goldcrest/write_times.h"
 #include "pool/pool_action.h"
 #include "proto/pool.pb.h"
 
@@ -77,6 +89,51 @@
 
 enum class AgreementRole : uint8_t { kFollower, kCandidate, kLeader };
 
+// How an attempt of a candidate to become leader ended.
+enum class ElectionResult : uint8_t {
+  kWon,
+  kNoPreVotes,  // no majority would vote for it
+  kNoVotes,     // a majority would have, but did not in time
+  kSuperseded,  // it became a follower: another leader, or a higher term
+};
+
+// Names in logs and metrics, indexed by ElectionResult.
+inline constexpr std::array<std::string_view, 4> kElectionResultNames = {
+    "won", "no_pre_votes", "no_votes", "superseded"};
+
+inline std::string_view ToString(ElectionResult result) {
+  return kElectionResultNames[static_cast<size_t>(result)];
+}
+
+// Why an operator's change of the configuration was answered as it was.
+enum class ChangeEnd : uint8_t {
+  kDurable,
+  kNoLeader,          // no leader is known
+  kNoMajority,        // no majority answers the leader, or it is just elected
+  kNotWrittenInTime,  // no majority had it on disk within `change_timeout`
+  kLeadershipLost,
+  kLeaderSilent,   // the leader did not answer within `forward_timeout`
+  kLeaderChanged,  // another leader than the one that it was forwarded to
+  kLeaderRefused,  // the leader answered that it is not durable
+};
+
+// Names in logs and metrics, indexed by ChangeEnd.
+inline constexpr std::array<std::string_view, 8> kChangeEndNames = {
+    "durable",         "no_leader",     "no_majority",    "not_written_in_time",
+    "leadership_lost", "leader_silent", "leader_changed", "leader_refused"};
+
+inline std::string_view ToString(ChangeEnd end) {
+  return kChangeEndNames[static_cast<size_t>(end)];
+}
+
+// Identifies an entry; a newer entry has a greater id.
+struct EntryId {
+  uint64_t term = 0;
+  uint64_t index = 0;
+
+  friend auto operator<=>(const EntryId&, const EntryId&) = default;
+};
+
 // Another control daemon that may be a voter.
 struct AgreementPeer {
   std::string address;
@@ -84,12 +141,15 @@
   uint64_t store_id = 0;        // 0 while unknown
   Micros last_received_at = 0;  // when its last heartbeat was received
   bool is_leader = false;       // as its last heartbeat reported
+  // As its last heartbeat reported: how long its disk takes for a write, and
+  // whether a write is in progress.
+  Micros write_time = 0;
+  bool is_writing = false;
 };
 
 // What the leader knows about a follower.
 struct FollowerState {
-  uint64_t durable_term = 0;
-  uint64_t durable_index = 0;
+  EntryId durable;
   uint64_t acknowledged_round = 0;
   Micros acknowledged_round_sent_at =
       0;  // when the newest acknowledged round was sent
@@ -126,25 +186,52 @@
   SendMessage send;
 };
 
+// The writes of the persistent part to this daemon's disk.
+struct RegisterWrites {
+  uint64_t newest_sequence = 0;
+  uint64_t durable_sequence = 0;
+  Micros retry_at = 0;  // of the newest write, which has failed; 0: none
+  // The entry in each write in progress, by sequence.
+  std::map<uint64_t, EntryId> entries;
+  EntryId durable_entry;  // on this daemon's disk
+  std::deque<MessageAwaitingWrite> messages;
+  WriteTimes times;
+};
+
+// This daemon's attempts to become leader, and its votes for others.
+struct ElectionState {
+  Micros due = 0;  // when it stands next
+  // MayElectQuickly() at the last heartbeat of a peer.
+  bool quick_allowed = false;
+  bool pre_vote = false;  // the current vote is a pre-vote
+  std::set<uint64_t> votes;
+  // Whether this daemon has voted, for itself or another, and has heard of no
+  // leader since.
+  bool is_open = false;
+  // When that vote was sent, or the request of the candidate; 0 until it is
+  // durable.
+  Micros voted_at = 0;
+  // How long this daemon then waits for the others at least.
+  Micros wait = 0;
+  std::map<ElectionResult, uint64_t> results;  // number of attempts
+};
+
 struct Agreement {
   AgreementOptions options;
   std::mt19937_64 random;
   // The persistent part: term, vote, newest entry and identity of the disk.
   wire::StoredRegister stored;
+  RegisterWrites writes;
   uint64_t committed_index = 0;
   // The newest state known to be committed; what this daemon serves.
   wire::RegisterState committed;
   AgreementRole role = AgreementRole::kFollower;
+  ElectionState election;
   std::string leader;  // mesh address; empty while unknown
   // Time of the last contact with a leader; the time of this daemon's start
   // until there was one.
   Micros leader_contact_at = 0;
   bool had_leader_contact = false;  // since this daemon's start
-  // MayElectQuickly() at the last heartbeat of a peer.
-  bool quick_election_allowed = false;
-  Micros election_due = 0;
-  bool pre_vote = false;  // the current vote is a pre-vote
-  std::set<uint64_t> votes;
   Micros heartbeat_due = 0;
   Micros voter_review_due = 0;
   Micros quorum_at = 0;  // when HasQuorum() last held; at first the start
@@ -154,17 +241,10 @@
   std::map<uint64_t, Micros> round_sent_at;
   std::map<std::string, AgreementPeer> peers;      // by address
   std::map<std::string, FollowerState> followers;  // by address
-  uint64_t write_sequence = 0;
-  uint64_t durable_sequence = 0;
-  Micros write_retry_at = 0;
-  // Term and index of the state of each write in progress.
-  std::map<uint64_t, std::pair<uint64_t, uint64_t>> pending_writes;
-  uint64_t durable_index = 0;  // of the state on this daemon's disk
-  uint64_t durable_term = 0;
-  std::deque<MessageAwaitingWrite> messages_awaiting_write;
   // States that this leader proposed and that are not committed, by index.
   std::map<uint64_t, wire::RegisterState> uncommitted_states;
   std::vector<WaitingChange> waiting_changes;
+  std::map<ChangeEnd, uint64_t> change_ends;  // number of changes answered
   std::map<uint64_t, ForwardedRequest> forwarded_requests;  // by number
   // Starts at random, so that an answer to the previous process matches no
   // request of this one.
@@ -218,8 +298,13 @@
                       Micros now,
                       PoolActions& actions);
 
+// Returns how long this daemon's disk presumably takes for a write, as its
+// heartbeats report it.
+Micros WriteTimeOf(const Agreement& agreement, Micros now);
+
 // Excludes a pause of this process from the time since the last contact with
-// other control daemons. A leader's lease is not extended.
+// other control daemons, and from the time of its writes. A leader's lease is
+// not extended.
 void ExcludePauseFromElections(Agreement& agreement, Micros pause);
 
 // Sends the leader's heartbeats if a round is due, as it is after a commit.
--- a/pool/agreement/agreement_detail.h
+++ b/pool/agreement/agreement_detail.h
@@ -2,11 +2,10 @@
 #define POOL_AGREEMENT_AGREEMENT_DETAIL_H_
 
 // Internals shared by the parts of the agreement: agreement.cc replicates,
-// agreement_requests.cc serves operators, agreement_election.cc elects,
-// agreement_voters.cc changes the voters,
-// agreement_quorum.cc reports a lack of them.
+// agreement_writes.cc waits for the disk, agreement_requests.cc serves
+// operators, agreement_election.cc elects, agreement_voters.cc changes the
+// voters, agreement_quorum.cc reports a lack of them.
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -36,32 +35,56 @@
 // Returns whether a disk belongs to a voter, according to the newest entry.
 bool IsVoter(const Agreement& agreement, uint64_t store_id);
 
-// Identifies an entry; a newer entry has a greater id.
-struct EntryId {
-  uint64_t term = 0;
-  uint64_t index = 0;
-
-  friend auto operator<=>(const EntryId&, const EntryId&) = default;
-};
-
 inline EntryId EntryIdOf(const wire::RegisterState& state) {
   return {state.term(), state.index()};
 }
 
-// Schedules the next attempt to become leader, at a random delay.
-void ScheduleElection(Agreement& agreement, Micros now);
+// Formats a duration in whole milliseconds, for log lines.
+inline std::string Milliseconds(Micros duration) {
+  return std::to_string(duration / kMillisecond);
+}
 
-// Schedules the next attempt to become leader when it is known that there is no
-// leader. The delay grows with the daemon's rank among the voters, so that they
-// seldom become candidates at the same time.
-void ScheduleQuickElection(Agreement& agreement, Micros now);
+// Schedules the next attempt to become leader, at a random delay. A daemon
+// whose disk is slower than those of a majority waits for longer.
+void ScheduleElection(Agreement& agreement, Micros now);
 
 // Returns whether this daemon has had no contact with a leader since its start
 // and every other voter has reported since then that it is not the leader.
 bool MayElectQuickly(const Agreement& agreement);
 
-// Writes the persistent part to disk; returns the write's sequence number.
-uint64_t Persist(Agreement& agreement, PoolActions& actions);
+// Stands for election if that is due and this daemon is a voter. It does not
+// while a write is in progress, for which all that it sends would wait, nor
+// while an election in which it has voted may succeed.
+void StandIfDue(Agreement& agreement, Micros now, PoolActions& actions);
+
+// Continues an election when everything that this daemon has written is
+// durable: what waited for that was sent just now.
+void OnAllDurable(Agreement& agreement, Micros now);
+
+// Ends this daemon's attempt to become leader, if it is a candidate, and logs
+// and counts the result.
+void EndCandidacy(Agreement& agreement,
+                  ElectionResult result,
+                  Micros now,
+                  PoolActions& actions);
+
+// Returns the time in which a majority of the voters has completed a write, as
+// far as this daemon knows.
+Micros MajorityWriteTime(const Agreement& agreement, Micros now);
+
+// Writes the persistent part to disk. Replaces a write that was requested in
+// the same step.
+void Persist(Agreement& agreement, Micros now, PoolActions& actions);
+
+// Returns whether a write is in progress, or waits to be tried again.
+bool IsWriting(const Agreement& agreement);
+
+// Tries a failed write again when that is due, and logs when the disk has
+// become slow and when it has recovered.
+void ReviewWrites(Agreement& agreement, Micros now, PoolActions& actions);
+
+// Commits the newest state of this leader's term that a majority has on disk.
+void AdvanceCommit(Agreement& agreement, PoolActions& actions);
 
 // Sends `message` once everything written so far is durable.
 void SendWhenDurable(Agreement& agreement,
@@ -87,13 +110,6 @@
              Micros now,
              PoolActions& actions);
 
-// Requests votes from all voters. A pre-vote (`pre_vote`) only asks whether
-// they would vote, and changes no term.
-void RequestVotes(Agreement& agreement,
-                  bool pre_vote,
-                  Micros now,
-                  PoolActions& actions);
-
 // Starts a heartbeat round; sends the newest state to followers that lack it.
 void SendHeartbeatRound(Agreement& agreement, Micros now, PoolActions& actions);
 
@@ -109,9 +125,15 @@
 const FollowerState* FollowerOf(const Agreement& agreement,
                                 const wire::Voter& voter);
 
-// Answers a change, here or at the daemon that has forwarded it.
-void AnswerChange(const Requester& requester,
-                  ChangeResult result,
+// Returns whether this daemon is the leader and a majority of the voters has
+// acknowledged that within the leader's lease.
+bool HoldsLease(const Agreement& agreement, Micros now);
+
+// Answers a change, here or at the daemon that has forwarded it, and counts it.
+// Logs what is not durable.
+void AnswerChange(Agreement& agreement,
+                  const Requester& requester,
+                  ChangeEnd end,
                   PoolActions& actions);
 
 // Answers the waiting changes that are committed.
--- a/pool/agreement/agreement_election.cc
+++ b/pool/agreement/agreement_election.cc
@@ -1,5 +1,8 @@
+// Elections: when this daemon stands, votes and wins.
+
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "pool/agreement/agreement.h"
 #include "pool/agreement/agreement_detail.h"
@@ -8,6 +11,13 @@
 namespace {
 
 void ActOnVotes(Agreement& agreement, Micros now, PoolActions& actions);
+void OpenElection(Agreement& agreement, uint64_t candidate);
+
+// Returns a random time of at most `limit`.
+Micros RandomDelay(Agreement& agreement, Micros limit) {
+  std::uniform_int_distribution<Micros> delay(0, limit);
+  return delay(agreement.random);
+}
 
 // Returns whether every other voter has reported, since this daemon's start,
 // that it is not the leader. If so, no leader holds a lease that relies on an
@@ -25,9 +35,11 @@
 }
 
 void BecomeLeader(Agreement& agreement, Micros now, PoolActions& actions) {
+  detail::EndCandidacy(agreement, ElectionResult::kWon, now, actions);
   agreement.role = AgreementRole::kLeader;
   agreement.leader = agreement.options.self;
-  agreement.votes.clear();
+  agreement.election.votes.clear();
+  agreement.election.is_open = false;
   agreement.followers.clear();
   agreement.uncommitted_states.clear();
   agreement.round_sent_at.clear();
@@ -41,24 +53,49 @@
   detail::Propose(agreement, detail::NewestEntry(agreement), now, actions);
 }
 
+// Requests votes from all voters. A pre-vote (`pre_vote`) only asks whether
+// they would vote, and changes no term.
+void RequestVotes(Agreement& agreement,
+                  bool pre_vote,
+                  Micros now,
+                  PoolActions& actions) {
+  agreement.election.pre_vote = pre_vote;
+  agreement.election.votes = {detail::StoreId(agreement)};
+  const wire::RegisterState& newest = detail::NewestEntry(agreement);
+  for (const wire::Voter& voter : detail::AllVoters(newest)) {
+    if (voter.store_id() == detail::StoreId(agreement)) {
+      continue;
+    }
+    wire::PoolMessage message;
+    wire::VoteRequest& request = *message.mutable_vote_request();
+    request.set_term(agreement.stored.term() + (pre_vote ? 1 : 0));
+    request.set_candidate(detail::StoreId(agreement));
+    request.set_last_term(newest.term());
+    request.set_last_index(newest.index());
+    request.set_trial(pre_vote);
+    detail::SendWhenDurable(agreement, voter.address(), std::move(message),
+                            actions);
+  }
+  ActOnVotes(agreement, now, actions);
+}
+
 void StartElection(Agreement& agreement, Micros now, PoolActions& actions) {
   agreement.stored.set_term(agreement.stored.term() + 1);
-  agreement.stored.set_voted_for(detail::StoreId(agreement));
-  detail::Persist(agreement, actions);
-  detail::ScheduleElection(agreement, now);
-  detail::RequestVotes(agreement, false, now, actions);
+  OpenElection(agreement, detail::StoreId(agreement));
+  detail::Persist(agreement, now, actions);
+  RequestVotes(agreement, false, now, actions);
 }
 
 // Counts the votes of the present voters. Starts the election after a majority
 // of pre-votes; becomes leader after a majority of votes.
 void ActOnVotes(Agreement& agreement, Micros now, PoolActions& actions) {
-  if (!detail::HasMajority(detail::NewestEntry(agreement),
-                           [&](const wire::Voter& voter) {
-                             return agreement.votes.contains(voter.store_id());
-                           })) {
+  if (!detail::HasMajority(
+          detail::NewestEntry(agreement), [&](const wire::Voter& voter) {
+            return agreement.election.votes.contains(voter.store_id());
+          })) {
     return;
   }
-  if (agreement.pre_vote) {
+  if (agreement.election.pre_vote) {
     StartElection(agreement, now, actions);
   } else {
     BecomeLeader(agreement, now, actions);
@@ -66,10 +103,10 @@
 }
 
 // Returns whether there is a leader that may still hold its lease: this daemon,
-// if it may serve reads, or another one that it was recently in contact with.
+// or another one that it was recently in contact with.
 bool HasCurrentLeader(const Agreement& agreement, Micros now) {
   if (agreement.role == AgreementRole::kLeader) {
-    return MayServeReads(agreement, now);
+    return detail::HoldsLease(agreement, now);
   }
   // The leader may be a voter of a state that this daemon does not have yet.
   const bool may_elect_quickly =
@@ -79,50 +116,163 @@
          now - agreement.leader_contact_at < agreement.options.election_timeout;
 }
 
+// Schedules the next attempt to become leader when it is known that there is no
+// leader. The delay grows with the daemon's rank among the voters, so that they
+// seldom become candidates at the same time.
+void ScheduleQuickElection(Agreement& agreement, Micros now) {
+  const std::vector<wire::Voter> voters =
+      detail::AllVoters(detail::NewestEntry(agreement));
+  const auto rank =
+      std::count_if(voters.begin(), voters.end(), [&](const auto& voter) {
+        return voter.store_id() < detail::StoreId(agreement);
+      });
+  agreement.election.due =
+      now + (rank + 1) * agreement.options.quick_election_spacing;
+}
+
+// Lets the candidate that this daemon would vote for write its own vote first,
+// so that fewer voters vote for themselves.
+void PostponeElection(Agreement& agreement, Micros now) {
+  const Micros election_time = 2 * detail::MajorityWriteTime(agreement, now) +
+                               agreement.options.quick_election_spacing;
+  agreement.election.due = std::max(
+      agreement.election.due,
+      now + std::min(election_time, agreement.options.election_timeout));
+}
+
+// Returns whether another voter reports that it writes.
+bool OtherVoterWrites(const Agreement& agreement) {
+  const std::vector<wire::Voter> voters =
+      detail::AllVoters(detail::NewestEntry(agreement));
+  return std::any_of(voters.begin(), voters.end(), [&](const auto& voter) {
+    const auto peer = agreement.peers.find(voter.address());
+    return voter.store_id() != detail::StoreId(agreement) &&
+           peer != agreement.peers.end() && peer->second.is_writing;
+  });
+}
+
+// Returns whether an election in which this daemon has voted, for itself or for
+// another, may still succeed. If others write, votes may be on their way to
+// disk: it lasts for as long as a majority of the voters takes for a write.
+bool IsElectionInProgress(const Agreement& agreement, Micros now) {
+  const ElectionState& election = agreement.election;
+  if (!election.is_open) {
+    return false;
+  }
+  if (election.voted_at == 0 || now < election.voted_at + election.wait) {
+    return true;
+  }
+  return OtherVoterWrites(agreement) &&
+         now < election.voted_at + election.wait +
+                   detail::MajorityWriteTime(agreement, now);
+}
+
+// Records a vote, for this daemon itself or for another, that is about to be
+// written.
+void OpenElection(Agreement& agreement, uint64_t candidate) {
+  agreement.stored.set_voted_for(candidate);
+  agreement.election.is_open = true;
+  agreement.election.voted_at = 0;
+  agreement.election.wait =
+      agreement.options.election_timeout +
+      RandomDelay(agreement, agreement.options.election_timeout);
+}
+
+// Returns the time of a write of the voter, as it was last reported. Returns
+// that of this daemon if the voter has not reported any.
+Micros WriteTimeOfVoter(const Agreement& agreement,
+                        const wire::Voter& voter,
+                        Micros now) {
+  const auto peer = agreement.peers.find(voter.address());
+  const bool is_known = voter.store_id() != detail::StoreId(agreement) &&
+                        peer != agreement.peers.end();
+  return is_known ? peer->second.write_time : WriteTimeOf(agreement, now);
+}
+
 }  // namespace
 
 namespace detail {
 
+Micros MajorityWriteTime(const Agreement& agreement, Micros now) {
+  const auto majority_of = [&](const auto& voters) {
+    std::vector<Micros> times;
+    for (const wire::Voter& voter : voters) {
+      times.push_back(WriteTimeOfVoter(agreement, voter, now));
+    }
+    return goldcrest::MajorityWriteTime(std::move(times));
+  };
+  const wire::RegisterState& state = NewestEntry(agreement);
+  return std::max(majority_of(state.voters()),
+                  majority_of(state.replaced_voters()));
+}
+
 void ScheduleElection(Agreement& agreement, Micros now) {
-  std::uniform_int_distribution<Micros> extra(
-      0, agreement.options.election_timeout);
-  agreement.election_due =
-      now + agreement.options.election_timeout + extra(agreement.random);
+  const Micros timeout = agreement.options.election_timeout;
+  const Micros slower_by = std::clamp<Micros>(
+      WriteTimeOf(agreement, now) - MajorityWriteTime(agreement, now), 0,
+      timeout);
+  agreement.election.due =
+      now + timeout + RandomDelay(agreement, timeout) + slower_by;
 }
 
 bool MayElectQuickly(const Agreement& agreement) {
   return !agreement.had_leader_contact && NoOtherVoterLeads(agreement);
 }
 
-void ScheduleQuickElection(Agreement& agreement, Micros now) {
-  const std::vector<wire::Voter> voters = AllVoters(NewestEntry(agreement));
-  const auto rank = std::count_if(
-      voters.begin(), voters.end(),
-      [&](const auto& voter) { return voter.store_id() < StoreId(agreement); });
-  agreement.election_due =
-      now + (rank + 1) * agreement.options.quick_election_spacing;
+void StandIfDue(Agreement& agreement, Micros now, PoolActions& actions) {
+  if (now < agreement.election.due || !IsVoter(agreement, StoreId(agreement))) {
+    return;
+  }
+  agreement.leader.clear();
+  if (IsWriting(agreement) || IsElectionInProgress(agreement, now)) {
+    return;
+  }
+  EndCandidacy(agreement,
+               agreement.election.pre_vote ? ElectionResult::kNoPreVotes
+                                           : ElectionResult::kNoVotes,
+               now, actions);
+  agreement.election.is_open = false;
+  if (MayElectQuickly(agreement)) {
+    ScheduleQuickElection(agreement, now);
+  } else {
+    ScheduleElection(agreement, now);
+  }
+  agreement.role = AgreementRole::kCandidate;
+  RequestVotes(agreement, true, now, actions);
 }
 
-void RequestVotes(Agreement& agreement,
-                  bool pre_vote,
+void OnAllDurable(Agreement& agreement, Micros now) {
+  ElectionState& election = agreement.election;
+  if (election.is_open) {
+    election.voted_at = election.voted_at == 0 ? now : election.voted_at;
+  } else if (MayElectQuickly(agreement)) {
+    ScheduleQuickElection(agreement, now);
+  } else if (now >= election.due) {
+    // Others whose disks are as slow have waited for as long.
+    election.due =
+        now + RandomDelay(agreement, agreement.options.election_timeout);
+  }
+}
+
+void EndCandidacy(Agreement& agreement,
+                  ElectionResult result,
                   Micros now,
                   PoolActions& actions) {
-  agreement.pre_vote = pre_vote;
-  agreement.votes = {StoreId(agreement)};
-  for (const wire::Voter& voter : AllVoters(NewestEntry(agreement))) {
-    if (voter.store_id() == StoreId(agreement)) {
-      continue;
-    }
-    wire::PoolMessage message;
-    wire::VoteRequest& request = *message.mutable_vote_request();
-    request.set_term(agreement.stored.term() + (pre_vote ? 1 : 0));
-    request.set_candidate(StoreId(agreement));
-    request.set_last_term(NewestEntry(agreement).term());
-    request.set_last_index(NewestEntry(agreement).index());
-    request.set_trial(pre_vote);
-    SendWhenDurable(agreement, voter.address(), std::move(message), actions);
+  if (agreement.role != AgreementRole::kCandidate) {
+    return;
   }
-  ActOnVotes(agreement, now, actions);
+  ++agreement.election.results[result];
+  // A trial changes nothing, and is repeated while a majority is unreachable.
+  if (result == ElectionResult::kWon || agreement.election.pre_vote) {
+    return;
+  }
+  LogPoolEvent(
+      actions, LogLevel::kWarning, "election_failed",
+      {{"result", std::string(ToString(result))},
+       {"term", std::to_string(agreement.stored.term())},
+       {"votes", std::to_string(agreement.election.votes.size())},
+       {"write_ms", Milliseconds(WriteTimeOf(agreement, now))},
+       {"majority_write_ms", Milliseconds(MajorityWriteTime(agreement, now))}});
 }
 
 }  // namespace detail
@@ -140,12 +290,15 @@
   peer.store_id = heartbeat.store_id();
   peer.last_received_at = now;
   peer.is_leader = heartbeat.leads();
+  peer.write_time = heartbeat.write_ms() * kMillisecond;
+  peer.is_writing = heartbeat.is_writing();
   const bool allowed = detail::MayElectQuickly(agreement);
-  if (allowed && !agreement.quick_election_allowed &&
+  if (allowed && !agreement.election.quick_allowed &&
+      !agreement.election.is_open &&
       agreement.role == AgreementRole::kFollower) {
-    detail::ScheduleQuickElection(agreement, now);
+    ScheduleQuickElection(agreement, now);
   }
-  agreement.quick_election_allowed = allowed;
+  agreement.election.quick_allowed = allowed;
 }
 
 void OnVoteRequest(Agreement& agreement,
@@ -161,20 +314,23 @@
   if (!request.trial()) {
     detail::AdoptTerm(agreement, request.term(), now, actions);
   }
-  const bool up_to_date =
-      detail::EntryId{request.last_term(), request.last_index()} >=
-      detail::EntryIdOf(detail::NewestEntry(agreement));
+  const bool up_to_date = EntryId{request.last_term(), request.last_index()} >=
+                          detail::EntryIdOf(detail::NewestEntry(agreement));
   const uint64_t voted_for = agreement.stored.voted_for();
   const bool can_vote =
       request.trial()
-          ? request.term() > agreement.stored.term()
+          ? request.term() > agreement.stored.term() &&
+                (voted_for == request.candidate() ||
+                 !IsElectionInProgress(agreement, now))
           : request.term() == agreement.stored.term() &&
                 (voted_for == 0 || voted_for == request.candidate());
   const bool granted = up_to_date && can_vote;
+  if (granted && request.trial()) {
+    PostponeElection(agreement, now);
+  }
   if (granted && !request.trial() && voted_for == 0) {
-    agreement.stored.set_voted_for(request.candidate());
-    detail::Persist(agreement, actions);
-    detail::ScheduleElection(agreement, now);
+    OpenElection(agreement, request.candidate());
+    detail::Persist(agreement, now, actions);
   }
   wire::PoolMessage message;
   wire::VoteReply& reply = *message.mutable_vote_reply();
@@ -191,15 +347,16 @@
                  Micros now,
                  PoolActions& actions) {
   const uint64_t requested_term =
-      agreement.stored.term() + (agreement.pre_vote ? 1 : 0);
+      agreement.stored.term() + (agreement.election.pre_vote ? 1 : 0);
   if (!reply.trial()) {
     detail::AdoptTerm(agreement, reply.term(), now, actions);
   }
   if (agreement.role != AgreementRole::kCandidate || !reply.granted() ||
-      reply.trial() != agreement.pre_vote || reply.term() != requested_term) {
+      reply.trial() != agreement.election.pre_vote ||
+      reply.term() != requested_term) {
     return;
   }
-  agreement.votes.insert(reply.voter());
+  agreement.election.votes.insert(reply.voter());
   ActOnVotes(agreement, now, actions);
 }
 
--- a/pool/agreement/agreement_quorum.cc
+++ b/pool/agreement/agreement_quorum.cc
@@ -42,6 +42,21 @@
 
 namespace detail {
 
+bool HoldsLease(const Agreement& agreement, Micros now) {
+  if (agreement.role != AgreementRole::kLeader) {
+    return false;
+  }
+  return HasMajority(NewestEntry(agreement), [&](const wire::Voter& voter) {
+    if (voter.store_id() == StoreId(agreement)) {
+      return true;
+    }
+    const FollowerState* follower = FollowerOf(agreement, voter);
+    return follower != nullptr && follower->acknowledged_round_sent_at != 0 &&
+           now - follower->acknowledged_round_sent_at <
+               agreement.options.leader_lease;
+  });
+}
+
 void ReviewQuorum(Agreement& agreement, Micros now, PoolActions& actions) {
   if (now < agreement.quorum_review_due) {
     return;
@@ -50,8 +65,7 @@
   if (HasQuorum(agreement, now)) {
     if (agreement.no_quorum_reported) {
       LogPoolEvent(actions, LogLevel::kInfo, "quorum_regained",
-                   {{"after_ms", std::to_string((now - agreement.quorum_at) /
-                                                kMillisecond)}});
+                   {{"after_ms", Milliseconds(now - agreement.quorum_at)}});
     }
     agreement.no_quorum_reported = false;
     agreement.quorum_at = now;
@@ -63,11 +77,14 @@
   }
   agreement.no_quorum_reported = true;
   const wire::RegisterState& state = NewestEntry(agreement);
-  LogPoolEvent(actions, LogLevel::kError, "no_quorum",
-               {{"voters", std::to_string(state.voters_size())},
-                {"replaced", std::to_string(state.replaced_voters_size())},
-                {"missing", MissingVoters(agreement, now)},
-                {"version", std::to_string(state.routing().version())}});
+  LogPoolEvent(
+      actions, LogLevel::kError, "no_quorum",
+      {{"voters", std::to_string(state.voters_size())},
+       {"replaced", std::to_string(state.replaced_voters_size())},
+       {"missing", MissingVoters(agreement, now)},
+       {"write_ms", Milliseconds(WriteTimeOf(agreement, now))},
+       {"majority_write_ms", Milliseconds(MajorityWriteTime(agreement, now))},
+       {"version", std::to_string(state.routing().version())}});
 }
 
 }  // namespace detail
--- a/pool/agreement/agreement_requests.cc
+++ b/pool/agreement/agreement_requests.cc
@@ -44,6 +44,33 @@
   return token;
 }
 
+// Returns what the operator is told. A change that was proposed may still take
+// effect.
+ChangeResult ResultOf(ChangeEnd end) {
+  switch (end) {
+    case ChangeEnd::kDurable:
+      return ChangeResult::kDurable;
+    case ChangeEnd::kNoLeader:
+    case ChangeEnd::kNoMajority:
+      return ChangeResult::kNotLeader;
+    default:
+      return ChangeResult::kUnknown;
+  }
+}
+
+// Counts the answer to a change, and logs it unless the change is durable.
+void RecordChangeEnd(Agreement& agreement,
+                     ChangeEnd end,
+                     PoolActions& actions) {
+  ++agreement.change_ends[end];
+  if (end != ChangeEnd::kDurable) {
+    LogPoolEvent(actions, LogLevel::kInfo, "configuration_not_confirmed",
+                 {{"reason", std::string(ToString(end))},
+                  {"leader", agreement.leader},
+                  {"term", std::to_string(agreement.stored.term())}});
+  }
+}
+
 // Answers the forwarded requests whose leader was replaced or is late.
 void ExpireForwardedRequests(Agreement& agreement,
                              Micros now,
@@ -54,7 +81,11 @@
       return false;
     }
     if (request.is_change) {
-      actions.emplace_back(ReplyChange{request.token, ChangeResult::kUnknown});
+      const bool is_changed = request.leader != agreement.leader;
+      detail::AnswerChange(
+          agreement, {request.token, ""},
+          is_changed ? ChangeEnd::kLeaderChanged : ChangeEnd::kLeaderSilent,
+          actions);
     } else {
       actions.emplace_back(ReplyRead{request.token, false});
     }
@@ -66,9 +97,12 @@
 
 namespace detail {
 
-void AnswerChange(const Requester& requester,
-                  ChangeResult result,
+void AnswerChange(Agreement& agreement,
+                  const Requester& requester,
+                  ChangeEnd end,
                   PoolActions& actions) {
+  RecordChangeEnd(agreement, end, actions);
+  const ChangeResult result = ResultOf(end);
   if (requester.from.empty()) {
     actions.emplace_back(ReplyChange{requester.token, result});
     return;
@@ -84,7 +118,7 @@
     if (change.index > agreement.committed_index) {
       return false;
     }
-    AnswerChange(change.requester, ChangeResult::kDurable, actions);
+    AnswerChange(agreement, change.requester, ChangeEnd::kDurable, actions);
     return true;
   });
 }
@@ -94,7 +128,8 @@
     if (now < change.timeout_at) {
       return false;
     }
-    AnswerChange(change.requester, ChangeResult::kUnknown, actions);
+    AnswerChange(agreement, change.requester, ChangeEnd::kNotWrittenInTime,
+                 actions);
     return true;
   });
   ExpireForwardedRequests(agreement, now, actions);
@@ -116,7 +151,10 @@
     return;
   }
   if (!MayServeReads(agreement, now)) {
-    detail::AnswerChange(requester, ChangeResult::kNotLeader, actions);
+    const bool leads = agreement.role == AgreementRole::kLeader;
+    detail::AnswerChange(agreement, requester,
+                         leads ? ChangeEnd::kNoMajority : ChangeEnd::kNoLeader,
+                         actions);
     return;
   }
   const uint64_t current_version =
@@ -141,6 +179,11 @@
   const auto token = TakeForwardedRequest(agreement, answer.number(), true);
   if (token) {
     const auto result = static_cast<ChangeResult>(answer.result());
+    RecordChangeEnd(agreement,
+                    result == ChangeResult::kDurable
+                        ? ChangeEnd::kDurable
+                        : ChangeEnd::kLeaderRefused,
+                    actions);
     actions.emplace_back(ReplyChange{*token, result});
   }
 }
@@ -185,21 +228,8 @@
 }
 
 bool MayServeReads(const Agreement& agreement, Micros now) {
-  if (agreement.role != AgreementRole::kLeader ||
-      agreement.committed.term() != agreement.stored.term()) {
-    return false;
-  }
-  return detail::HasMajority(
-      detail::NewestEntry(agreement), [&](const wire::Voter& voter) {
-        if (voter.store_id() == detail::StoreId(agreement)) {
-          return true;
-        }
-        const FollowerState* follower = detail::FollowerOf(agreement, voter);
-        return follower != nullptr &&
-               follower->acknowledged_round_sent_at != 0 &&
-               now - follower->acknowledged_round_sent_at <
-                   agreement.options.leader_lease;
-      });
+  return agreement.committed.term() == agreement.stored.term() &&
+         detail::HoldsLease(agreement, now);
 }
 
 }  // namespace goldcrest
--- a/pool/agreement/agreement_voters.cc
+++ b/pool/agreement/agreement_voters.cc
@@ -35,8 +35,7 @@
   for (const auto& [address, follower] : agreement.followers) {
     const auto peer = agreement.peers.find(address);
     if (peer != agreement.peers.end() &&
-        follower.durable_term == detail::NewestEntry(agreement).term() &&
-        follower.durable_index == detail::NewestEntry(agreement).index()) {
+        follower.durable == detail::EntryIdOf(detail::NewestEntry(agreement))) {
       caught_up.insert(peer->second.store_id);
     }
   }
--- a/pool/mesh/heartbeat_message.cc
+++ b/pool/mesh/heartbeat_message.cc
@@ -42,6 +42,8 @@
   heartbeat.set_routing_version(mesh.routing_version);
   heartbeat.set_store_id(mesh.store_id);
   heartbeat.set_leads(mesh.is_leader);
+  heartbeat.set_write_ms(static_cast<uint32_t>(mesh.write_time / kMillisecond));
+  heartbeat.set_is_writing(mesh.is_writing);
   heartbeat.set_wants_routing(mesh.routing_request_due && !is_answer &&
                               to == mesh.routing_source);
   const Micros hears_timeout = HearsTimeout(mesh, to);
--- a/pool/mesh/mesh.h
+++ b/pool/mesh/mesh.h
@@ -101,6 +101,10 @@
   bool probes_quickly = false;
   uint64_t first_probe = 0;
   uint64_t store_id = 0;
+  // Of control daemons: how long the disk takes for a write, and whether one is
+  // in progress.
+  Micros write_time = 0;
+  bool is_writing = false;
   bool is_leader = false;  // this daemon is the leader of the agreement
   wire::PoolLoad load;
 };
--- a/pool/pool_step.cc
+++ b/pool/pool_step.cc
@@ -329,6 +329,8 @@
     SendDueHeartbeats(board.agreement, now.mono, actions);
   }
   board.mesh.is_leader = board.agreement.role == AgreementRole::kLeader;
+  board.mesh.write_time = WriteTimeOf(board.agreement, now.mono);
+  board.mesh.is_writing = !board.agreement.writes.times.requested_at.empty();
   if (is_tick) {
     board.mesh.routing_version = board.agreement.committed.routing().version();
     RunDuePoolWork(board, now.mono, actions);
--- a/pool/testing/agreement_voters_test.cc
+++ b/pool/testing/agreement_voters_test.cc
@@ -119,7 +119,7 @@
   const auto granted = [&](Micros now) {
     actions.clear();
     OnVoteRequest(voter, "other", request, now, actions);
-    OnRegisterStored(voter, voter.write_sequence, true, now, actions);
+    OnRegisterStored(voter, voter.writes.newest_sequence, true, now, actions);
     return std::any_of(
         actions.begin(), actions.end(), [](const PoolAction& action) {
           const auto* send = std::get_if<SendMessage>(&action);
--- a/pool/testing/fake_pool.cc
+++ b/pool/testing/fake_pool.cc
@@ -42,6 +42,7 @@
       control.address =
           "control-" + domain + (i == 0 ? "" : std::to_string(i + 1));
       control.domain = domain;
+      control.disk_write_time = options.disk_write_time;
       domain_of_address_[control.address] = control.domain;
     }
   }
@@ -85,6 +86,8 @@
   const int life = ++control.incarnation;
   control.running = true;
   control.paused = false;
+  control.is_writing = false;
+  control.queued_write.reset();
   PoolStartParams start;
   start.options.features = options_.features;
   start.mesh.rates = options_.rates;
@@ -98,6 +101,7 @@
   }
   start.agreement.self = control.address;
   start.agreement.failure_domain = control.domain;
+  start.agreement.tolerated_losses = options_.tolerated_losses;
   start.stored = control.disk;
   start.first_start = first_start;
   start.random_seed = random_();
@@ -248,19 +252,8 @@
         *pending_read->second = read->newest ? routing.version() : 0;
       }
     } else if (auto* persist = std::get_if<PersistRegister>(&action)) {
-      const int life = controls_[index].incarnation;
-      Schedule(now_ + options_.disk_write_time,
-               [this, index, life, write = *persist] {
-                 FakeControl& control = controls_[index];
-                 if (control.incarnation != life || !control.running) {
-                   return;
-                 }
-                 const bool ok = !control.disk_write_fails;
-                 if (ok) {
-                   control.disk = write.stored;
-                 }
-                 StepControl(index, RegisterStored{write.sequence, ok});
-               });
+      controls_[index].queued_write = std::move(*persist);
+      WriteToDisk(index);
     } else if (const auto* line = std::get_if<LogEvent>(&action)) {
       ++logged_[std::string(line->event)];
       if (options_.print_log) {
@@ -274,6 +267,39 @@
   }
 }
 
+void FakePool::WriteToDisk(size_t index) {
+  FakeControl& control = controls_[index];
+  if (control.is_writing || !control.queued_write) {
+    return;
+  }
+  control.is_writing = true;
+  const int life = control.incarnation;
+  Schedule(now_ + control.disk_write_time,
+           [this, index, life, write = *control.queued_write] {
+             if (controls_[index].incarnation == life) {
+               EndWrite(index, write);
+             }
+           });
+  control.queued_write.reset();
+}
+
+void FakePool::EndWrite(size_t index, const PersistRegister& write) {
+  FakeControl& control = controls_[index];
+  const bool ok = !control.disk_write_fails;
+  if (ok) {
+    control.disk = write.stored;
+  }
+  control.is_writing = false;
+  WriteToDisk(index);
+  StepControl(index, RegisterStored{write.sequence, ok});
+}
+
+void FakePool::SetDiskWriteTime(Micros duration) {
+  for (FakeControl& control : controls_) {
+    control.disk_write_time = duration;
+  }
+}
+
 void FakePool::Deliver(const std::string& from,
                        SendMessage send,
                        uint64_t incarnation) {
--- a/pool/testing/fake_pool.h
+++ b/pool/testing/fake_pool.h
@@ -48,6 +48,7 @@
   Micros message_delay = kMillisecond;  // of each message
   double message_loss = 0;              // share of the messages between daemons
   Micros disk_write_time = 9 * kMillisecond;  // duration of a disk write
+  int tolerated_losses = 1;                   // of control daemons
 };
 
 // Time from the request to stop a daemon until it is killed.
@@ -75,6 +76,10 @@
   std::string domain;
   PoolBoard board;
   wire::StoredRegister disk;
+  Micros disk_write_time = 0;  // of the writes that begin from now on
+  // The newest state that waits for the write in progress.
+  std::optional<PersistRegister> queued_write;
+  bool is_writing = false;
   bool running = true;
   bool paused = false;
   bool disk_write_fails = false;
@@ -138,6 +143,8 @@
   // address, a service that is in no configuration, and a later start.
   void ReportOfOtherWriter(size_t worker, size_t control);
 
+  // Sets the duration of the writes that all disks begin from now on.
+  void SetDiskWriteTime(Micros duration);
   // Sends a configuration to a control daemon; `answer` is set when the daemon
   // replies.
   void ChangeConfiguration(size_t control,
@@ -237,6 +244,10 @@
   void StepEntry(size_t index, const EntryEvent& event);
   void PlaceAfterEntryEvents(size_t index);
   void Perform(size_t index, bool is_control, PoolActions actions);
+  // Begins to write the queued state, unless a write is in progress: as
+  // RegisterFile does, the disk writes one state at a time, the newest.
+  void WriteToDisk(size_t index);
+  void EndWrite(size_t index, const PersistRegister& write);
   void Deliver(const std::string& from, SendMessage send, uint64_t incarnation);
   // Hands the message to its receiver, unless it is dropped or held up.
   void Receive(const std::string& from, const SendMessage& send);
--- a/pool/testing/full_disks_test.cc
+++ b/pool/testing/full_disks_test.cc
@@ -321,9 +321,11 @@
   const Micros now = 3 * kSecond;
   OnVoteRequest(agreement, "candidate", request, now, actions);
   CHECK(count_messages() == 0);
-  OnRegisterStored(agreement, agreement.write_sequence, false, now, actions);
+  OnRegisterStored(agreement, agreement.writes.newest_sequence, false, now,
+                   actions);
   CHECK(count_messages() == 0);
-  OnRegisterStored(agreement, agreement.write_sequence, true, now, actions);
+  OnRegisterStored(agreement, agreement.writes.newest_sequence, true, now,
+                   actions);
   CHECK(count_messages() == 1);
 }
 
--- a/pool/testing/run_history.cc
+++ b/pool/testing/run_history.cc
@@ -24,6 +24,13 @@
 constexpr Micros kCancelTime = 3 * kSecond;
 constexpr Micros kStopTime = 50 * kMillisecond;
 constexpr Micros kDrainTime = 2 * kSecond;
+// Time in which a change is confirmed (bounds.recovery_s), and after which an
+// operator sends it to the next control daemon.
+constexpr Micros kConfirmTime = 12 * kSecond;
+constexpr Micros kOperatorTimeout = kSecond;
+constexpr uint64_t kLastVersion = 100;
+// Longest write of slow disks; the shortest is kSlowWrite.
+constexpr Micros kSlowestWrite = 2500 * kMillisecond;
 constexpr int kMaxAttempts = 3;
 constexpr int kCrashesToGiveUp = 2;
 
@@ -90,7 +97,9 @@
 class History {
  public:
   History(uint64_t seed, bool print_log)
-      : pool_(OptionsOf(seed, print_log)), random_(seed * 7919 + 1) {}
+      : pool_(OptionsOf(seed, print_log)),
+        random_(seed * 7919 + 1),
+        disk_random_(seed * 104'729 + 1) {}
 
   HistoryResult Play() {
     for (FakeWorker& worker : pool_.workers()) {
@@ -104,6 +113,7 @@
     pool_.Run(kSecond);
     const Micros gap = Between(30, 300) * kMillisecond;
     DrawTroubles();
+    DrawSlowDisks();
     const Micros quiet_at = pool_.now() + kTroublePhase;
     Micros submit_at = pool_.now();
     while (pool_.now() < quiet_at) {
@@ -118,6 +128,7 @@
     while (pool_.now() < end) {
       Step();
     }
+    CheckConfiguration();
     Check();
     return result_;
   }
@@ -217,6 +228,23 @@
         [&](const Cancelled& cancelled) { return cancelled.job == job; });
   }
 
+  // In one history of four, the disks become slow in the course of it and stay
+  // so. Drawn apart, so that the other histories are what they were without.
+  void DrawSlowDisks() {
+    if (disk_random_() % 4 != 0) {
+      return;
+    }
+    result_.troubles.emplace_back("slow_disks");
+    std::uniform_int_distribution<Micros> write_time(kSlowWrite, kSlowestWrite);
+    std::uniform_int_distribution<Micros> delay(0, kTroublePhase);
+    for (FakeControl& control : pool_.controls()) {
+      EndAfter(delay(disk_random_),
+               [&control, write_time = write_time(disk_random_)] {
+                 control.disk_write_time = write_time;
+               });
+    }
+  }
+
   void EndAfter(Micros duration, std::function<void()> end) {
     ends_.emplace(pool_.now() + duration, std::move(end));
   }
@@ -246,11 +274,13 @@
   void RestartSeveralTimes(size_t worker);
   void CancelAnyJob();
   void Check();
+  void CheckConfiguration();
   void CheckCancelled(const Cancelled& cancelled);
   void CheckFailed(int job);
 
   FakePool pool_;
   std::mt19937_64 random_;
+  std::mt19937_64 disk_random_;
   // Share of the troubles of workers that meet the first one, and thus each
   // other.
   double share_of_first_worker_ = 0;
@@ -471,6 +501,23 @@
   }
 }
 
+// An operator sends a change to one control daemon after another until it is
+// confirmed.
+void History::CheckConfiguration() {
+  const Micros until = pool_.now() + kConfirmTime;
+  std::deque<ChangeResult> answers;
+  for (size_t i = 0; pool_.now() < until; ++i) {
+    ChangeResult& answer = answers.emplace_back(ChangeResult::kUnknown);
+    pool_.ChangeConfiguration(i % pool_.controls().size(), kLastVersion,
+                              &answer);
+    pool_.Run(kOperatorTimeout);
+    if (answer == ChangeResult::kDurable) {
+      return;
+    }
+  }
+  result_.violations.emplace_back("CONFIG: no change is confirmed afterwards");
+}
+
 void History::Check() {
   for (const std::string& violation : pool_.violations()) {
     // A job that is sent again may run again after its end.
--- a/pool/testing/run_history.h
+++ b/pool/testing/run_history.h
@@ -10,8 +10,8 @@
 // crash and come back, several times, with a new clock each time, leave, and
 // are cut off; reports are late or from another writer; clocks run slow;
 // daemons are paused, killed and cut off; callers cancel their jobs and send
-// them again. What the workers and callers have seen is checked afterwards; the
-// order of events is not prescribed.
+// them again; disks become slow. What the workers and callers have seen is
+// checked afterwards; the order of events is not prescribed.
 
 #include <cstdint>
 #include <string>
@@ -26,6 +26,7 @@
   //   TWICE: two runs of a task at the same time
   //   UNASKED: a job starts or runs on although its cancelling was confirmed
   //   LOST: a job is shown as failed without a cause, or has no answer
+  //   CONFIG: no change of the configuration is confirmed after the troubles
   //   DRAIN: a task starts on a worker that has long been draining
   std::vector<std::string> violations;
   int runs = 0;  // started by workers
