Agree on a configuration when a sync takes longer than the time to a repetition

Operators of goldcrestd saw: with syncs of over 150 ms the first document never came into force, and changes were answered 503 (no majority).

Cause: a proposer repeats its request every 150 ms. A voter that was still writing its vote for it answered the repetition as if a higher ballot had been promised, and the proposer began anew. Also, a change ended after 4 s however long two syncs take, and proposers that met interrupted each other's writes.

Change: a request whose vote is being written is ignored, since its answer follows; the time for a change, the delay after a conflict and that before other VMs propose the first document grow with the write time of a majority, which heartbeats report. disk_slow in the log.

--- a/goldcrest/configuration_agreement.cc
+++ b/goldcrest/configuration_agreement.cc
@@ -22,9 +22,19 @@
 constexpr int kHistoryVersions = 512;
 constexpr size_t kMaxProposals = 64;
 constexpr Micros kFetchPeriod = 300 * kMillisecond;
-// VMs other than the first voter propose the first document after this delay.
+// VMs other than the first voter propose the first document after this delay,
+// and the time that the first one needs for it.
 constexpr Micros kBootstrapDelay = 3 * kSecond;
-constexpr int64_t kMaxBackoffMs = 40;
+// Delays before a proposal is retried that met a higher ballot. The longest one
+// is longer by the time that the other proposer needs.
+constexpr Micros kMinBackoff = 5 * kMillisecond;
+constexpr Micros kMaxBackoff = 40 * kMillisecond;
+
+// Returns the time that the voters need to write their votes for a proposal, in
+// both phases.
+Micros VotingTime(const Blackboard& bb, Micros now) {
+  return 2 * detail::MajorityWriteTime(bb, now);
+}
 
 // Returns the body of a successful reply.
 std::string VersionJson(const wire::ConfigurationState& state) {
@@ -373,8 +383,9 @@
     // Another proposer has a higher ballot: retry after a random delay.
     board.highest_ballot = std::max(board.highest_ballot, reply.promised());
     proposal.refused.insert(from);
-    std::uniform_int_distribution<int64_t> backoff(5, kMaxBackoffMs);
-    proposal.resend_at = now.mono + backoff(bb.random) * kMillisecond;
+    std::uniform_int_distribution<Micros> backoff(
+        kMinBackoff, kMaxBackoff + VotingTime(bb, now.mono));
+    proposal.resend_at = now.mono + backoff(bb.random);
     bb.timers.Set(proposal.resend_at, TimerKind::kConfiguration);
     return;
   }
@@ -424,7 +435,8 @@
     return;
   }
   ConfigurationProposal& proposal = board.proposals.front();
-  if (now.mono - proposal.started_at > bb.tuning.configuration_timeout) {
+  if (now.mono - proposal.started_at >
+      bb.tuning.configuration_timeout + VotingTime(bb, now.mono)) {
     ReplyWithoutMajority(board, proposal, actions);
     StartNextProposal(bb, now, actions);
     return;
@@ -486,7 +498,8 @@
     return;
   }
   const bool first_voter = Voters(bb).front() == bb.deployment.self;
-  if (!first_voter && now.mono < board.bootstrap_at) {
+  if (!first_voter &&
+      now.mono < board.bootstrap_at + VotingTime(bb, now.mono)) {
     return;
   }
   ConfigurationPut put;
--- a/goldcrest/configuration_board.h
+++ b/goldcrest/configuration_board.h
@@ -13,6 +13,7 @@
 #include "goldcrest/action.h"
 #include "goldcrest/configuration.h"
 #include "goldcrest/time_units.h"
+#include "goldcrest/write_times.h"
 #include "proto/goldcrest.pb.h"
 
 namespace goldcrest {
@@ -56,6 +57,8 @@
   uint64_t highest_ballot = 0;
   // Replies to proposers that wait until a vote is durable, by journal token.
   std::map<uint64_t, SendPeer> unsynced_replies;
+  // Of the writes of these votes, by journal token.
+  WriteTimes write_times;
   // Replies to operators that wait until the version in the reply is durable at
   // this VM, by journal token.
   std::multimap<uint64_t, ReplyJson> unsynced_answers;
--- a/goldcrest/configuration_detail.h
+++ b/goldcrest/configuration_detail.h
@@ -22,8 +22,15 @@
                 const wire::ConfigurationState& state,
                 Actions& actions);
 
+// Returns the time in which a majority of the voters writes a vote, as far as
+// this VM knows.
+Micros MajorityWriteTime(const Blackboard& bb, Micros now);
+
+// Logs when this VM's disk has become slow and when it has recovered.
+void ReviewDisk(Blackboard& bb, Micros now, Actions& actions);
+
 // Votes and replies. With a disk, a granting reply waits until the vote is
-// synced.
+// synced; the same request is ignored until then.
 void VoteAndReply(Blackboard& bb,
                   const std::string& to,
                   const wire::ConfigurationRequest& request,
--- a/goldcrest/configuration_voter.cc
+++ b/goldcrest/configuration_voter.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "goldcrest/configuration_agreement.h"
 #include "goldcrest/configuration_detail.h"
@@ -49,6 +50,20 @@
   return reply;
 }
 
+// Returns whether the vote that this request asks for is being written: the
+// proposer repeats its requests, and is answered once that is done.
+bool IsBeingWritten(const Blackboard& bb,
+                    const std::string& from,
+                    const wire::ConfigurationRequest& request) {
+  const auto& replies = bb.configuration.unsynced_replies;
+  return std::any_of(replies.begin(), replies.end(), [&](const auto& entry) {
+    const wire::ConfigurationReply& reply =
+        entry.second.message.configuration_reply();
+    return entry.second.vm == from && reply.phase() == request.phase() &&
+           reply.ballot() == request.ballot();
+  });
+}
+
 // Sends a vote, or handles it directly when this VM is the proposer.
 void DeliverReply(Blackboard& bb,
                   SendPeer reply,
@@ -84,11 +99,38 @@
 
 namespace detail {
 
+Micros MajorityWriteTime(const Blackboard& bb, Micros now) {
+  std::vector<Micros> times;
+  for (const std::string& voter : Voters(bb)) {
+    const auto peer = bb.membership.peers.find(voter);
+    times.push_back(peer == bb.membership.peers.end()
+                        ? ExpectedWriteTime(bb.configuration.write_times, now)
+                        : peer->second.write_time);
+  }
+  return goldcrest::MajorityWriteTime(std::move(times));
+}
+
+void ReviewDisk(Blackboard& bb, Micros now, Actions& actions) {
+  WriteTimes& times = bb.configuration.write_times;
+  const DiskSpeedChange change = ReviewDiskSpeed(times, now);
+  if (change == DiskSpeedChange::kNone) {
+    return;
+  }
+  const bool became_slow = change == DiskSpeedChange::kBecameSlow;
+  Log(actions, became_slow ? LogLevel::kWarning : LogLevel::kInfo,
+      ToString(change),
+      {{"write_ms",
+        std::to_string(ExpectedWriteTime(times, now) / kMillisecond)}});
+}
+
 void VoteAndReply(Blackboard& bb,
                   const std::string& to,
                   const wire::ConfigurationRequest& request,
                   StepTime now,
                   Actions& actions) {
+  if (IsBeingWritten(bb, to, request)) {
+    return;
+  }
   SendPeer reply;
   reply.vm = to;
   *reply.message.mutable_configuration_reply() = Vote(bb, request);
@@ -102,6 +144,7 @@
   append.token = NextId(bb);
   *append.record.mutable_configuration_vote() = bb.configuration.vote;
   bb.configuration.unsynced_replies[append.token] = std::move(reply);
+  BeginWrite(bb.configuration.write_times, append.token, now.mono);
   actions.emplace_back(std::move(append));
 }
 
@@ -117,6 +160,7 @@
   }
   SendPeer reply = std::move(found->second);
   board.unsynced_replies.erase(found);
+  EndWrite(board.write_times, token, ok, now.mono);
   if (!ok) {
     Log(actions, LogLevel::kError, "vote_not_durable", {});
     return;
--- a/goldcrest/membership.cc
+++ b/goldcrest/membership.cc
@@ -136,6 +136,9 @@
   heartbeat.set_echo_incarnation(peer.incarnation);
   heartbeat.set_echo_sequence(peer.last_sequence);
   heartbeat.set_granted_sequence(peer.granted_sequence);
+  heartbeat.set_write_ms(static_cast<uint32_t>(
+      ExpectedWriteTime(bb.configuration.write_times, now.mono) /
+      kMillisecond));
   heartbeat.set_earlier_incarnation(EarlierIncarnationOf(bb, peer, now));
   peer.sent_heartbeat_times.emplace_back(heartbeat.sequence(), now.mono);
   if (peer.sent_heartbeat_times.size() > kMaxSentHeartbeats) {
@@ -423,6 +426,7 @@
   peer.max_memory_mb = heartbeat.max_memory_mb();
   peer.max_accelerators = heartbeat.max_accelerators();
   peer.http_address = heartbeat.http_address();
+  peer.write_time = heartbeat.write_ms() * kMillisecond;
   bb.workers.max_lease_epoch =
       std::max(bb.workers.max_lease_epoch, heartbeat.max_lease_epoch());
   ProcessEcho(bb, peer, heartbeat, actions);
--- a/goldcrest/membership_state.h
+++ b/goldcrest/membership_state.h
@@ -64,6 +64,7 @@
   uint32_t max_memory_mb = 0;
   uint32_t max_accelerators = 0;
   std::string http_address;
+  Micros write_time = 0;  // of the peer's disk
   // Sequence numbers and send times of this VM's latest heartbeats to the peer.
   std::deque<std::pair<uint64_t, Micros>> sent_heartbeat_times;
   // Send time of the latest heartbeat of this VM that the peer echoed.
--- a/goldcrest/step.cc
+++ b/goldcrest/step.cc
@@ -12,6 +12,7 @@
 #include "goldcrest/claim_vote_delivery.h"
 #include "goldcrest/claim_voter.h"
 #include "goldcrest/configuration_agreement.h"
+#include "goldcrest/configuration_detail.h"
 #include "goldcrest/drain.h"
 #include "goldcrest/forwarding.h"
 #include "goldcrest/jobs.h"
@@ -40,6 +41,7 @@
   TakeOverOrphans(bb, now, actions);
   DropEmptyLanes(bb);
   BootstrapConfiguration(bb, now, actions);
+  detail::ReviewDisk(bb, now.mono, actions);
   bb.placement_due = true;
   bb.timers.Set(now.mono + kHousekeepingPeriod, TimerKind::kHousekeeping);
 }
--- a/goldcrest/testing/fake_world.cc
+++ b/goldcrest/testing/fake_world.cc
@@ -401,12 +401,26 @@
   }
 }
 
+Micros FakeWorld::SyncedAt(Vm& vm) {
+  const Micros sync_time = options_.sync_time;
+  if (sync_time == 0) {
+    return std::max(vm.disk_busy_until + 1, now_ + 2 * RandomDelay());
+  }
+  if (now_ >= vm.disk_busy_until) {
+    vm.sync_ends_at = now_ + sync_time;
+    return vm.sync_ends_at;
+  }
+  if (now_ >= vm.sync_ends_at) {
+    vm.sync_ends_at = vm.disk_busy_until;  // the next sync has begun
+  }
+  return vm.sync_ends_at + sync_time;
+}
+
 void FakeWorld::PerformOne(Vm& vm, const AppendJournal& action) {
   const uint64_t incarnation = vm.incarnation;
   const std::string name = vm.name;
   const bool has_disk = vm.has_disk;
-  vm.disk_busy_until =
-      std::max(vm.disk_busy_until + 1, now_ + 2 * RandomDelay());
+  vm.disk_busy_until = SyncedAt(vm);
   ScheduleAt(vm.disk_busy_until, [this, name, incarnation, action, has_disk] {
     Vm& writer = *vms_.at(name);
     if (!writer.board || writer.incarnation != incarnation) {
--- a/goldcrest/testing/fake_world.h
+++ b/goldcrest/testing/fake_world.h
@@ -44,6 +44,9 @@
   // twice such a delay or longer.
   Micros min_message_delay = 200;
   Micros max_message_delay = 2 * kMillisecond;
+  // Duration of a disk sync, if it is not 0; records that are appended during
+  // one are synced together by the next.
+  Micros sync_time = 0;
   // Maximum error of a VM's wall clock in either direction, in milliseconds.
   int64_t clock_skew_ms = 200;
   Tuning tuning;
@@ -209,6 +212,8 @@
   void PerformOne(Vm& vm, const LookupTask& action);
   void PerformOne(Vm& vm, const SendPeer& action);
   void PerformOne(Vm& vm, const AppendJournal& action);
+  // Returns when a record that is appended now is synced.
+  Micros SyncedAt(Vm& vm);
   void PerformOne(Vm& vm, const LogEvent& action);
   void ScheduleTick(Vm& vm);
   bool IsCut(const std::string& from, const std::string& to) const;
--- a/goldcrest/testing/fake_world_parts.h
+++ b/goldcrest/testing/fake_world_parts.h
@@ -28,6 +28,7 @@
   // When the most recently requested append is synced. Appends are synced in
   // the order of their requests.
   Micros disk_busy_until = 0;
+  Micros sync_ends_at = 0;  // of the sync in progress; WorldOptions::sync_time
   Micros next_tick_at = 0;
 };
 
