Let the soak draw slow disks

The delay comes from outside: a small library that is loaded into the daemons reads it from a file at each sync. Plans without the flag are unchanged.

--- a/soak/fault_plan.cc
+++ b/soak/fault_plan.cc
@@ -14,6 +14,8 @@
 constexpr double kSeriesProbability = 0.35;
 // Probability that a fault is a stop series, if the plan has any.
 constexpr double kStopSeriesProbability = 0.5;
+// Probability that a fault is a slow disk, if the plan has any.
+constexpr double kSlowDiskProbability = 0.25;
 // Number of kinds that each plan draws from.
 constexpr size_t kCommonFaults = static_cast<size_t>(SoakFault::kStopSeries);
 
@@ -50,6 +52,9 @@
     if (options.stop_series && uniform(random) < kStopSeriesProbability) {
       fault.fault = SoakFault::kStopSeries;
     }
+    if (options.slow_disks && uniform(random) < kSlowDiskProbability) {
+      fault.fault = SoakFault::kSlowDisk;
+    }
     if (at + kMinDuration >= options.duration) {
       return plan;
     }
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -42,10 +42,11 @@
   kSlowCallers,     // data between callers and an entry daemon is delayed
   kChangeSeries,    // two operators change the configuration repeatedly
   kStopSeries,      // several daemons are drained, with overlapping drains
+  kSlowDisk,        // syncs of the disks of one or all control daemons are slow
 };
 
 // Names of the faults in printed plans, indexed by SoakFault.
-inline constexpr std::array<std::string_view, 23> kSoakFaultNames = {
+inline constexpr std::array<std::string_view, 24> kSoakFaultNames = {
     "kill",           "pause",           "pause_series",
     "restart",        "rolling_restart", "kill_all_control",
     "lose_disk",      "refuse_writes",   "cut_domain",
@@ -53,7 +54,7 @@
     "silence_worker", "lose_answers",    "slow_worker",
     "crash_worker",   "failing_worker",  "hanging_worker",
     "step_clock",     "reset_callers",   "slow_callers",
-    "change_series",  "stop_series"};
+    "change_series",  "stop_series",     "slow_disk"};
 
 inline std::string_view ToString(SoakFault fault) {
   return kSoakFaultNames[static_cast<size_t>(fault)];
@@ -77,6 +78,9 @@
   // Half of the faults are stop series. Without it there are none, and plans
   // are those of the time before this kind of fault.
   bool stop_series = false;
+  // A quarter of the faults are slow disks, and the disks are slow at the
+  // start. As with stop_series, plans without it do not change.
+  bool slow_disks = false;
 };
 
 // Returns the faults of the plan, ordered by start time. Equal options give
--- a/soak/fault_player.cc
+++ b/soak/fault_player.cc
@@ -23,6 +23,10 @@
 constexpr Micros kChangeGap = 60 * kMillisecond;
 // A worker's clock jumps by this, forwards or backwards.
 constexpr Micros kClockStep = 3 * kSecond;
+// Delays of each sync of a slow disk.
+constexpr std::array<Micros, 4> kSyncDelays = {
+    100 * kMillisecond, 800 * kMillisecond, 1500 * kMillisecond,
+    2500 * kMillisecond};
 
 // Time between two stops of a stop series.
 constexpr Micros kMinStopGap = 50 * kMillisecond;
@@ -181,6 +185,9 @@
     case SoakFault::kStopSeries:
       BeginStopSeries(fault);
       return;
+    case SoakFault::kSlowDisk:
+      BeginSlowDisk(fault);
+      return;
     case SoakFault::kLoseDisk: {
       SoakDaemon& control = TargetControlDaemon(fault);
       KillFor(control, fault.fault_duration);
@@ -200,6 +207,20 @@
   }
 }
 
+void FaultPlayer::BeginSlowDisk(const PlannedFault& fault) {
+  std::mt19937_64 random(fault.target);
+  const Micros delay = kSyncDelays[random() % kSyncDelays.size()];
+  const bool all = random() % 2 == 0;
+  for (SoakDaemon* control : deployment_.controls()) {
+    if (all || control == &TargetControlDaemon(fault)) {
+      deployment_.SetSyncDelay(*control, delay);
+      ScheduleAction(fault.fault_duration, [this, control](Micros) {
+        deployment_.SetSyncDelay(*control, 0);
+      });
+    }
+  }
+}
+
 void FaultPlayer::BeginStopSeries(const PlannedFault& fault) {
   std::mt19937_64 random(fault.target);
   std::vector<SoakDaemon*> stopped = deployment_.entries();
--- a/soak/fault_player.h
+++ b/soak/fault_player.h
@@ -42,6 +42,7 @@
   void Begin(const PlannedFault& fault, Micros now);
   void BeginDaemonFault(const PlannedFault& fault, Micros now);
   void BeginStopSeries(const PlannedFault& fault);
+  void BeginSlowDisk(const PlannedFault& fault);
   void BeginMeshFault(const PlannedFault& fault);
   void BeginWorkerFault(const PlannedFault& fault, Micros now);
   void BeginCallerFault(const PlannedFault& fault);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr char kService[] = "soak-service";
+// Delay of each sync until the deployment serves, if the plan has slow disks.
+constexpr Micros kFirstSyncDelay = 1500 * kMillisecond;
 constexpr char kReadyWorkers[] = "goldcrest_ready_workers";
 // How long one iteration of the loop waits for sockets.
 constexpr Micros kPollTimeout = 2 * kMillisecond;
@@ -324,6 +326,10 @@
 SoakResult RunSoak(const SoakOptions& options, const SoakWire& wire) {
   SoakResult result;
   SoakEnvironment environment(options, wire);
+  const Micros first_delay = options.plan.slow_disks ? kFirstSyncDelay : 0;
+  for (const SoakDaemon* control : environment.deployment.controls()) {
+    environment.deployment.SetSyncDelay(*control, first_delay);
+  }
   environment.deployment.StartAll();
   environment.callers.ChangeConfiguration();
   if (!WaitUntilServing(environment, kStartTimeout)) {
@@ -331,6 +337,9 @@
         "the deployment did not complete all jobs of one second within the "
         "start timeout");
   }
+  for (const SoakDaemon* control : environment.deployment.controls()) {
+    environment.deployment.SetSyncDelay(*control, 0);
+  }
   PlayFaults(environment);
   environment.RunUntil(MonotonicMicros() + options.recovery_time);
   CheckAllJobsComplete(environment, result);
--- a/soak/soak_deployment.cc
+++ b/soak/soak_deployment.cc
@@ -27,6 +27,8 @@
 constexpr char kMetricsPort[] = ":9464";
 // Suffix of the name of a disk's folder while its writes fail.
 constexpr char kAwaySuffix[] = "-away";
+// Suffix of the name of the file with the delay of the disk's syncs.
+constexpr char kDelaySuffix[] = "-delay";
 
 // Returns the IP address of "ip:port".
 std::string IpOf(const std::string& address) {
@@ -267,6 +269,10 @@
   }
 }
 
+void SoakDeployment::SetSyncDelay(const SoakDaemon& daemon, Micros delay) {
+  std::ofstream(DiskPath(daemon) + kDelaySuffix) << delay / kMillisecond;
+}
+
 void SoakDeployment::MoveDisk(SoakDaemon& daemon, bool away) {
   const std::string here = DiskPath(daemon);
   const std::string there = here + kAwaySuffix;
--- /dev/null
+++ b/soak/testing/slow_disk.cc
@@ -0,0 +1,50 @@
+// A stand-in for a slow disk, loaded into a daemon's process with LD_PRELOAD:
+// each sync of a file takes longer.
+//
+// The delay in milliseconds is read at each sync from the file FOLDER-delay,
+// where FOLDER is the folder of the synced file, so that it can be changed
+// while the daemon runs. Without that file it is the environment variable
+// SLOW_DISK_SYNC_MS, or none.
+
+#include <dlfcn.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <system_error>
+#include <thread>
+
+namespace {
+
+using SyncFunction = int (*)(int);
+
+std::chrono::milliseconds DelayOf(int file) {
+  std::error_code error;
+  const std::filesystem::path path = std::filesystem::read_symlink(
+      "/proc/self/fd/" + std::to_string(file), error);
+  std::ifstream delay_file(path.parent_path().string() + "-delay");
+  int64_t delay_ms = 0;
+  if (delay_file >> delay_ms) {
+    return std::chrono::milliseconds(delay_ms);
+  }
+  const char* text = std::getenv("SLOW_DISK_SYNC_MS");
+  return std::chrono::milliseconds(text == nullptr ? 0 : std::atoll(text));
+}
+
+int SyncSlowly(int file, const char* name) {
+  std::this_thread::sleep_for(DelayOf(file));
+  const auto sync = reinterpret_cast<SyncFunction>(dlsym(RTLD_NEXT, name));
+  return sync(file);
+}
+
+}  // namespace
+
+extern "C" int fsync(int file) {
+  return SyncSlowly(file, "fsync");
+}
+
+extern "C" int fdatasync(int file) {
+  return SyncSlowly(file, "fdatasync");
+}
