Link the soak's slow disk into a variant of the control daemon

The stand-in of a slow disk is now linked into goldcrest_control_slow_disk and goldcrestd_slow_disk, in place of the C library's syncs. Nothing else changes.

--- a/soak/soak_deployment.h
+++ b/soak/soak_deployment.h
@@ -104,8 +104,8 @@
   // daemon's process has read its disk, without which it cannot start.
   void RefuseWrites(SoakDaemon& daemon, bool refuse);
   // Sets the delay of each sync of a control daemon's disk from now on; 0:
-  // none. The daemon reads it only if the stand-in of a slow disk is loaded
-  // into it (soak/testing/slow_disk.cc).
+  // none. Only variants of the daemons with the stand-in of a slow disk read it
+  // (soak/testing/slow_disk.cc).
   void SetSyncDelay(const SoakDaemon& daemon, Micros delay);
 
   // Applies a fault of connections. Returns its id for RemoveLinkFault().
--- a/soak/testing/slow_disk.cc
+++ b/soak/testing/slow_disk.cc
@@ -1,12 +1,13 @@
-// A stand-in for a slow disk, loaded into a daemon's process with LD_PRELOAD:
-// each sync of a file takes longer.
+// A stand-in for a slow disk: each sync of a file takes longer. Linked into
+// variants of the daemons for tests, in place of the C library's functions.
 //
 // The delay in milliseconds is read at each sync from the file FOLDER-delay,
-// where FOLDER is the folder of the synced file, so that it can be changed
-// while the daemon runs. Without that file it is the environment variable
+// where FOLDER is the folder of the synced file, so that it can be changed while
+// the daemon runs. Without that file it is the environment variable
 // SLOW_DISK_SYNC_MS, or none.
 
-#include <dlfcn.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cstdlib>
@@ -18,8 +19,6 @@
 
 namespace {
 
-using SyncFunction = int (*)(int);
-
 std::chrono::milliseconds DelayOf(int file) {
   std::error_code error;
   const std::filesystem::path path = std::filesystem::read_symlink(
@@ -33,18 +32,17 @@
   return std::chrono::milliseconds(text == nullptr ? 0 : std::atoll(text));
 }
 
-int SyncSlowly(int file, const char* name) {
+int SyncSlowly(int file, int64_t system_call) {
   std::this_thread::sleep_for(DelayOf(file));
-  const auto sync = reinterpret_cast<SyncFunction>(dlsym(RTLD_NEXT, name));
-  return sync(file);
+  return static_cast<int>(syscall(system_call, file));
 }
 
 }  // namespace
 
 extern "C" int fsync(int file) {
-  return SyncSlowly(file, "fsync");
+  return SyncSlowly(file, SYS_fsync);
 }
 
 extern "C" int fdatasync(int file) {
-  return SyncSlowly(file, "fdatasync");
+  return SyncSlowly(file, SYS_fdatasync);
 }
