--- a/cmd/goldcrestd.cc
+++ b/cmd/goldcrestd.cc
@@ -6,6 +6,7 @@
 
 #include <gflags/gflags.h>
 
+#include "edge/build_info.h"
 #include "edge/daemon.h"
 #include "edge/logging.h"
 #include "edge/settings.h"
@@ -218,7 +219,9 @@
   }
   WriteLog({LogLevel::kInfo,
             "daemon_started",
-            {{"http", FLAGS_http_address},
+            {{"version", std::string(ProductVersion())},
+             {"source", std::string(SourceDigest())},
+             {"http", FLAGS_http_address},
              {"failure_domain", FLAGS_failure_domain},
              {"vms", std::to_string(options.deployment.vms.size())},
              {"disk", FLAGS_data_dir.empty() ? "none" : FLAGS_data_dir}}});
--- a/edge/pool_program.cc
+++ b/edge/pool_program.cc
@@ -13,6 +13,7 @@
 
 #include <gflags/gflags.h>
 
+#include "edge/build_info.h"
 #include "edge/control_daemon.h"
 #include "edge/entry_daemon.h"
 #include "edge/logging.h"
@@ -322,6 +323,8 @@
   WriteLog({LogLevel::kInfo,
             "daemon_started",
             {{"program", program.name},
+             {"version", std::string(ProductVersion())},
+             {"source", std::string(SourceDigest())},
              {"mesh", mesh.self},
              {"incarnation", std::to_string(mesh.incarnation)},
              {"domain", mesh.failure_domain},
--- a/edge/settings.cc
+++ b/edge/settings.cc
@@ -11,12 +11,13 @@
 #include <Poco/StringTokenizer.h>
 #include <gflags/gflags.h>
 
+#include "edge/build_info.h"
+
 extern char** environ;  // NOLINT(readability-redundant-declaration)
 
 namespace goldcrest {
 namespace {
 
-constexpr char kVersion[] = "0.1.0";
 constexpr char kVariablePrefix[] = "GOLDCREST_";
 
 // Returns true if the flag is declared in one of the program's own sources.
@@ -63,7 +64,7 @@
 }
 
 void PrintHelp(const ProgramInfo& program) {
-  std::cout << program.name << " " << kVersion << "\n\n"
+  std::cout << program.name << " " << ProductVersion() << "\n\n"
             << program.summary << "\n\nUsage:\n  " << program.usage
             << "\n\nSettings (also as variables GOLDCREST_NAME; a flag "
                "overrides its variable):\n";
@@ -187,7 +188,8 @@
       std::exit(kExitOk);
     }
     if (argument == "--version") {
-      std::cout << program.name << " " << kVersion << "\n";
+      std::cout << program.name << " " << ProductVersion() << " source "
+                << SourceDigest() << "\n";
       std::exit(kExitOk);
     }
   }
