--- a/pool/entry/entry_choices.cc
+++ b/pool/entry/entry_choices.cc
@@ -5,6 +5,8 @@
 
 #include "pool/entry/entry.h"
 
+#include <Poco/String.h>
+
 namespace goldcrest {
 
 const wire::Queue* FindQueue(const wire::Routing& routing,
@@ -12,8 +14,8 @@
                              const std::string& path) {
   const wire::Queue* best = nullptr;
   for (const wire::Queue& queue : routing.queues()) {
-    const bool matches =
-        queue.host() == host && path.starts_with(queue.path_prefix());
+    const bool matches = path.starts_with(queue.path_prefix()) &&
+                         Poco::icompare(queue.host(), host) == 0;
     if (matches && (best == nullptr ||
                     queue.path_prefix().size() > best->path_prefix().size())) {
       best = &queue;
