--- a/edge/control_daemon.cc
+++ b/edge/control_daemon.cc
@@ -52,16 +52,9 @@
         },
         [](RequestToken) {});
     if (!options_.metrics_address.empty()) {
-      metrics_server_ = std::make_unique<HttpServer>(
-          loop_.sockets(), Poco::Net::SocketAddress(options_.metrics_address),
-          BoundedServerOptions("metrics", kPlatformConnections, 0, buffers_),
-          [this](RequestToken token, const HttpRequest&) {
-            metrics_server_->Respond(
-                token, MetricsReply(metrics_page_.Text(MonotonicMicros(), [&] {
-                  return FormatMetrics();
-                })));
-          },
-          [](RequestToken) {});
+      metrics_server_ = std::make_unique<MetricsServer>(
+          loop_.sockets(), options_.metrics_address, buffers_,
+          [this] { return FormatMetrics(); });
     }
     loop_.OpenMesh({options_.start.mesh.self, options_.mesh_bind,
                     options_.start.mesh.incarnation});
@@ -82,7 +75,7 @@
 std::string ControlDaemon::FormatMetrics() const {
   return ControlMetricsText(board_, loop_.mesh(), loop_.delays()) +
          write_metrics_.Text() +
-         HttpMetricsText({server_.get(), metrics_server_.get()}, buffers_);
+         HttpMetricsText({server_.get(), &metrics_server_->http()}, buffers_);
 }
 
 void ControlDaemon::RequestDrain() {
@@ -190,7 +183,7 @@
   };
   handlers.servers = {server_.get()};
   if (metrics_server_) {
-    handlers.servers.push_back(metrics_server_.get());
+    handlers.servers.push_back(&metrics_server_->http());
   }
   handlers.close_stale = [&handlers](Micros now) {
     for (HttpServer* server : handlers.servers) {
--- a/edge/control_daemon.h
+++ b/edge/control_daemon.h
@@ -15,9 +15,9 @@
 
 #include <tl/expected.hpp>
 
-#include "edge/http_metrics.h"
 #include "edge/http_server.h"
 #include "edge/machine_limits.h"
+#include "edge/metrics_server.h"
 #include "edge/pool_loop.h"
 #include "edge/pool_protocol.h"
 #include "edge/register_file.h"
@@ -87,10 +87,9 @@
   TickHandler on_tick_;
   PoolLoop<PoolEvent, PoolMessageReceived> loop_;
   BufferBudget buffers_;
-  MetricsPage metrics_page_;
   WriteMetrics write_metrics_;
   std::unique_ptr<HttpServer> server_;
-  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<MetricsServer> metrics_server_;  // null: no address
   std::unique_ptr<RegisterFile> file_;
 };
 
--- a/edge/entry_daemon.cc
+++ b/edge/entry_daemon.cc
@@ -54,16 +54,9 @@
         },
         [](RequestToken) {});
     if (!options_.metrics_address.empty()) {
-      metrics_server_ = std::make_unique<HttpServer>(
-          loop_.sockets(), Poco::Net::SocketAddress(options_.metrics_address),
-          BoundedServerOptions("metrics", kPlatformConnections, 0, buffers_),
-          [this](RequestToken token, const HttpRequest&) {
-            metrics_server_->Respond(
-                token, MetricsReply(metrics_page_.Text(MonotonicMicros(), [&] {
-                  return FormatMetrics();
-                })));
-          },
-          [](RequestToken) {});
+      metrics_server_ = std::make_unique<MetricsServer>(
+          loop_.sockets(), options_.metrics_address, buffers_,
+          [this] { return FormatMetrics(); });
     }
     loop_.OpenMesh(
         {options_.mesh.self, options_.mesh_bind, options_.mesh.incarnation});
@@ -81,7 +74,7 @@
 std::string EntryDaemon::FormatMetrics() const {
   return metrics_.Text(board_, loop_.mesh(), loop_.delays()) +
          HttpMetricsText(
-             {server_.get(), readiness_server_.get(), metrics_server_.get()},
+             {server_.get(), readiness_server_.get(), &metrics_server_->http()},
              buffers_);
 }
 
@@ -249,7 +242,7 @@
   handlers.on_events_handled = [this] { RunPlacement(); };
   handlers.servers = {server_.get(), readiness_server_.get()};
   if (metrics_server_) {
-    handlers.servers.push_back(metrics_server_.get());
+    handlers.servers.push_back(&metrics_server_->http());
   }
   handlers.close_stale = [&handlers](Micros now) {
     for (HttpServer* server : handlers.servers) {
--- a/edge/entry_daemon.h
+++ b/edge/entry_daemon.h
@@ -15,9 +15,9 @@
 #include <tl/expected.hpp>
 
 #include "edge/held_requests.h"
-#include "edge/http_metrics.h"
 #include "edge/http_server.h"
 #include "edge/machine_limits.h"
+#include "edge/metrics_server.h"
 #include "edge/pool_loop.h"
 #include "edge/pool_metrics.h"
 #include "edge/pool_protocol.h"
@@ -103,12 +103,11 @@
   TickHandler on_tick_;
   PoolLoop<EntryEvent, EntryMessageReceived> loop_;
   BufferBudget buffers_;
-  MetricsPage metrics_page_;
   // Version of the configuration whose limits are applied.
   uint64_t limits_version_ = 0;
   std::unique_ptr<HttpServer> server_;
   std::unique_ptr<HttpServer> readiness_server_;
-  std::unique_ptr<HttpServer> metrics_server_;
+  std::unique_ptr<MetricsServer> metrics_server_;  // null: no address
 };
 
 }  // namespace goldcrest
