--- a/pool/testing/slow_disks_test.cc
+++ b/pool/testing/slow_disks_test.cc
@@ -81,6 +81,11 @@
   FakePool pool(five ? FiveControls(write_time, seed)
                      : SlowPool(write_time, seed));
   CHECK(TimeToConfirm(pool, 1, kRecoveryTime) < kRecoveryTime);
+  // Every control daemon tells that its disk is slow.
+  if (write_time > kSlowWrite) {
+    CHECK(pool.CountLogged("disk_slow") ==
+          static_cast<int>(pool.controls().size()));
+  }
 }
 
 TEST_CASE("Agreement: a leader is elected however slow the disks are") {
