--- a/pool/entry/entry.h
+++ b/pool/entry/entry.h
@@ -217,8 +217,8 @@
                StepTime now,
                PoolActions& actions);
 
-// Returns the queue of `host`, in upper or lower case, that has the longest path
-// prefix of `path`, or null if there is none.
+// Returns the queue of `host`, in upper or lower case, that has the longest
+// path prefix of `path`, or null if there is none.
 const wire::Queue* FindQueue(const wire::Routing& routing,
                              const std::string& host,
                              const std::string& path);
--- a/soak/testing/slow_disk.cc
+++ b/soak/testing/slow_disk.cc
@@ -2,8 +2,8 @@
 // variants of the daemons for tests, in place of the C library's functions.
 //
 // The delay in milliseconds is read at each sync from the file FOLDER-delay,
-// where FOLDER is the folder of the synced file, so that it can be changed while
-// the daemon runs. Without that file it is the environment variable
+// where FOLDER is the folder of the synced file, so that it can be changed
+// while the daemon runs. Without that file it is the environment variable
 // SLOW_DISK_SYNC_MS, or none.
 
 #include <sys/syscall.h>
