Let a crowd of idle clients run on x86-64

daemon_crowd_test ended with SIGFPE: a client with nothing to send divided by the size of an empty block, which traps on x86-64 and not on arm64. It now has sent all at once; the case is as it was otherwise, and passes.

--- a/edge/testing/crowd.cc
+++ b/edge/testing/crowd.cc
@@ -82,6 +82,10 @@
   // Sends the next part of the script, at most `left` bytes, which it reduces.
   // Returns whether the client can go on.
   bool SendPart(size_t& left) {
+    if (sent_ == TotalBytes()) {
+      OnAllSent();  // a script without any bytes
+      return false;
+    }
     const std::string& opening = crowd_.script_.opening;
     const std::string& part = sent_ < opening.size() ? opening : block_;
     const size_t at = sent_ < opening.size()
