Name the time of a majority, and order the election's functions

No change of behaviour: one of two functions called MajorityWriteTime is MajorityTime now, and a forward declaration is not needed any more.

--- a/edge/register_file.h
+++ b/edge/register_file.h
@@ -8,7 +8,7 @@
 // hold the newest state, and is durable once it is synced. A write that is
 // torn, or that fails because the disk is full, therefore never damages a state
 // that was acknowledged. A background thread waits for the disk; of several
-// queued states only the newest is written.
+// queued states only the newest is written, and none once the process ends.
 
 #include <condition_variable>
 #include <functional>
--- a/goldcrest/configuration_voter.cc
+++ b/goldcrest/configuration_voter.cc
@@ -107,7 +107,7 @@
                         ? ExpectedWriteTime(bb.configuration.write_times, now)
                         : peer->second.write_time);
   }
-  return goldcrest::MajorityWriteTime(std::move(times));
+  return MajorityTime(std::move(times));
 }
 
 void ReviewDisk(Blackboard& bb, Micros now, Actions& actions) {
--- a/goldcrest/testing/write_times_test.cc
+++ b/goldcrest/testing/write_times_test.cc
@@ -58,10 +58,10 @@
 }
 
 TEST_CASE("WriteTimes: the write time of a majority") {
-  CHECK(MajorityWriteTime({}) == 0);
-  CHECK(MajorityWriteTime({7}) == 7);
-  CHECK(MajorityWriteTime({9, 1, 5}) == 5);
-  CHECK(MajorityWriteTime({9, 1, 5, 7}) == 7);
+  CHECK(MajorityTime({}) == 0);
+  CHECK(MajorityTime({7}) == 7);
+  CHECK(MajorityTime({9, 1, 5}) == 5);
+  CHECK(MajorityTime({9, 1, 5, 7}) == 7);
 }
 
 }  // namespace
--- a/goldcrest/write_times.cc
+++ b/goldcrest/write_times.cc
@@ -33,7 +33,7 @@
                   std::max(longest, OldestWriteAge(times, now)));
 }
 
-Micros MajorityWriteTime(std::vector<Micros> times) {
+Micros MajorityTime(std::vector<Micros> times) {
   if (times.empty()) {
     return 0;
   }
--- a/goldcrest/write_times.h
+++ b/goldcrest/write_times.h
@@ -51,7 +51,7 @@
 
 // Returns the time after which a majority has completed a write, where `times`
 // are the write times of all voters; 0 if there is none.
-Micros MajorityWriteTime(std::vector<Micros> times);
+Micros MajorityTime(std::vector<Micros> times);
 
 // Excludes a pause of the process from the writes in progress.
 void ExcludePauseFromWrites(WriteTimes& times, Micros pause);
--- a/pool/agreement/agreement_election.cc
+++ b/pool/agreement/agreement_election.cc
@@ -11,7 +11,6 @@
 namespace {
 
 void ActOnVotes(Agreement& agreement, Micros now, PoolActions& actions);
-void OpenElection(Agreement& agreement, uint64_t candidate);
 
 // Returns a random time of at most `limit`.
 Micros RandomDelay(Agreement& agreement, Micros limit) {
@@ -19,6 +18,17 @@
   return delay(agreement.random);
 }
 
+// Records a vote, for this daemon itself or for another, that is about to be
+// written.
+void OpenElection(Agreement& agreement, uint64_t candidate) {
+  agreement.stored.set_voted_for(candidate);
+  agreement.election.is_open = true;
+  agreement.election.voted_at = 0;
+  agreement.election.wait =
+      agreement.options.election_timeout +
+      RandomDelay(agreement, agreement.options.election_timeout);
+}
+
 // Returns whether every other voter has reported, since this daemon's start,
 // that it is not the leader. If so, no leader holds a lease that relies on an
 // answer that this daemon gave before its start.
@@ -167,17 +177,6 @@
                    detail::MajorityWriteTime(agreement, now);
 }
 
-// Records a vote, for this daemon itself or for another, that is about to be
-// written.
-void OpenElection(Agreement& agreement, uint64_t candidate) {
-  agreement.stored.set_voted_for(candidate);
-  agreement.election.is_open = true;
-  agreement.election.voted_at = 0;
-  agreement.election.wait =
-      agreement.options.election_timeout +
-      RandomDelay(agreement, agreement.options.election_timeout);
-}
-
 // Returns the time of a write of the voter, as it was last reported. Returns
 // that of this daemon if the voter has not reported any.
 Micros WriteTimeOfVoter(const Agreement& agreement,
@@ -199,7 +198,7 @@
     for (const wire::Voter& voter : voters) {
       times.push_back(WriteTimeOfVoter(agreement, voter, now));
     }
-    return goldcrest::MajorityWriteTime(std::move(times));
+    return MajorityTime(std::move(times));
   };
   const wire::RegisterState& state = NewestEntry(agreement);
   return std::max(majority_of(state.voters()),
@@ -248,7 +247,7 @@
   } else if (MayElectQuickly(agreement)) {
     ScheduleQuickElection(agreement, now);
   } else if (now >= election.due) {
-    // Others whose disks are as slow have waited for as long.
+    // Random, since voters whose disks are equally slow are due together.
     election.due =
         now + RandomDelay(agreement, agreement.options.election_timeout);
   }
@@ -262,7 +261,7 @@
     return;
   }
   ++agreement.election.results[result];
-  // A trial changes nothing, and is repeated while a majority is unreachable.
+  // A failed pre-vote changes nothing, and repeats while no majority answers.
   if (result == ElectionResult::kWon || agreement.election.pre_vote) {
     return;
   }
