Take the port of a route's host from the request, and keep queues across case

Callers saw 404 for a route whose host has a port: requests were compared without theirs. And a change of the configuration that writes a host in another case gave its queue another key, so that a running job was not found any more.

Cause: compared hosts where a request comes in, and left the key as the route writes it. Change: the key has the host in lower case; a route with a port takes just the requests to that port, one without takes any.

--- a/pool/entry/entry.h
+++ b/pool/entry/entry.h
@@ -217,8 +217,9 @@
                StepTime now,
                PoolActions& actions);
 
-// Returns the queue of `host`, in upper or lower case, that has the longest
-// path prefix of `path`, or null if there is none.
+// Returns the queue that has the longest path prefix of `path` among those of
+// `host`, or null if there is none. `host` is "name" or "name:port", in upper
+// or lower case; a queue whose host is "name" takes requests to any port.
 const wire::Queue* FindQueue(const wire::Routing& routing,
                              const std::string& host,
                              const std::string& path);
--- a/pool/entry/entry_choices.cc
+++ b/pool/entry/entry_choices.cc
@@ -2,6 +2,7 @@
 // control daemon of a job.
 
 #include <tuple>
+#include <utility>
 
 #include "pool/entry/entry.h"
 
@@ -12,13 +13,17 @@
 const wire::Queue* FindQueue(const wire::Routing& routing,
                              const std::string& host,
                              const std::string& path) {
+  const std::string name = host.substr(0, host.find(':'));
   const wire::Queue* best = nullptr;
+  std::pair<size_t, size_t> best_lengths;  // of the prefix and the host
   for (const wire::Queue& queue : routing.queues()) {
     const bool matches = path.starts_with(queue.path_prefix()) &&
-                         Poco::icompare(queue.host(), host) == 0;
-    if (matches && (best == nullptr ||
-                    queue.path_prefix().size() > best->path_prefix().size())) {
+                         (Poco::icompare(queue.host(), name) == 0 ||
+                          Poco::icompare(queue.host(), host) == 0);
+    const std::pair lengths(queue.path_prefix().size(), queue.host().size());
+    if (matches && (best == nullptr || lengths > best_lengths)) {
       best = &queue;
+      best_lengths = lengths;
     }
   }
   return best;
--- a/pool/queue_key.cc
+++ b/pool/queue_key.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <Poco/String.h>
+
 namespace goldcrest {
 namespace {
 
@@ -11,14 +13,14 @@
 bool HasKey(const wire::Queue& queue, const std::string& key) {
   const std::string& host = queue.host();
   return key.size() == host.size() + 1 + queue.path_prefix().size() &&
-         key.starts_with(host) && key[host.size()] == kSeparator &&
-         key.ends_with(queue.path_prefix());
+         key[host.size()] == kSeparator && key.ends_with(queue.path_prefix()) &&
+         Poco::icompare(key, host.size(), host) == 0;
 }
 
 }  // namespace
 
 std::string QueueKey(const wire::Queue& queue) {
-  return queue.host() + kSeparator + queue.path_prefix();
+  return Poco::toLower(queue.host()) + kSeparator + queue.path_prefix();
 }
 
 std::string JobKeyInQueue(const std::string& queue_key,
--- a/pool/queue_key.h
+++ b/pool/queue_key.h
@@ -16,8 +16,10 @@
 
 namespace goldcrest {
 
-// Returns the key of the queue, "HOST:PREFIX". The host of a request has no
-// port, hence no colon, so the keys of two queues that requests reach differ.
+// Returns the key of the queue, "HOST:PREFIX", with the host in lower case: it
+// names the same queue however a version of the configuration writes it. The
+// prefix of a queue that requests reach begins with a slash, so that the keys
+// of two such queues differ.
 std::string QueueKey(const wire::Queue& queue);
 
 // Returns what identifies a job here: callers choose its id, and callers of
